--- /dev/null
+++ b/crates/apricotlug-admin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Administration API.
--- /dev/null
+++ b/crates/apricotlug-config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Bundle and settings: parse, check, compare.
--- /dev/null
+++ b/crates/apricotlug-edge/src/lib.rs
@@ -0,0 +1,1 @@
+//! The request path: accept, identify, admit, place, send, verify, answer, settle.
--- /dev/null
+++ b/crates/apricotlug-peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Calls between entry instances: membership, bundle, transfers.
--- /dev/null
+++ b/crates/apricotlug-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's key-value service.
--- /dev/null
+++ b/crates/apricotlug-policy/src/lookup/mod.rs
@@ -0,0 +1,1 @@
+//! Look-ups: which entry instances a caller should use.
--- /dev/null
+++ b/crates/apricotlug-policy/src/moves/mod.rs
@@ -0,0 +1,1 @@
+//! Moves of traffic from one version of a service to another.
--- /dev/null
+++ b/crates/apricotlug-policy/src/order/mod.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution: attempt states and order tokens.
--- /dev/null
+++ b/crates/apricotlug-policy/src/placement/mod.rs
@@ -0,0 +1,1 @@
+//! Placement of a request on a backend server endpoint.
--- /dev/null
+++ b/crates/apricotlug-policy/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retry and hedge budgets.
--- /dev/null
+++ b/crates/apricotlug-standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins of the platform and of backend servers, with faults.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `apricotlug` binary: one subcommand a file under `commands`.
+
+fn main() {}
