--- /dev/null
+++ b/crates/apricotlug-policy/src/budget/ledger.rs
@@ -0,0 +1,241 @@
+//! Budgets of one instance: what it may admit for each client account.
+
+use std::collections::BTreeMap;
+
+use apricotlug_model::{AccountKey, Bundle, HashMap, InstanceId, MonoTime, UnixTime};
+
+use crate::budget::{
+    Admission, MAX_CLOCK_SKEW, Now, Part, Receipt, Transfer, TransferId, entry::Entry,
+};
+
+/// Largest number of received transfers that are remembered at once.
+const MAX_LIVE_TRANSFERS: usize = 4_096;
+
+/// Allotments of one instance for all client accounts, as the seat plan grants them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Allotments {
+    /// Incarnation that may spend them.
+    pub holder: InstanceId,
+    /// Grows with each change; an instance installs a higher generation only.
+    pub generation: u64,
+    /// End of the floors.
+    pub floor_until: UnixTime,
+    /// End of the surpluses.
+    pub surplus_until: UnixTime,
+    /// Parts by client account; an account that is not listed gets nothing.
+    pub accounts: Vec<Allotment>,
+}
+
+/// Parts of one client account's budget that one instance may spend.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Allotment {
+    /// Client account's name.
+    pub account: String,
+    /// Whole budget of the account in the bundle that the parts were cut from.
+    pub budget: Part,
+    /// Part under the long lease.
+    pub floor: Part,
+    /// Part under the short lease.
+    pub surplus: Part,
+}
+
+/// What an instance tells the writer of its data centre's seats.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Incarnation that reports.
+    pub instance: InstanceId,
+    /// Generation that it keeps to, or `None` where it has none or gave away more than that
+    /// generation leaves it.
+    pub confirmed: Option<u64>,
+    /// Whether it spends nothing any more and hands everything back.
+    pub is_leaving: bool,
+    /// Arrivals by client account, refused ones included, in thousandths per second; accounts
+    /// without arrivals are left out.
+    pub demand_milli: BTreeMap<String, u64>,
+}
+
+/// Budgets of one instance.
+#[derive(Clone, Debug)]
+pub struct Budgets {
+    own: InstanceId,
+    generation: Option<u64>,
+    is_leaving: bool,
+    entries: Vec<Entry>,
+    keys: HashMap<String, AccountKey>,
+    retired: Vec<Entry>,
+    seen: HashMap<TransferId, MonoTime>,
+    last_number: u64,
+}
+
+impl Budgets {
+    /// Returns budgets that admit nothing yet.
+    #[must_use]
+    pub fn new(own: InstanceId, bundle: &Bundle, now: MonoTime) -> Self {
+        let mut budgets = Self {
+            own,
+            generation: None,
+            is_leaving: false,
+            entries: Vec::new(),
+            keys: HashMap::default(),
+            retired: Vec::new(),
+            seen: HashMap::default(),
+            last_number: 0,
+        };
+        budgets.set_bundle(bundle, now);
+        budgets
+    }
+
+    /// Takes one token of a client account.
+    pub fn admit(&mut self, account: AccountKey, now: MonoTime) -> Admission {
+        match self.entries.get_mut(usize::from(account)) {
+            Some(entry) => entry.admit(now),
+            None => Admission::Refused { retry_at: now },
+        }
+    }
+
+    /// Takes over another bundle. Accounts keep what they hold by name, scaled down where their
+    /// budget has shrunk; new accounts start with nothing.
+    pub fn set_bundle(&mut self, bundle: &Bundle, now: MonoTime) {
+        let mut former: HashMap<String, Entry> = std::mem::take(&mut self.retired)
+            .into_iter()
+            .chain(std::mem::take(&mut self.entries))
+            .map(|entry| (entry.name().to_owned(), entry))
+            .collect();
+        for (key, account) in bundle.accounts.iter() {
+            let budget = Part::whole(account);
+            let mut entry = former
+                .remove(&account.id)
+                .unwrap_or_else(|| Entry::new(account.id.clone(), now));
+            entry.set_budget(budget, now);
+            self.entries.push(entry);
+            debug_assert_eq!(usize::from(key) + 1, self.entries.len());
+        }
+        self.retired = former
+            .into_values()
+            .filter_map(|entry| entry.retire(now))
+            .collect();
+        self.keys = bundle
+            .accounts
+            .iter()
+            .map(|(key, account)| (account.id.clone(), key))
+            .collect();
+    }
+
+    /// Installs allotments of a higher generation. Returns whether they were installed.
+    pub fn install(&mut self, allotments: &Allotments, now: Now) -> bool {
+        let is_news = self
+            .generation
+            .is_none_or(|own| own < allotments.generation);
+        if allotments.holder != self.own || !is_news || self.is_leaving {
+            return false;
+        }
+        self.generation = Some(allotments.generation);
+        let mut listed: HashMap<&str, &Allotment> = allotments
+            .accounts
+            .iter()
+            .map(|allotment| (allotment.account.as_str(), allotment))
+            .collect();
+        for entry in &mut self.entries {
+            let allotment = listed.remove(entry.name());
+            entry.install(
+                allotment,
+                allotments.floor_until,
+                allotments.surplus_until,
+                now,
+            );
+        }
+        true
+    }
+
+    /// Returns what the account can give away without refusing its own recent demand.
+    #[must_use]
+    pub fn spare(&self, account: AccountKey, now: MonoTime) -> Part {
+        let entry = self.entries.get(usize::from(account));
+        entry.map_or(Part::ZERO, |entry| entry.spare(now))
+    }
+
+    /// Subtracts up to a part from the account's surplus and returns it as a transfer, or `None`
+    /// where there is no surplus to give.
+    pub fn give(
+        &mut self,
+        account: AccountKey,
+        to: &InstanceId,
+        part: Part,
+        now: Now,
+    ) -> Option<Transfer> {
+        let entry = self.entries.get_mut(usize::from(account))?;
+        let gift = entry.give(part, now)?;
+        self.last_number += 1;
+        Some(Transfer {
+            id: TransferId {
+                from: self.own.clone(),
+                number: self.last_number,
+            },
+            to: to.clone(),
+            account: entry.name().to_owned(),
+            budget: entry.budget(),
+            part: gift.part,
+            tokens: gift.tokens,
+            until: gift.until,
+        })
+    }
+
+    /// Adds a transfer, at most once.
+    pub fn receive(&mut self, transfer: &Transfer, now: Now) -> Receipt {
+        if transfer.to != self.own || self.is_leaving {
+            return Receipt::NotAddressee;
+        }
+        if self.seen.contains_key(&transfer.id) {
+            return Receipt::Duplicate;
+        }
+        if transfer.until.is_past(now.unix) {
+            return Receipt::Expired;
+        }
+        let Some(key) = self.keys.get(&transfer.account) else {
+            return Receipt::UnknownAccount;
+        };
+        self.seen
+            .retain(|_, forget_at| !forget_at.is_past(now.mono));
+        if self.seen.len() >= MAX_LIVE_TRANSFERS {
+            return Receipt::Full;
+        }
+        let until = now.to_mono(transfer.until);
+        self.seen
+            .insert(transfer.id.clone(), until.after(MAX_CLOCK_SKEW));
+        self.entries[usize::from(*key)].receive(transfer, until, now.mono);
+        Receipt::Added
+    }
+
+    /// Gives up everything for good, as a step of a graceful shutdown.
+    pub fn leave(&mut self, now: MonoTime) {
+        self.is_leaving = true;
+        for entry in &mut self.entries {
+            entry.clear(now);
+        }
+    }
+
+    /// Measures demand since the last report and says what is held.
+    pub fn report(&mut self, now: MonoTime) -> Report {
+        let mut demand_milli = BTreeMap::new();
+        for entry in &mut self.entries {
+            let demand = entry.measure_demand(now);
+            if demand > 0 {
+                demand_milli.insert(entry.name().to_owned(), demand);
+            }
+        }
+        let gifts_fit = self.entries.iter().all(|entry| entry.gifts_fit(now));
+        let has_gifts = self.entries.iter().any(|entry| entry.has_gifts(now));
+        Report {
+            instance: self.own.clone(),
+            confirmed: self.generation.filter(|_| gifts_fit),
+            is_leaving: self.is_leaving && !has_gifts,
+            demand_milli,
+        }
+    }
+
+    /// Returns the generation installed last.
+    #[must_use]
+    pub fn generation(&self) -> Option<u64> {
+        self.generation
+    }
+}
