Share plan and seat plan: pure steps, fair division, wire form

Cause: parts of budgets must be handed out without any coordination but compare-and-swap. Change: two levels of one plan form; parts taken back fade until confirmed or expired.

--- a/crates/apricotlug-policy/src/budget/entry.rs
+++ b/crates/apricotlug-policy/src/budget/entry.rs
@@ -121,7 +121,7 @@
 
     pub(super) fn spare(&self, now: MonoTime) -> Part {
         let keep = Part {
-            rate_milli: self.demand_milli * KEEP_PERCENT / 100,
+            rate_milli: self.demand_milli.saturating_mul(KEEP_PERCENT) / 100,
             burst: KEEP_BURST,
         };
         self.holding(now).minus(keep).min(self.giveable(now))
@@ -201,7 +201,7 @@
         self.surplus.at(now).minus(self.given_at(now))
     }
 
-    fn holding(&self, now: MonoTime) -> Part {
+    pub(super) fn holding(&self, now: MonoTime) -> Part {
         let received: Part = self.received.iter().map(|lease| lease.at(now)).sum();
         self.floor
             .at(now)
--- a/crates/apricotlug-policy/src/budget/ledger.rs
+++ b/crates/apricotlug-policy/src/budget/ledger.rs
@@ -147,6 +147,13 @@
         true
     }
 
+    /// Returns the part of the account's budget that may be spent here.
+    #[must_use]
+    pub fn held(&self, account: AccountKey, now: MonoTime) -> Part {
+        let entry = self.entries.get(usize::from(account));
+        entry.map_or(Part::ZERO, |entry| entry.holding(now))
+    }
+
     /// Returns what the account can give away without refusing its own recent demand.
     #[must_use]
     pub fn spare(&self, account: AccountKey, now: MonoTime) -> Part {
--- a/crates/apricotlug-policy/src/budget/mod.rs
+++ b/crates/apricotlug-policy/src/budget/mod.rs
@@ -6,18 +6,28 @@
 
 mod bucket;
 mod entry;
+mod fair;
 mod ledger;
 mod part;
+mod plan;
+mod rows;
+mod settle;
+mod step;
 mod transfer;
+mod wire;
 
 use std::time::Duration;
 
 use apricotlug_model::{MonoTime, UnixTime};
 
 pub use bucket::{Admission, Bucket};
+pub use fair::{apportion, max_min_fair};
 pub use ledger::{Allotment, Allotments, Budgets, Report};
 pub use part::Part;
+pub use plan::{Grant, Plan, Row, Seat, SeatPlan, SharePlan, Terms};
+pub use step::{step_seats, step_shares};
 pub use transfer::{Receipt, Transfer, TransferId};
+pub use wire::{PlanError, SeatPlanWire, SharePlanWire};
 
 /// Largest difference between the wall clocks of two machines, drift over a lease included.
 ///
--- a/crates/apricotlug-policy/src/budget/part.rs
+++ b/crates/apricotlug-policy/src/budget/part.rs
@@ -65,6 +65,15 @@
         }
     }
 
+    /// Returns the larger rate and the larger burst of two parts.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            rate_milli: self.rate_milli.max(other.rate_milli),
+            burst: self.burst.max(other.burst),
+        }
+    }
+
     /// Tells whether neither rate nor burst exceeds that of another part.
     #[must_use]
     pub fn fits(self, other: Self) -> bool {
--- /dev/null
+++ b/crates/apricotlug-policy/src/budget/rows.rs
@@ -0,0 +1,105 @@
+//! Rows of a plan that follow the client accounts of the bundle.
+
+use apricotlug_model::{Bundle, HashMap, UnixTime};
+
+use crate::budget::{
+    Part,
+    plan::{Grant, Kind, Plan, Row, Seat, split},
+};
+
+/// Brings a share plan to a newer bundle. Where a budget has shrunk, all parts of it shrink in
+/// proportion, and what they lose may still be spent until their holders learn of it or their
+/// leases end. Accounts that are gone keep a row without budget until then.
+pub(super) fn adopt_bundle(plan: &mut Plan<String>, bundle: &Bundle, now: UnixTime) {
+    let mut rows: Vec<Row> = bundle
+        .accounts
+        .values()
+        .map(|account| Row {
+            name: account.id.clone(),
+            budget: Part::whole(account),
+        })
+        .collect();
+    for (i, row) in plan.rows.iter().enumerate() {
+        let is_gone = rows.iter().all(|kept| kept.name != row.name);
+        if is_gone && !plan.live(i, now).is_zero() {
+            rows.push(Row {
+                name: row.name.clone(),
+                budget: Part::ZERO,
+            });
+        }
+    }
+    set_rows(plan, rows);
+    plan.bundle = bundle.version;
+    for kind in Kind::ALL {
+        resize(plan, kind);
+    }
+}
+
+/// Replaces the rows; parts keep to the names.
+pub(super) fn set_rows<H>(plan: &mut Plan<H>, rows: Vec<Row>) {
+    let former: HashMap<&str, usize> = plan
+        .rows
+        .iter()
+        .enumerate()
+        .map(|(i, row)| (row.name.as_str(), i))
+        .collect();
+    let sources: Vec<Option<usize>> = rows
+        .iter()
+        .map(|row| former.get(row.name.as_str()).copied())
+        .collect();
+    map_seat(&mut plan.root, &sources);
+    for seat in &mut plan.seats {
+        map_seat(seat, &sources);
+    }
+    plan.rows = rows;
+}
+
+fn map_seat<H>(seat: &mut Seat<H>, sources: &[Option<usize>]) {
+    seat.demand_milli = map(&seat.demand_milli, sources);
+    for kind in Kind::ALL {
+        let grant = seat.grant_mut(kind);
+        grant.parts = map(&grant.parts, sources);
+        grant.fading = map(&grant.fading, sources);
+    }
+}
+
+fn map<T: Copy + Default>(values: &[T], sources: &[Option<usize>]) -> Vec<T> {
+    sources
+        .iter()
+        .map(|source| source.map_or_else(T::default, |i| values[i]))
+        .collect()
+}
+
+fn resize(plan: &mut Plan<String>, kind: Kind) {
+    let latest = plan
+        .seats
+        .iter()
+        .map(|seat| latest_deadline(seat.grant(kind)))
+        .max()
+        .unwrap_or_default();
+    let root = plan.root.grant_mut(kind);
+    root.until = UnixTime::MAX;
+    for (row, account) in plan.rows.iter().enumerate() {
+        let (from, to) = (
+            root.parts[row],
+            split(account.budget, plan.floor_permille, kind),
+        );
+        root.parts[row] = to;
+        if to.fits(from) && from.fits(to) {
+            continue;
+        }
+        if !from.fits(to) {
+            root.fading[row] = root.fading[row].plus(from.minus(to));
+            root.fading_until = root.fading_until.max(latest);
+        }
+        for seat in &mut plan.seats {
+            let grant = seat.grant_mut(kind);
+            let kept = grant.parts[row].scaled_down(from, to);
+            grant.shrink(row, kept);
+        }
+    }
+}
+
+fn latest_deadline(grant: &Grant) -> UnixTime {
+    grant.until.max(grant.fading_until)
+}
