--- /dev/null
+++ b/crates/apricotlug-policy/tests/budget_safety.rs
@@ -0,0 +1,190 @@
+//! Admissions of all instances together stay within burst + rate × window, whatever fails.
+
+#[path = "support/fleet.rs"]
+#[allow(dead_code)]
+mod fleet;
+
+use std::time::Duration;
+
+use apricotlug_model::{AccountKey, Bundle};
+use apricotlug_policy::budget::{MAX_CLOCK_SKEW, Part, Terms};
+use fleet::{Faults, Fleet, Meter, bundle};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rand::RngExt;
+
+const TICK_US: u64 = 100_000;
+const RUN_TICKS: u64 = 900;
+const ACCOUNTS: &[(&str, u32, u32)] = &[("large", 120, 60), ("small", 5, 7)];
+const TERMS: Terms = Terms {
+    floor_permille: 400,
+    floor_lease: Duration::from_secs(24),
+    surplus_lease: Duration::from_secs(6),
+};
+
+/// How often things go wrong, per tick.
+#[derive(Clone, Copy, Debug)]
+struct Chaos {
+    crash: f64,
+    pause: f64,
+    outage: f64,
+    cut: f64,
+    gift: f64,
+}
+
+fn chaos() -> impl Strategy<Value = Chaos> {
+    let odds = || prop_oneof![Just(0.0), 0.0..0.02];
+    (
+        odds(),
+        odds(),
+        odds(),
+        odds(),
+        prop_oneof![Just(0.0), Just(0.5)],
+    )
+        .prop_map(|(crash, pause, outage, cut, gift)| Chaos {
+            crash,
+            pause,
+            outage,
+            cut,
+            gift,
+        })
+}
+
+fn faults() -> impl Strategy<Value = Faults> {
+    let odds = || prop_oneof![Just(0.0), 0.0..0.4];
+    (odds(), odds(), odds(), odds(), 0..8_000_u64, any::<bool>()).prop_map(
+        |(loss, duplication, late_write, lost_answer, delay_ms, is_skewed)| Faults {
+            loss,
+            duplication,
+            late_write,
+            lost_answer,
+            max_delay: Duration::from_millis(delay_ms),
+            skew: if is_skewed {
+                MAX_CLOCK_SKEW
+            } else {
+                Duration::ZERO
+            },
+        },
+    )
+}
+
+fn disturb(fleet: &mut Fleet, chaos: Chaos) {
+    let dcs = fleet.cut_off.len();
+    let running = fleet.running();
+    if !running.is_empty() && fleet.rng.random_bool(chaos.crash) {
+        let i = running[fleet.rng.random_range(0..running.len())];
+        let dc = fleet.instances[i].data_centre;
+        if fleet.rng.random_bool(0.7) {
+            fleet.crash(i);
+        } else {
+            let now = fleet.instances[i].now(fleet.time);
+            fleet.instances[i].budgets.leave(now.mono);
+        }
+        fleet.start(dc);
+    }
+    if !running.is_empty() && fleet.rng.random_bool(chaos.pause) {
+        let i = running[fleet.rng.random_range(0..running.len())];
+        fleet.instances[i].paused_until = fleet.time + fleet.rng.random_range(0..30_000_000);
+    }
+    if fleet.rng.random_bool(chaos.outage) {
+        fleet.platform.is_up = !fleet.platform.is_up;
+    }
+    if fleet.rng.random_bool(chaos.cut) {
+        let dc = fleet.rng.random_range(0..dcs);
+        fleet.cut_off[dc] = !fleet.cut_off[dc];
+    }
+}
+
+fn gifts(fleet: &mut Fleet, chaos: Chaos) {
+    let running = fleet.running();
+    if running.len() < 2 || !fleet.rng.random_bool(chaos.gift) {
+        return;
+    }
+    let from = running[fleet.rng.random_range(0..running.len())];
+    let to = running[fleet.rng.random_range(0..running.len())];
+    let account = AccountKey(fleet.rng.random_range(0..2));
+    let part = Part {
+        rate_milli: fleet.rng.random_range(0..20_000),
+        burst: fleet.rng.random_range(0..8),
+    };
+    if from != to {
+        fleet.pass(from, to, account, part);
+    }
+}
+
+/// Asks for as many admissions as there are, at some instances.
+fn load(fleet: &mut Fleet, meters: &mut [Meter]) {
+    for i in fleet.running() {
+        if fleet.rng.random_bool(0.3) {
+            continue;
+        }
+        for (key, meter) in (0..).map(AccountKey).zip(meters.iter_mut()) {
+            while fleet.admit(i, key) {
+                meter.charge(fleet.time);
+            }
+        }
+    }
+}
+
+fn tick(fleet: &mut Fleet, chaos: Chaos) {
+    disturb(fleet, chaos);
+    fleet.deliver();
+    gifts(fleet, chaos);
+    if fleet.time / TICK_US % 5 == 0 {
+        fleet.report();
+    }
+    let running = fleet.running();
+    for i in running {
+        if fleet.rng.random_bool(0.1) {
+            fleet.write(i);
+        }
+    }
+}
+
+fn check_sum(fleet: &Fleet, bundle: &Bundle) {
+    for (key, account) in bundle.accounts.iter() {
+        let held = fleet.held(key);
+        let whole = Part::whole(account);
+        assert!(
+            held.fits(whole),
+            "{held:?} held of {whole:?} at {}",
+            fleet.time
+        );
+    }
+}
+
+fn run(sizes: &[usize], chaos: Chaos, faults: Faults, seed: u64) -> u64 {
+    let bundle = bundle(1, ACCOUNTS);
+    let mut fleet = Fleet::new(sizes, bundle.clone(), TERMS, faults, seed);
+    let mut meters: Vec<Meter> = ACCOUNTS
+        .iter()
+        .map(|(_, rate, burst)| Meter::new(*rate, *burst, 0))
+        .collect();
+    for _ in 0..RUN_TICKS {
+        tick(&mut fleet, chaos);
+        check_sum(&fleet, &bundle);
+        load(&mut fleet, &mut meters);
+        check_sum(&fleet, &bundle);
+        fleet.time += TICK_US;
+    }
+    meters.iter().map(|meter| meter.over).sum()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 96,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        max_shrink_iters: 64,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn fleet_never_admits_more_than_the_budget(
+        sizes in prop::collection::vec(1..4_usize, 1..5),
+        chaos in chaos(),
+        faults in faults(),
+        seed: u64,
+    ) {
+        prop_assert_eq!(run(&sizes, chaos, faults, seed), 0);
+    }
+}
--- /dev/null
+++ b/crates/apricotlug-policy/tests/support/fleet.rs
@@ -0,0 +1,450 @@
+//! Model of data centres, instances, clocks, messages and a platform in virtual time.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use apricotlug_model::{
+    Account, AccountKey, Bundle, BundleVersion, InstanceId, MonoTime, UnixTime,
+};
+use apricotlug_policy::budget::{
+    Admission, Allotments, Budgets, Now, Part, Plan, Report, SeatPlan, SeatPlanWire, SharePlan,
+    SharePlanWire, Terms, Transfer, step_seats, step_shares,
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+/// Wall clock at the start of a run, in microseconds.
+const EPOCH: u64 = 1_700_000_000_000_000;
+
+/// Age after which a report counts as stale.
+const REPORT_LIFE: Duration = Duration::from_secs(3);
+
+/// Faults and their probabilities.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    pub loss: f64,
+    pub duplication: f64,
+    pub late_write: f64,
+    pub lost_answer: f64,
+    pub max_delay: Duration,
+    pub skew: Duration,
+}
+
+#[derive(Clone, Debug)]
+pub enum Message {
+    Report(Report),
+    Allotments(Allotments),
+    Transfer(Transfer),
+}
+
+struct Envelope {
+    at: u64,
+    to: InstanceId,
+    message: Message,
+}
+
+pub struct Instance {
+    pub id: InstanceId,
+    pub data_centre: usize,
+    pub budgets: Budgets,
+    pub is_alive: bool,
+    pub paused_until: u64,
+    started: u64,
+    skew: i64,
+    reports: BTreeMap<InstanceId, (u64, Report)>,
+}
+
+impl Instance {
+    pub fn now(&self, time: u64) -> Now {
+        let unix = (EPOCH + time).saturating_add_signed(self.skew);
+        Now {
+            mono: MonoTime(time - self.started),
+            unix: UnixTime(unix),
+        }
+    }
+
+    pub fn is_running(&self, time: u64) -> bool {
+        self.is_alive && self.paused_until <= time
+    }
+}
+
+struct LateWrite {
+    at: u64,
+    shares: Option<(u64, SharePlan)>,
+    seats: Option<(usize, u64, SeatPlan)>,
+}
+
+/// Platform records by version, with the calls and bytes that they cost.
+#[derive(Default)]
+pub struct Platform {
+    pub is_up: bool,
+    pub calls: u64,
+    pub bytes: u64,
+    pub conflicts: u64,
+    shares: (u64, Option<String>),
+    seats: Vec<(u64, Option<String>)>,
+}
+
+impl Platform {
+    fn read_shares(&mut self) -> (u64, Option<SharePlan>) {
+        self.count(self.shares.1.as_ref().map_or(0, String::len));
+        let plan = self.shares.1.as_ref().map(|text| {
+            let wire: SharePlanWire = serde_json::from_str(text).unwrap();
+            Plan::try_from(wire).unwrap()
+        });
+        (self.shares.0, plan)
+    }
+
+    fn read_seats(&mut self, dc: usize) -> (u64, Option<SeatPlan>) {
+        self.count(self.seats[dc].1.as_ref().map_or(0, String::len));
+        let plan = self.seats[dc].1.as_ref().map(|text| {
+            let wire: SeatPlanWire = serde_json::from_str(text).unwrap();
+            Plan::try_from(wire).unwrap()
+        });
+        (self.seats[dc].0, plan)
+    }
+
+    fn write_shares(&mut self, version: u64, plan: &SharePlan) -> bool {
+        let text = serde_json::to_string(&SharePlanWire::from(plan)).unwrap();
+        self.count(text.len());
+        swap(&mut self.shares, version, text, &mut self.conflicts)
+    }
+
+    fn write_seats(&mut self, dc: usize, version: u64, plan: &SeatPlan) -> bool {
+        let text = serde_json::to_string(&SeatPlanWire::from(plan)).unwrap();
+        self.count(text.len());
+        swap(&mut self.seats[dc], version, text, &mut self.conflicts)
+    }
+
+    fn count(&mut self, bytes: usize) {
+        self.calls += 1;
+        self.bytes += bytes as u64;
+    }
+}
+
+fn swap(record: &mut (u64, Option<String>), version: u64, text: String, lost: &mut u64) -> bool {
+    if record.0 != version {
+        *lost += 1;
+        return false;
+    }
+    *record = (version + 1, Some(text));
+    true
+}
+
+pub struct Fleet {
+    pub time: u64,
+    pub rng: StdRng,
+    pub bundle: Bundle,
+    pub instances: Vec<Instance>,
+    pub platform: Platform,
+    pub cut_off: Vec<bool>,
+    pub faults: Faults,
+    pub terms: Terms,
+    mail: Vec<Envelope>,
+    late: Vec<LateWrite>,
+    last_incarnation: u64,
+}
+
+pub fn bundle(version: u64, accounts: &[(&str, u32, u32)]) -> Bundle {
+    Bundle {
+        version: BundleVersion(version),
+        accounts: accounts
+            .iter()
+            .map(|(id, rate, burst)| Account {
+                id: (*id).to_owned(),
+                rate: *rate,
+                burst: *burst,
+            })
+            .collect(),
+        ..Bundle::default()
+    }
+}
+
+impl Fleet {
+    pub fn new(sizes: &[usize], bundle: Bundle, terms: Terms, faults: Faults, seed: u64) -> Self {
+        let mut fleet = Self {
+            time: 0,
+            rng: StdRng::seed_from_u64(seed),
+            bundle,
+            instances: Vec::new(),
+            platform: Platform {
+                is_up: true,
+                seats: vec![(0, None); sizes.len()],
+                ..Platform::default()
+            },
+            cut_off: vec![false; sizes.len()],
+            faults,
+            terms,
+            mail: Vec::new(),
+            late: Vec::new(),
+            last_incarnation: 0,
+        };
+        for (dc, size) in sizes.iter().enumerate() {
+            for _ in 0..*size {
+                fleet.start(dc);
+            }
+        }
+        fleet
+    }
+
+    /// Starts a process with empty memory.
+    pub fn start(&mut self, data_centre: usize) -> usize {
+        self.last_incarnation += 1;
+        let id = InstanceId {
+            name: format!("dc{data_centre}-{}", self.last_incarnation),
+            incarnation: self.last_incarnation,
+        };
+        let span = self.faults.skew.as_micros() as i64 / 2;
+        let skew = if self.rng.random_bool(0.5) {
+            span
+        } else {
+            -span
+        };
+        self.instances.push(Instance {
+            budgets: Budgets::new(id.clone(), &self.bundle, MonoTime(0)),
+            id,
+            data_centre,
+            is_alive: true,
+            paused_until: 0,
+            started: self.time,
+            skew,
+            reports: BTreeMap::new(),
+        });
+        self.instances.len() - 1
+    }
+
+    pub fn crash(&mut self, i: usize) {
+        self.instances[i].is_alive = false;
+    }
+
+    pub fn running(&self) -> Vec<usize> {
+        (0..self.instances.len())
+            .filter(|i| self.instances[*i].is_running(self.time))
+            .collect()
+    }
+
+    pub fn admit(&mut self, i: usize, account: AccountKey) -> bool {
+        let now = self.instances[i].now(self.time);
+        let admission = self.instances[i].budgets.admit(account, now.mono);
+        admission == Admission::Granted
+    }
+
+    pub fn send(&mut self, to: &InstanceId, message: &Message) {
+        let copies = 1 + u32::from(self.rng.random_bool(self.faults.duplication));
+        for _ in 0..copies {
+            if self.rng.random_bool(self.faults.loss) {
+                continue;
+            }
+            let delay = self.faults.max_delay.as_micros() as u64;
+            let at = self.time + self.rng.random_range(0..=delay);
+            self.mail.push(Envelope {
+                at,
+                to: to.clone(),
+                message: message.clone(),
+            });
+        }
+    }
+
+    pub fn deliver(&mut self) {
+        let (due, later) = std::mem::take(&mut self.mail)
+            .into_iter()
+            .partition(|envelope| envelope.at <= self.time);
+        self.mail = later;
+        let due: Vec<Envelope> = due;
+        for envelope in due {
+            let time = self.time;
+            let found = self.instances.iter_mut().find(|i| i.id == envelope.to);
+            let Some(instance) = found.filter(|i| i.is_alive) else {
+                continue;
+            };
+            if !instance.is_running(time) {
+                let at = instance.paused_until;
+                self.mail.push(Envelope { at, ..envelope });
+                continue;
+            }
+            let now = instance.now(time);
+            match envelope.message {
+                Message::Report(report) => {
+                    instance
+                        .reports
+                        .insert(report.instance.clone(), (time, report));
+                }
+                Message::Allotments(allotments) => {
+                    instance.budgets.install(&allotments, now);
+                }
+                Message::Transfer(transfer) => {
+                    instance.budgets.receive(&transfer, now);
+                }
+            }
+        }
+        self.apply_late_writes();
+    }
+
+    fn apply_late_writes(&mut self) {
+        let time = self.time;
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|w| w.at <= time);
+        self.late = later;
+        if !self.platform.is_up {
+            return;
+        }
+        for write in due {
+            if let Some((version, plan)) = write.shares {
+                self.platform.write_shares(version, &plan);
+            }
+            if let Some((dc, version, plan)) = write.seats {
+                self.platform.write_seats(dc, version, &plan);
+            }
+        }
+    }
+
+    /// Lets every running instance report to all instances of its data centre.
+    pub fn report(&mut self) {
+        for i in self.running() {
+            let now = self.instances[i].now(self.time);
+            let report = self.instances[i].budgets.report(now.mono);
+            let dc = self.instances[i].data_centre;
+            for to in self.peers(dc) {
+                self.send(&to, &Message::Report(report.clone()));
+            }
+        }
+    }
+
+    fn peers(&self, dc: usize) -> Vec<InstanceId> {
+        self.instances
+            .iter()
+            .filter(|i| i.is_alive && i.data_centre == dc)
+            .map(|i| i.id.clone())
+            .collect()
+    }
+
+    /// Lets one instance of a data centre take a step on the plans.
+    pub fn write(&mut self, writer: usize) {
+        let dc = self.instances[writer].data_centre;
+        if !self.platform.is_up || self.cut_off[dc] {
+            return;
+        }
+        let now = self.instances[writer].now(self.time).unix;
+        let reports = self.fresh_reports(writer);
+        let name = format!("dc{dc}");
+        let (share_version, mut shares) = self.platform.read_shares();
+        let (seat_version, mut seats) = self.platform.read_seats(dc);
+        let next = step_shares(
+            shares.as_ref(),
+            &name,
+            &self.bundle,
+            seats.as_ref(),
+            &reports,
+            self.terms,
+            now,
+        );
+        if let Some(next) = next {
+            if self.rng.random_bool(self.faults.late_write) {
+                self.delay_write(Some((share_version, next)), None);
+            } else if self.platform.write_shares(share_version, &next) {
+                shares = Some(next);
+            }
+        }
+        let Some(shares) = shares.filter(|_| !self.rng.random_bool(self.faults.lost_answer)) else {
+            return;
+        };
+        let next = step_seats(seats.as_ref(), &shares, &name, &reports, self.terms, now);
+        if let Some(next) = next {
+            if self.rng.random_bool(self.faults.late_write) {
+                self.delay_write(None, Some((dc, seat_version, next)));
+            } else if self.platform.write_seats(dc, seat_version, &next) {
+                seats = Some(next);
+            }
+        }
+        for to in self.peers(dc) {
+            let allotments = seats.as_ref().and_then(|plan| plan.allotments(&to));
+            if let Some(allotments) = allotments {
+                self.send(&to, &Message::Allotments(allotments));
+            }
+        }
+    }
+
+    fn fresh_reports(&self, writer: usize) -> Vec<Report> {
+        let oldest = self.time.saturating_sub(REPORT_LIFE.as_micros() as u64);
+        let reports = self.instances[writer].reports.values();
+        reports
+            .filter(|(at, _)| *at >= oldest)
+            .map(|(_, report)| report.clone())
+            .collect()
+    }
+
+    fn delay_write(
+        &mut self,
+        shares: Option<(u64, SharePlan)>,
+        seats: Option<(usize, u64, SeatPlan)>,
+    ) {
+        let at = self.time + self.rng.random_range(0..15_000_000);
+        self.late.push(LateWrite { at, shares, seats });
+    }
+
+    /// Lets an instance give a part to another one.
+    pub fn pass(&mut self, from: usize, to: usize, account: AccountKey, part: Part) {
+        let now = self.instances[from].now(self.time);
+        let to = self.instances[to].id.clone();
+        let transfer = self.instances[from].budgets.give(account, &to, part, now);
+        if let Some(transfer) = transfer {
+            self.send(&to, &Message::Transfer(transfer));
+        }
+    }
+
+    /// Returns what all live processes may spend of an account, paused ones included.
+    pub fn held(&self, account: AccountKey) -> Part {
+        self.instances
+            .iter()
+            .filter(|i| i.is_alive)
+            .map(|i| i.budgets.held(account, i.now(self.time).mono))
+            .sum()
+    }
+
+    /// Lets all running instances take over a bundle.
+    pub fn install_bundle(&mut self, i: usize, bundle: &Bundle) {
+        let now = self.instances[i].now(self.time);
+        self.instances[i].budgets.set_bundle(bundle, now.mono);
+    }
+}
+
+/// Exact token bucket over the whole fleet, for the check of any window.
+#[derive(Clone, Copy, Debug)]
+pub struct Meter {
+    rate_milli: u64,
+    burst_nanos: u64,
+    nanos: u64,
+    at: u64,
+    pub over: u64,
+}
+
+impl Meter {
+    pub fn new(rate: u32, burst: u32, time: u64) -> Self {
+        let burst_nanos = u64::from(burst) * 1_000_000_000;
+        Self {
+            rate_milli: u64::from(rate) * 1_000,
+            burst_nanos,
+            nanos: burst_nanos,
+            at: time,
+            over: 0,
+        }
+    }
+
+    /// Takes a token and returns whether there was one.
+    pub fn take(&mut self, time: u64) -> bool {
+        let refill = self.rate_milli * (time - self.at);
+        self.nanos = self.nanos.saturating_add(refill).min(self.burst_nanos);
+        self.at = time;
+        let Some(left) = self.nanos.checked_sub(1_000_000_000) else {
+            return false;
+        };
+        self.nanos = left;
+        true
+    }
+
+    /// Counts an admission and tells whether all windows that end with it are within the budget.
+    pub fn charge(&mut self, time: u64) {
+        if !self.take(time) {
+            self.over += 1;
+        }
+    }
+}
