--- a/crates/apricotlug-policy/src/budget/entry.rs
+++ b/crates/apricotlug-policy/src/budget/entry.rs
@@ -149,10 +149,11 @@
 
     pub(super) fn receive(&mut self, transfer: &Transfer, until: MonoTime, now: MonoTime) {
         self.advance(now);
-        self.received.push(Lease {
-            part: transfer.part.scaled_down(transfer.budget, self.budget),
-            until,
-        });
+        let part = transfer.part.scaled_down(transfer.budget, self.budget);
+        if part.is_zero() {
+            return;
+        }
+        self.received.push(Lease { part, until });
         self.apply();
         self.bucket.add(transfer.tokens.min(transfer.part.burst));
     }
--- a/crates/apricotlug-policy/src/budget/ledger.rs
+++ b/crates/apricotlug-policy/src/budget/ledger.rs
@@ -201,8 +201,10 @@
         let Some(key) = self.keys.get(&transfer.account) else {
             return Receipt::UnknownAccount;
         };
-        self.seen
-            .retain(|_, forget_at| !forget_at.is_past(now.mono));
+        if self.seen.len() >= MAX_LIVE_TRANSFERS {
+            self.seen
+                .retain(|_, forget_at| !forget_at.is_past(now.mono));
+        }
         if self.seen.len() >= MAX_LIVE_TRANSFERS {
             return Receipt::Full;
         }
--- /dev/null
+++ b/crates/apricotlug-policy/tests/budget_ledger.rs
@@ -0,0 +1,254 @@
+//! Budgets of one instance: installs, transfers, changed bundles, leaving.
+
+#[path = "support/fleet.rs"]
+#[allow(dead_code)]
+mod fleet;
+
+use apricotlug_model::{AccountKey, InstanceId, MonoTime, UnixTime};
+use apricotlug_policy::budget::{
+    Admission, Allotment, Allotments, Budgets, Now, Part, Receipt, Transfer, TransferId,
+};
+use fleet::bundle;
+
+const SECOND: u64 = 1_000_000;
+const EPOCH: u64 = 1_000 * SECOND;
+const A: AccountKey = AccountKey(0);
+
+fn id(name: &str, incarnation: u64) -> InstanceId {
+    InstanceId {
+        name: name.to_owned(),
+        incarnation,
+    }
+}
+
+fn at(seconds: u64) -> Now {
+    Now {
+        mono: MonoTime(seconds * SECOND),
+        unix: UnixTime(EPOCH + seconds * SECOND),
+    }
+}
+
+fn part(rate: u64, burst: u64) -> Part {
+    Part {
+        rate_milli: rate * 1_000,
+        burst,
+    }
+}
+
+fn allotments(holder: &InstanceId, generation: u64, floor: Part, surplus: Part) -> Allotments {
+    Allotments {
+        holder: holder.clone(),
+        generation,
+        floor_until: at(100).unix,
+        surplus_until: at(20).unix,
+        accounts: vec![Allotment {
+            account: "a".to_owned(),
+            budget: part(100, 50),
+            floor,
+            surplus,
+        }],
+    }
+}
+
+fn budgets(holder: &InstanceId) -> Budgets {
+    let mut budgets = Budgets::new(holder.clone(), &bundle(1, &[("a", 100, 50)]), MonoTime(0));
+    budgets.install(&allotments(holder, 1, part(10, 5), part(30, 20)), at(0));
+    budgets
+}
+
+fn count_spent(budgets: &mut Budgets, now: Now) -> u64 {
+    let mut spent = 0;
+    while budgets.admit(A, now.mono) == Admission::Granted {
+        spent += 1;
+    }
+    spent
+}
+
+#[test]
+fn new_process_has_no_tokens() {
+    let mut budgets = budgets(&id("x", 1));
+    assert_eq!(count_spent(&mut budgets, at(0)), 0);
+}
+
+#[test]
+fn holder_paused_over_a_deadline_keeps_what_is_left_only() {
+    for (wake, spent) in [(19, 25), (20, 5), (99, 5), (100, 0), (500, 0)] {
+        let mut budgets = budgets(&id("x", 1));
+        assert_eq!(
+            count_spent(&mut budgets, at(wake)),
+            spent,
+            "awake at {wake}"
+        );
+    }
+}
+
+#[test]
+fn only_a_higher_generation_for_the_same_incarnation_is_installed() {
+    let own = id("x", 1);
+    for (holder, generation, is_installed) in [
+        (id("x", 1), 1, false),
+        (id("x", 1), 0, false),
+        (id("x", 2), 2, false),
+        (id("x", 1), 2, true),
+    ] {
+        let mut budgets = budgets(&own);
+        let news = allotments(&holder, generation, part(1, 1), part(1, 1));
+        assert_eq!(budgets.install(&news, at(1)), is_installed);
+        let held = if is_installed {
+            part(2, 2)
+        } else {
+            part(40, 25)
+        };
+        assert_eq!(budgets.held(A, at(1).mono), held);
+    }
+}
+
+#[test]
+fn gift_takes_rate_burst_and_tokens_from_the_giver() {
+    let mut giver = budgets(&id("x", 1));
+    let gift = giver.give(A, &id("y", 1), part(10, 10), at(5)).unwrap();
+    assert_eq!(gift.tokens, 10);
+    assert_eq!(giver.held(A, at(5).mono), part(30, 15));
+    assert_eq!(count_spent(&mut giver, at(5)), 15);
+}
+
+#[test]
+fn gift_never_exceeds_the_surplus() {
+    let mut giver = budgets(&id("x", 1));
+    let gift = giver
+        .give(A, &id("y", 1), part(1_000, 1_000), at(5))
+        .unwrap();
+    assert_eq!(gift.part, part(30, 20));
+    assert_eq!(giver.give(A, &id("y", 1), part(1, 1), at(5)), None);
+    assert_eq!(giver.held(A, at(5).mono), part(10, 5));
+}
+
+#[test]
+fn transfer_is_added_once_by_its_addressee_before_its_deadline() {
+    let gift = Transfer {
+        id: TransferId {
+            from: id("x", 1),
+            number: 1,
+        },
+        to: id("y", 1),
+        account: "a".to_owned(),
+        budget: part(100, 50),
+        part: part(10, 10),
+        tokens: 10,
+        until: at(20).unix,
+    };
+    let other = Transfer {
+        account: "b".to_owned(),
+        ..gift.clone()
+    };
+    let cases = [
+        (id("y", 1), &gift, 1, Receipt::Added),
+        (id("y", 2), &gift, 1, Receipt::NotAddressee),
+        (id("y", 1), &gift, 20, Receipt::Expired),
+        (id("y", 1), &other, 1, Receipt::UnknownAccount),
+    ];
+    for (own, transfer, now, receipt) in cases {
+        let mut budgets = budgets(&own);
+        let before = budgets.held(A, at(now).mono);
+        assert_eq!(budgets.receive(transfer, at(now)), receipt);
+        let added = if receipt == Receipt::Added {
+            part(10, 10)
+        } else {
+            Part::ZERO
+        };
+        assert_eq!(budgets.held(A, at(now).mono), before.plus(added));
+    }
+    let mut budgets = budgets(&id("y", 1));
+    assert_eq!(budgets.receive(&gift, at(1)), Receipt::Added);
+    let back_in_time = Now {
+        mono: at(20).mono,
+        unix: UnixTime(at(20).unix.0 - 1),
+    };
+    assert_eq!(budgets.receive(&gift, back_in_time), Receipt::Duplicate);
+}
+
+#[test]
+fn memory_of_transfers_is_bounded() {
+    let mut budgets = budgets(&id("y", 1));
+    let mut full = 0;
+    for number in 0..10_000 {
+        let transfer = Transfer {
+            id: TransferId {
+                from: id("x", 1),
+                number,
+            },
+            to: id("y", 1),
+            account: "a".to_owned(),
+            budget: part(100, 50),
+            part: Part::ZERO,
+            tokens: 0,
+            until: at(20).unix,
+        };
+        full += u32::from(budgets.receive(&transfer, at(1)) == Receipt::Full);
+    }
+    assert_eq!(full, 10_000 - 4_096);
+}
+
+#[test]
+fn smaller_budget_scales_what_is_held_and_what_comes_late() {
+    let own = id("x", 1);
+    let mut budgets = budgets(&own);
+    budgets.set_bundle(&bundle(2, &[("b", 7, 7), ("a", 50, 25)]), at(1).mono);
+    let a = AccountKey(1);
+    assert_eq!(budgets.held(a, at(1).mono), part(20, 12));
+    let late = allotments(&own, 2, part(40, 20), part(60, 30));
+    budgets.install(&late, at(2));
+    assert_eq!(budgets.held(a, at(2).mono), part(50, 25));
+}
+
+#[test]
+fn account_that_comes_back_is_still_short_of_its_gifts() {
+    let own = id("x", 1);
+    let mut budgets = budgets(&own);
+    budgets.give(A, &id("y", 1), part(20, 10), at(5)).unwrap();
+    budgets.set_bundle(&bundle(2, &[]), at(6).mono);
+    budgets.set_bundle(&bundle(3, &[("a", 100, 50)]), at(7).mono);
+    budgets.install(&allotments(&own, 2, part(10, 5), part(30, 20)), at(8));
+    assert_eq!(budgets.held(A, at(8).mono), part(20, 15));
+}
+
+#[test]
+fn generation_is_not_confirmed_while_gifts_exceed_it() {
+    let own = id("x", 1);
+    let mut budgets = budgets(&own);
+    budgets.give(A, &id("y", 1), part(20, 10), at(5)).unwrap();
+    for (generation, surplus, is_confirmed) in [(2, part(19, 20), false), (3, part(20, 10), true)] {
+        budgets.install(&allotments(&own, generation, part(10, 5), surplus), at(6));
+        let confirmed = budgets.report(at(6).mono).confirmed;
+        assert_eq!(confirmed, is_confirmed.then_some(generation));
+    }
+}
+
+#[test]
+fn leaving_instance_spends_nothing_and_hands_back_after_its_gifts() {
+    let own = id("x", 1);
+    let mut budgets = budgets(&own);
+    budgets.give(A, &id("y", 1), part(20, 10), at(5)).unwrap();
+    budgets.leave(at(6).mono);
+    assert_eq!(count_spent(&mut budgets, at(7)), 0);
+    assert!(!budgets.install(&allotments(&own, 9, part(10, 5), part(30, 20)), at(7)));
+    for (now, is_leaving) in [(7, false), (20, false), (21, true)] {
+        assert_eq!(
+            budgets.report(at(now).mono).is_leaving,
+            is_leaving,
+            "at {now}"
+        );
+    }
+}
+
+#[test]
+fn demand_counts_refused_arrivals() {
+    let mut budgets = budgets(&id("x", 1));
+    for _ in 0..300 {
+        budgets.admit(A, MonoTime(1));
+    }
+    let report = budgets.report(at(2).mono);
+    assert_eq!(report.demand_milli.get("a"), Some(&150_000));
+    let quiet = budgets.report(at(3).mono);
+    assert_eq!(quiet.demand_milli.get("a"), Some(&75_000));
+}
