--- a/crates/apricotlug-policy/tests/budget_ledger.rs
+++ b/crates/apricotlug-policy/tests/budget_ledger.rs
@@ -105,11 +105,18 @@
 
 #[test]
 fn gift_takes_rate_burst_and_tokens_from_the_giver() {
-    let mut giver = budgets(&id("x", 1));
-    let gift = giver.give(A, &id("y", 1), part(10, 10), at(5)).unwrap();
-    assert_eq!(gift.tokens, 10);
-    assert_eq!(giver.held(A, at(5).mono), part(30, 15));
-    assert_eq!(count_spent(&mut giver, at(5)), 15);
+    // (microseconds of refill, tokens given, tokens kept)
+    for (micros, given, kept) in [(0, 0, 0), (250_000, 4, 6), (5_000_000, 10, 15)] {
+        let now = Now {
+            mono: MonoTime(micros),
+            unix: UnixTime(EPOCH + micros),
+        };
+        let mut giver = budgets(&id("x", 1));
+        let gift = giver.give(A, &id("y", 1), part(10, 10), now).unwrap();
+        assert_eq!(gift.tokens, given);
+        assert_eq!(giver.held(A, now.mono), part(30, 15));
+        assert_eq!(count_spent(&mut giver, now), kept);
+    }
 }
 
 #[test]
--- a/crates/apricotlug-policy/tests/budget_plan.rs
+++ b/crates/apricotlug-policy/tests/budget_plan.rs
@@ -228,19 +228,19 @@
         let reports = [second.confirmed("y", 20)];
         second.step(&mut shares, &old, &reports, at(now));
     }
+    let check = |plan: &SharePlan, now| {
+        let granted = |i: usize| plan.seats[i].floor.parts[0].plus(plan.seats[i].surplus.parts[0]);
+        let parts = granted(0).plus(granted(1));
+        assert!(parts.fits(part(40, 20)), "{parts:?} at {now}");
+        assert!(plan.live(0, now).fits(part(100, 100)));
+    };
     for now in 6..20 {
         let reports = [first.confirmed("x", 80)];
         first.step(&mut shares, &new, &reports, at(now));
+        check(shares.as_ref().unwrap(), at(now));
         let reports = [second.confirmed("y", 90)];
         second.step(&mut shares, &old, &reports, at(now));
-        let plan = shares.as_ref().unwrap();
-        let parts: Part = plan
-            .seats
-            .iter()
-            .map(|seat| seat.floor.parts[0].plus(seat.surplus.parts[0]))
-            .sum();
-        assert!(parts.fits(part(40, 20)), "{parts:?} at {now}");
-        assert!(plan.live(0, at(now)).fits(part(100, 100)));
+        check(shares.as_ref().unwrap(), at(now));
     }
     let total = first.held("x").plus(second.held("y"));
     assert!(total.fits(part(40, 20)));
--- a/crates/apricotlug-policy/tests/budget_safety.rs
+++ b/crates/apricotlug-policy/tests/budget_safety.rs
@@ -15,6 +15,7 @@
 const TICK_US: u64 = 100_000;
 const RUN_TICKS: u64 = 900;
 const ACCOUNTS: &[(&str, u32, u32)] = &[("large", 120, 60), ("small", 5, 7)];
+const SMALLER_ACCOUNTS: &[(&str, u32, u32)] = &[("large", 50, 20), ("small", 2, 3)];
 const SKEW: Duration = Duration::from_secs(1);
 const TERMS: Terms = Terms {
     floor_permille: 400,
@@ -185,6 +186,31 @@
     meters.iter().map(|meter| meter.over).sum()
 }
 
+/// Spreads a bundle with smaller budgets in the middle of a run. Until all live processes have it
+/// the old budgets bound the sum, from then on the new ones.
+fn run_with_smaller_budgets(sizes: &[usize], chaos: Chaos, faults: Faults, seed: u64) {
+    let (old, new) = (bundle(1, ACCOUNTS), bundle(2, SMALLER_ACCOUNTS));
+    let mut fleet = Fleet::new(sizes, old.clone(), TERMS, faults, seed);
+    let mut meters = vec![Meter::new(1_000, 1_000, 0); ACCOUNTS.len()];
+    for i in 0..RUN_TICKS / 2 {
+        tick(&mut fleet, chaos);
+        if i == RUN_TICKS / 8 {
+            fleet.bundle = new.clone();
+        }
+        for i in fleet.running() {
+            let is_old = fleet.instances[i].bundle.version < fleet.bundle.version;
+            if is_old && fleet.rng.random_bool(0.02) {
+                fleet.install_bundle(i, &new);
+            }
+        }
+        let mut alive = fleet.instances.iter().filter(|i| i.is_alive);
+        let have_all = alive.all(|i| i.bundle.version == new.version);
+        check_sum(&fleet, if have_all { &new } else { &old });
+        load(&mut fleet, &mut meters);
+        fleet.time += TICK_US;
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 96,
@@ -203,4 +229,14 @@
     ) {
         prop_assert_eq!(run(&sizes, chaos, faults, seed), 0);
     }
+
+    #[test]
+    fn smaller_budget_holds_once_all_instances_have_it(
+        sizes in prop::collection::vec(1..4_usize, 1..5),
+        chaos in chaos(),
+        faults in faults(),
+        seed: u64,
+    ) {
+        run_with_smaller_budgets(&sizes, chaos, faults, seed);
+    }
 }
--- a/crates/apricotlug-policy/tests/support/fleet.rs
+++ b/crates/apricotlug-policy/tests/support/fleet.rs
@@ -46,6 +46,7 @@
     pub id: InstanceId,
     pub data_centre: usize,
     pub budgets: Budgets,
+    pub bundle: Bundle,
     pub is_alive: bool,
     pub paused_until: u64,
     started: u64,
@@ -203,6 +204,7 @@
         self.instances.push(Instance {
             budgets: Budgets::new(id.clone(), &self.bundle, MonoTime(0)),
             id,
+            bundle: self.bundle.clone(),
             data_centre,
             is_alive: true,
             paused_until: 0,
@@ -334,7 +336,7 @@
         let next = step_shares(
             shares.as_ref(),
             &name,
-            &self.bundle,
+            &self.instances[writer].bundle,
             seats.as_ref(),
             &reports,
             self.terms,
@@ -416,10 +418,11 @@
             .sum()
     }
 
-    /// Lets all running instances take over a bundle.
+    /// Lets an instance take over a bundle.
     pub fn install_bundle(&mut self, i: usize, bundle: &Bundle) {
         let now = self.instances[i].now(self.time);
         self.instances[i].budgets.set_bundle(bundle, now.mono);
+        self.instances[i].bundle = bundle.clone();
     }
 }
 
