--- /dev/null
+++ b/crates/apricotlug-policy/examples/budget_compare/main.rs
@@ -0,0 +1,229 @@
+//! Compares ways to keep client accounts' budgets over all instances, on the same seeded load in
+//! virtual time: `cargo run --release -p apricotlug-policy --example budget_compare`.
+
+#[path = "../../tests/support/fleet.rs"]
+#[allow(dead_code)]
+mod fleet;
+mod load;
+mod schemes;
+
+use std::time::Duration;
+
+use apricotlug_policy::budget::Terms;
+
+use crate::{
+    fleet::Meter,
+    load::{Arrival, EVENTS, Event, ONE_CRASH, PHASES, SECOND, USERS, User, arrivals},
+    schemes::{Scheme, World},
+};
+
+const RUN_S: u64 = 600;
+const TICK_US: u64 = 10_000;
+const WINDOW_S: u64 = 10;
+const SEED: u64 = 20_261_204;
+
+/// What a run showed.
+struct Outcome {
+    over_rate: u64,
+    /// Admissions by window and account: of one exact bucket, and of the scheme.
+    ideal: Vec<Vec<u64>>,
+    actual: Vec<Vec<u64>>,
+    cost: (u64, u64, u64),
+}
+
+impl Outcome {
+    /// Returns the share of admissions that the scheme missed between two points, in percent, over
+    /// the given accounts.
+    fn missed(&self, accounts: &[usize], from_s: u64, to_s: u64) -> f64 {
+        let windows = (from_s / WINDOW_S) as usize..(to_s / WINDOW_S) as usize;
+        let (mut ideal, mut missed) = (0, 0);
+        for window in windows {
+            for account in accounts {
+                ideal += self.ideal[window][*account];
+                missed +=
+                    self.ideal[window][*account].saturating_sub(self.actual[window][*account]);
+            }
+        }
+        100.0 * missed as f64 / ideal.max(1) as f64
+    }
+
+    fn worst(&self, accounts: &[usize]) -> f64 {
+        accounts
+            .iter()
+            .map(|account| self.missed(&[*account], 30, RUN_S))
+            .fold(0.0, f64::max)
+    }
+}
+
+fn happen(event: Event, world: &mut World, scheme: &mut Scheme) {
+    match event {
+        Event::Crash(slot) => {
+            world.is_alive[slot] = false;
+            scheme.crash(slot);
+        }
+        Event::Start(slot) => {
+            world.is_alive[slot] = true;
+            scheme.restart(slot, world);
+        }
+        Event::Platform(is_up) => world.is_up = is_up,
+        Event::Link(dc, is_linked) => world.is_linked[dc] = is_linked,
+    }
+}
+
+/// Returns the instance that an arrival goes to: one of its data centre, or of the next with any.
+fn instance_of(arrival: &Arrival, world: &World) -> usize {
+    let dcs = world.is_linked.len();
+    for i in 0..dcs {
+        let dc = (arrival.data_centre + i) % dcs;
+        let slots: Vec<usize> = (0..world.is_alive.len())
+            .filter(|slot| world.is_alive[*slot] && world.data_centre_of[*slot] == dc)
+            .collect();
+        if !slots.is_empty() {
+            return slots[arrival.pick % slots.len()];
+        }
+    }
+    0
+}
+
+fn run(user: &User, mut scheme: Scheme, load: &[Arrival], events: &[(u64, Event)]) -> Outcome {
+    let accounts = user.accounts.len();
+    let meters = || -> Vec<Meter> {
+        let meter = |(_, rate, burst): &(_, u32, u32)| Meter::new(*rate, *burst, 0);
+        user.accounts.iter().map(meter).collect()
+    };
+    let (mut ideal, mut actual) = (meters(), meters());
+    let mut world = World::new(user);
+    let none = vec![vec![0; accounts]; (RUN_S / WINDOW_S) as usize];
+    let mut outcome = Outcome {
+        over_rate: 0,
+        ideal: none.clone(),
+        actual: none,
+        cost: (0, 0, 0),
+    };
+    let (mut next, mut next_event) = (0, 0);
+    for tick in 0..RUN_S * SECOND / TICK_US {
+        world.time = tick * TICK_US;
+        while next_event < events.len() && events[next_event].0 * SECOND <= world.time {
+            happen(events[next_event].1, &mut world, &mut scheme);
+            next_event += 1;
+        }
+        scheme.tick(&world);
+        let end = world.time + TICK_US;
+        while next < load.len() && load[next].time < end {
+            let arrival = &load[next];
+            next += 1;
+            world.time = arrival.time;
+            let window = (arrival.time / SECOND / WINDOW_S) as usize;
+            let account = arrival.account;
+            outcome.ideal[window][account] += u64::from(ideal[account].take(arrival.time));
+            let slot = instance_of(arrival, &world);
+            if scheme.admit(slot, account, &world) {
+                outcome.actual[window][account] += 1;
+                actual[account].charge(arrival.time);
+            }
+        }
+    }
+    outcome.over_rate = actual.iter().map(|meter| meter.over).sum();
+    outcome.cost = scheme.cost();
+    outcome
+}
+
+fn print_row(name: &str, outcome: &Outcome, crash: &Outcome, calm: &Outcome) {
+    let all: Vec<usize> = (0..outcome.ideal[0].len()).collect();
+    let phases: String = PHASES
+        .iter()
+        .map(|(_, from, to)| format!(" {:6.2} |", outcome.missed(&all, *from, *to)))
+        .collect();
+    let by_crash = crash.missed(&all, 100, 300) - calm.missed(&all, 100, 300);
+    println!(
+        "| {name:26} | {:4} | {:6.2} | {:6.2} |{phases} {by_crash:6.2} | {:7.1} | {:8.0} | {:5.1} |",
+        outcome.over_rate,
+        outcome.missed(&all, 30, RUN_S),
+        outcome.worst(&all),
+        outcome.cost.0 as f64 / RUN_S as f64,
+        outcome.cost.1 as f64 / RUN_S as f64,
+        outcome.cost.2 as f64 / RUN_S as f64,
+    );
+}
+
+fn terms(floor_permille: u64, floor_lease: u64, surplus_lease: u64) -> Terms {
+    Terms {
+        floor_permille,
+        floor_lease: Duration::from_secs(floor_lease),
+        surplus_lease: Duration::from_secs(surplus_lease),
+    }
+}
+
+type Row = (String, Box<dyn Fn(&User) -> Scheme>);
+
+fn rows() -> Vec<Row> {
+    let mut rows: Vec<Row> = vec![
+        ("fixed split".into(), Box::new(Scheme::fixed)),
+        (
+            "central, each request".into(),
+            Box::new(|user| Scheme::central(user, false)),
+        ),
+        (
+            "central, batch of 100 ms".into(),
+            Box::new(|user| Scheme::central(user, true)),
+        ),
+        (
+            "owner, lease 10 s".into(),
+            Box::new(|user| Scheme::owner(user, 10)),
+        ),
+        (
+            "owner, lease 300 s".into(),
+            Box::new(|user| Scheme::owner(user, 300)),
+        ),
+    ];
+    let mut shared = |permille: u64, floor_lease: u64, surplus_lease: u64, has_gifts: bool| {
+        let gifts = if has_gifts { " +peers" } else { "" };
+        let floor = permille as f64 / 1_000.0;
+        rows.push((
+            format!("floor {floor:.1} {floor_lease}/{surplus_lease} s{gifts}"),
+            Box::new(move |user| {
+                let terms = terms(permille, floor_lease, surplus_lease);
+                Scheme::shared(user, terms, has_gifts, SEED)
+            }),
+        ));
+    };
+    for permille in (100..=900).step_by(200) {
+        shared(permille, 300, 10, false);
+    }
+    for permille in (100..=900).step_by(100) {
+        shared(permille, 300, 10, true);
+    }
+    for (floor_lease, surplus_lease) in [
+        (30, 10),
+        (120, 10),
+        (600, 10),
+        (300, 5),
+        (300, 20),
+        (300, 40),
+    ] {
+        shared(500, floor_lease, surplus_lease, true);
+    }
+    rows
+}
+
+fn main() {
+    for user in &USERS {
+        let load = arrivals(user, RUN_S, SEED);
+        let phases: String = PHASES
+            .iter()
+            .map(|phase| format!(" {:6} |", phase.0))
+            .collect();
+        println!("\n{}: {} arrivals in {RUN_S} s\n", user.name, load.len());
+        println!(
+            "| {:26} | over | missed | worst  |{phases} 1crash | calls/s | bytes/s  | peer/s |",
+            "way (missed in % of ideal)"
+        );
+        println!("|{}", "---|".repeat(8 + PHASES.len()));
+        for (name, build) in rows() {
+            let outcome = run(user, build(user), &load, EVENTS);
+            let crash = run(user, build(user), &load, ONE_CRASH);
+            let calm = run(user, build(user), &load, &[]);
+            print_row(&name, &outcome, &crash, &calm);
+        }
+    }
+}
--- a/crates/apricotlug-policy/src/budget/entry.rs
+++ b/crates/apricotlug-policy/src/budget/entry.rs
@@ -127,6 +127,14 @@
         self.holding(now).minus(keep).min(self.giveable(now))
     }
 
+    pub(super) fn lack(&self, now: MonoTime) -> Part {
+        let wanted = Part {
+            rate_milli: self.demand_milli,
+            burst: KEEP_BURST,
+        };
+        wanted.min(self.budget).minus(self.holding(now))
+    }
+
     pub(super) fn give(&mut self, wanted: Part, now: Now) -> Option<Gift> {
         self.advance(now.mono);
         let part = wanted.min(self.giveable(now.mono));
--- a/crates/apricotlug-policy/src/budget/ledger.rs
+++ b/crates/apricotlug-policy/src/budget/ledger.rs
@@ -161,6 +161,13 @@
         entry.map_or(Part::ZERO, |entry| entry.spare(now))
     }
 
+    /// Returns what the account's recent demand lacks here; peers may be asked for it.
+    #[must_use]
+    pub fn lack(&self, account: AccountKey, now: MonoTime) -> Part {
+        let entry = self.entries.get(usize::from(account));
+        entry.map_or(Part::ZERO, |entry| entry.lack(now))
+    }
+
     /// Subtracts up to a part from the account's surplus and returns it as a transfer, or `None`
     /// where there is no surplus to give.
     pub fn give(
