Pass tokens between instances, not parts

Ruled out: passing more rarely; a part that was passed on stays bound until its lease ends, blocks the confirmation that frees parts taken back, and there is no surplus to pass while the platform is down. Change: a transfer carries tokens; the giver's burst is smaller by them until the receiver's acknowledgement or the deadline plus skew; the receiver adds them within its own burst. Floors give too, so budget moves during an outage.

--- a/crates/apricotlug-policy/src/budget/entry.rs
+++ b/crates/apricotlug-policy/src/budget/entry.rs
@@ -4,21 +4,25 @@
 
 use apricotlug_model::{MonoTime, UnixTime};
 
-use crate::budget::{Admission, Allotment, Bucket, MAX_CLOCK_SKEW, Now, Part, Transfer};
+use crate::budget::{Admission, Allotment, Bucket, MAX_CLOCK_SKEW, Now, Part};
 
 /// Shortest time over which demand is measured.
 const MIN_DEMAND_SPAN: Duration = Duration::from_millis(100);
 
-/// Part that own demand keeps back from gifts, in hundredths of the demand.
-const KEEP_PERCENT: u64 = 150;
+/// Time that tokens may be on their way.
+const TRANSFER_LIFE: Duration = Duration::from_secs(2);
 
-/// Requests of burst that are kept back from gifts.
-const KEEP_BURST: u64 = 2;
+/// Time of own demand that an instance asks peers for, in milliseconds.
+const LACK_MS: u64 = 400;
+
+/// Time of own demand that an instance keeps back from peers, in milliseconds.
+const KEEP_MS: u64 = 600;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Lease {
     part: Part,
     until: MonoTime,
+    until_unix: UnixTime,
 }
 
 impl Lease {
@@ -30,12 +34,12 @@
     }
 }
 
-/// What leaves with a transfer.
+/// Tokens that left, for which the burst is smaller until they are acknowledged or expired.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Gift {
-    pub(super) part: Part,
-    pub(super) tokens: u64,
-    pub(super) until: UnixTime,
+struct Sent {
+    number: u64,
+    tokens: u64,
+    until: MonoTime,
 }
 
 /// Holdings, bucket and demand of one client account.
@@ -45,9 +49,7 @@
     budget: Part,
     floor: Lease,
     surplus: Lease,
-    surplus_until: UnixTime,
-    received: Vec<Lease>,
-    given: Vec<Lease>,
+    sent: Vec<Sent>,
     bucket: Bucket,
     arrivals: u64,
     demand_milli: u64,
@@ -61,9 +63,7 @@
             budget: Part::ZERO,
             floor: Lease::default(),
             surplus: Lease::default(),
-            surplus_until: UnixTime::default(),
-            received: Vec::new(),
-            given: Vec::new(),
+            sent: Vec::new(),
             bucket: Bucket::empty(now),
             arrivals: 0,
             demand_milli: 0,
@@ -75,10 +75,6 @@
         &self.name
     }
 
-    pub(super) fn budget(&self) -> Part {
-        self.budget
-    }
-
     pub(super) fn admit(&mut self, now: MonoTime) -> Admission {
         self.arrivals += 1;
         if self.bucket.until().is_past(now) {
@@ -90,8 +86,7 @@
     pub(super) fn set_budget(&mut self, budget: Part, now: MonoTime) {
         self.advance(now);
         let former = self.budget;
-        let leases = [&mut self.floor, &mut self.surplus];
-        for lease in leases.into_iter().chain(&mut self.received) {
+        for lease in [&mut self.floor, &mut self.surplus] {
             lease.part = lease.part.scaled_down(former, budget);
         }
         self.budget = budget;
@@ -110,75 +105,81 @@
         self.floor = Lease {
             part: allotment.map_or(Part::ZERO, |a| cut(a, a.floor)),
             until: now.to_mono(floor_until),
+            until_unix: floor_until,
         };
         self.surplus = Lease {
             part: allotment.map_or(Part::ZERO, |a| cut(a, a.surplus)),
             until: now.to_mono(surplus_until),
+            until_unix: surplus_until,
         };
-        self.surplus_until = surplus_until;
         self.apply();
     }
 
-    pub(super) fn spare(&self, now: MonoTime) -> Part {
-        let keep = Part {
-            rate_milli: self.demand_milli.saturating_mul(KEEP_PERCENT) / 100,
-            burst: KEEP_BURST,
-        };
-        self.holding(now).minus(keep).min(self.giveable(now))
+    /// Returns the tokens that the entry can do without.
+    pub(super) fn spare(&mut self, now: MonoTime) -> u64 {
+        self.advance(now);
+        self.bucket.tokens().saturating_sub(self.demand_in(KEEP_MS))
     }
 
-    pub(super) fn lack(&self, now: MonoTime) -> Part {
-        let wanted = Part {
-            rate_milli: self.demand_milli,
-            burst: KEEP_BURST,
-        };
-        wanted.min(self.budget).minus(self.holding(now))
+    /// Returns the tokens that recent demand lacks, as far as the burst has room for them.
+    pub(super) fn lack(&mut self, now: MonoTime) -> u64 {
+        self.advance(now);
+        let room = self
+            .bucket
+            .part()
+            .burst
+            .saturating_sub(self.bucket.tokens());
+        let wanted = self.demand_in(LACK_MS).saturating_sub(self.bucket.tokens());
+        wanted.min(room)
     }
 
-    pub(super) fn give(&mut self, wanted: Part, now: Now) -> Option<Gift> {
+    /// Takes out up to a number of tokens and returns how many, and how long they may travel.
+    pub(super) fn give(&mut self, wanted: u64, number: u64, now: Now) -> Option<(u64, UnixTime)> {
         self.advance(now.mono);
-        let part = wanted.min(self.giveable(now.mono));
-        if part.is_zero() || self.surplus_until.is_past(now.unix) {
+        let until = [self.floor, self.surplus]
+            .into_iter()
+            .filter(|lease| !lease.until.is_past(now.mono))
+            .map(|lease| lease.until_unix)
+            .fold(now.unix.after(TRANSFER_LIFE), UnixTime::min);
+        if until.is_past(now.unix) {
             return None;
         }
-        let burst = self.bucket.part().burst.max(1);
-        let tokens = self.bucket.take(self.bucket.tokens() * part.burst / burst);
-        self.given.push(Lease {
-            part,
-            until: self.surplus.until.after(MAX_CLOCK_SKEW),
+        let tokens = self.bucket.take(wanted);
+        if tokens == 0 {
+            return None;
+        }
+        self.sent.push(Sent {
+            number,
+            tokens,
+            until: now.to_mono(until).after(MAX_CLOCK_SKEW),
         });
         self.apply();
-        Some(Gift {
-            part,
-            tokens,
-            until: self.surplus_until,
-        })
+        Some((tokens, until))
     }
 
-    pub(super) fn receive(&mut self, transfer: &Transfer, until: MonoTime, now: MonoTime) {
+    pub(super) fn receive(&mut self, tokens: u64, now: MonoTime) {
         self.advance(now);
-        let part = transfer.part.scaled_down(transfer.budget, self.budget);
-        if part.is_zero() {
-            return;
-        }
-        self.received.push(Lease { part, until });
+        self.bucket.add(tokens);
+    }
+
+    pub(super) fn acknowledge(&mut self, number: u64, now: MonoTime) {
+        self.advance(now);
+        self.sent.retain(|sent| sent.number != number);
         self.apply();
-        self.bucket.add(transfer.tokens.min(transfer.part.burst));
     }
 
     pub(super) fn clear(&mut self, now: MonoTime) {
         self.advance(now);
         self.floor = Lease::default();
         self.surplus = Lease::default();
-        self.received.clear();
         self.apply();
     }
 
-    /// Returns the entry without its holdings while some of its gifts may still be spent.
+    /// Returns the entry without its holdings while some of its tokens are on their way.
     pub(super) fn retire(mut self, now: MonoTime) -> Option<Self> {
         self.clear(now);
         self.budget = Part::ZERO;
-        self.has_gifts(now).then_some(self)
+        self.has_sent(now).then_some(self)
     }
 
     pub(super) fn measure_demand(&mut self, now: MonoTime) -> u64 {
@@ -194,31 +195,41 @@
         self.demand_milli
     }
 
-    pub(super) fn has_gifts(&self, now: MonoTime) -> bool {
-        !self.given_at(now).is_zero()
+    pub(super) fn has_sent(&self, now: MonoTime) -> bool {
+        self.sent_at(now) > 0
     }
 
-    pub(super) fn gifts_fit(&self, now: MonoTime) -> bool {
-        self.given_at(now).fits(self.surplus.part)
+    /// Tells whether the tokens on their way fit in what is held.
+    pub(super) fn is_covered(&self, now: MonoTime) -> bool {
+        self.sent_at(now) <= self.leased(now).burst
     }
 
-    fn given_at(&self, now: MonoTime) -> Part {
-        self.given.iter().map(|lease| lease.at(now)).sum()
+    /// Returns the part that refills the bucket.
+    pub(super) fn holding(&self, now: MonoTime) -> Part {
+        let sent = Part {
+            rate_milli: 0,
+            burst: self.sent_at(now),
+        };
+        self.leased(now).minus(sent)
     }
 
-    fn giveable(&self, now: MonoTime) -> Part {
-        self.surplus.at(now).minus(self.given_at(now))
+    /// Returns the tokens on their way that may still be added by their receiver.
+    pub(super) fn sent_at(&self, now: MonoTime) -> u64 {
+        let live = self.sent.iter().filter(|sent| !sent.until.is_past(now));
+        live.map(|sent| sent.tokens).sum()
     }
 
-    pub(super) fn holding(&self, now: MonoTime) -> Part {
-        let received: Part = self.received.iter().map(|lease| lease.at(now)).sum();
+    fn leased(&self, now: MonoTime) -> Part {
         self.floor
             .at(now)
-            .plus(self.giveable(now))
-            .plus(received)
+            .plus(self.surplus.at(now))
             .min(self.budget)
     }
 
+    fn demand_in(&self, millis: u64) -> u64 {
+        self.demand_milli.saturating_mul(millis).div_ceil(1_000_000)
+    }
+
     /// Refills the bucket up to `now`, deadline by deadline.
     fn advance(&mut self, now: MonoTime) {
         while self.bucket.until().is_past(now) {
@@ -227,8 +238,7 @@
             self.apply_at(change);
         }
         self.bucket.refill(now);
-        self.received.retain(|lease| !lease.until.is_past(now));
-        self.given.retain(|lease| !lease.until.is_past(now));
+        self.sent.retain(|sent| !sent.until.is_past(now));
     }
 
     fn apply(&mut self) {
@@ -236,11 +246,9 @@
     }
 
     fn apply_at(&mut self, now: MonoTime) {
-        let leases = [self.floor, self.surplus].into_iter();
-        let next_change = leases
-            .chain(self.received.iter().copied())
-            .chain(self.given.iter().copied())
-            .map(|lease| lease.until)
+        let next_change = [self.floor.until, self.surplus.until]
+            .into_iter()
+            .chain(self.sent.iter().map(|sent| sent.until))
             .filter(|until| !until.is_past(now))
             .min();
         let part = self.holding(now);
--- a/crates/apricotlug-policy/src/budget/ledger.rs
+++ b/crates/apricotlug-policy/src/budget/ledger.rs
@@ -44,8 +44,8 @@
 pub struct Report {
     /// Incarnation that reports.
     pub instance: InstanceId,
-    /// Generation that it keeps to, or `None` where it has none or gave away more than that
-    /// generation leaves it.
+    /// Generation that it keeps to, or `None` where it has none or has more tokens on their way
+    /// than that generation leaves it.
     pub confirmed: Option<u64>,
     /// Whether it spends nothing any more and hands everything back.
     pub is_leaving: bool,
@@ -147,53 +147,64 @@
         true
     }
 
-    /// Returns the part of the account's budget that may be spent here.
+    /// Returns the part of the account's budget that may be spent here. Tokens on their way are not
+    /// in it.
     #[must_use]
     pub fn held(&self, account: AccountKey, now: MonoTime) -> Part {
         let entry = self.entries.get(usize::from(account));
         entry.map_or(Part::ZERO, |entry| entry.holding(now))
     }
 
-    /// Returns what the account can give away without refusing its own recent demand.
+    /// Returns the tokens of an account that can be given away without refusing its own recent
+    /// demand.
     #[must_use]
-    pub fn spare(&self, account: AccountKey, now: MonoTime) -> Part {
-        let entry = self.entries.get(usize::from(account));
-        entry.map_or(Part::ZERO, |entry| entry.spare(now))
+    pub fn spare(&mut self, account: AccountKey, now: MonoTime) -> u64 {
+        let entry = self.entries.get_mut(usize::from(account));
+        entry.map_or(0, |entry| entry.spare(now))
     }
 
-    /// Returns what the account's recent demand lacks here; peers may be asked for it.
+    /// Returns the tokens that the account's recent demand lacks here; peers may be asked for them.
     #[must_use]
-    pub fn lack(&self, account: AccountKey, now: MonoTime) -> Part {
-        let entry = self.entries.get(usize::from(account));
-        entry.map_or(Part::ZERO, |entry| entry.lack(now))
+    pub fn lack(&mut self, account: AccountKey, now: MonoTime) -> u64 {
+        let entry = self.entries.get_mut(usize::from(account));
+        entry.map_or(0, |entry| entry.lack(now))
     }
 
-    /// Subtracts up to a part from the account's surplus and returns it as a transfer, or `None`
-    /// where there is no surplus to give.
+    /// Takes out up to a number of an account's tokens and returns them as a transfer, or `None`
+    /// where there are none to give.
     pub fn give(
         &mut self,
         account: AccountKey,
         to: &InstanceId,
-        part: Part,
+        tokens: u64,
         now: Now,
     ) -> Option<Transfer> {
         let entry = self.entries.get_mut(usize::from(account))?;
-        let gift = entry.give(part, now)?;
-        self.last_number += 1;
+        let number = self.last_number + 1;
+        let (tokens, until) = entry.give(tokens, number, now)?;
+        self.last_number = number;
         Some(Transfer {
             id: TransferId {
                 from: self.own.clone(),
-                number: self.last_number,
+                number,
             },
             to: to.clone(),
             account: entry.name().to_owned(),
-            budget: entry.budget(),
-            part: gift.part,
-            tokens: gift.tokens,
-            until: gift.until,
+            tokens,
+            until,
         })
     }
 
+    /// Takes note that the receiver has added a transfer.
+    pub fn acknowledge(&mut self, transfer: &Transfer, now: MonoTime) {
+        let Some(key) = self.keys.get(&transfer.account) else {
+            return;
+        };
+        if transfer.id.from == self.own {
+            self.entries[usize::from(*key)].acknowledge(transfer.id.number, now);
+        }
+    }
+
     /// Adds a transfer, at most once.
     pub fn receive(&mut self, transfer: &Transfer, now: Now) -> Receipt {
         if transfer.to != self.own || self.is_leaving {
@@ -218,7 +229,7 @@
         let until = now.to_mono(transfer.until);
         self.seen
             .insert(transfer.id.clone(), until.after(MAX_CLOCK_SKEW));
-        self.entries[usize::from(*key)].receive(transfer, until, now.mono);
+        self.entries[usize::from(*key)].receive(transfer.tokens, now.mono);
         Receipt::Added
     }
 
@@ -239,12 +250,12 @@
                 demand_milli.insert(entry.name().to_owned(), demand);
             }
         }
-        let gifts_fit = self.entries.iter().all(|entry| entry.gifts_fit(now));
-        let has_gifts = self.entries.iter().any(|entry| entry.has_gifts(now));
+        let is_covered = self.entries.iter().all(|entry| entry.is_covered(now));
+        let has_sent = self.entries.iter().any(|entry| entry.has_sent(now));
         Report {
             instance: self.own.clone(),
-            confirmed: self.generation.filter(|_| gifts_fit),
-            is_leaving: self.is_leaving && !has_gifts,
+            confirmed: self.generation.filter(|_| is_covered),
+            is_leaving: self.is_leaving && !has_sent,
             demand_milli,
         }
     }
--- a/crates/apricotlug-policy/src/budget/transfer.rs
+++ b/crates/apricotlug-policy/src/budget/transfer.rs
@@ -1,9 +1,7 @@
-//! Transfer of a part from one instance to another, without the platform.
+//! Transfer of tokens from one instance to another, without the platform.
 
 use apricotlug_model::{InstanceId, UnixTime};
 
-use crate::budget::Part;
-
 /// Identity of a transfer: no giver uses a number twice.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TransferId {
@@ -13,8 +11,10 @@
     pub number: u64,
 }
 
-/// Part on its way. The giver subtracted it before it sent the message; the receiver adds it at
-/// most once, and spends from it until the deadline.
+/// Tokens on their way. The giver took them out and keeps its burst smaller by them until the
+/// receiver acknowledges or nobody can add them any more; the receiver adds them at most once, as
+/// far as its own burst allows. So the tokens of all instances and messages together never exceed
+/// the budget's burst.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Transfer {
     /// Identity.
@@ -23,13 +23,10 @@
     pub to: InstanceId,
     /// Client account's name, which outlives a bundle version.
     pub account: String,
-    /// Whole budget of the client account in the giver's bundle.
-    pub budget: Part,
-    /// What is given.
-    pub part: Part,
-    /// Tokens that go along, at most the burst of the part.
+    /// Number of tokens.
     pub tokens: u64,
-    /// End of the giver's own allotment.
+    /// Point from which on they may not be added. It never lies after the end of the allotments
+    /// that the giver takes them from.
     pub until: UnixTime,
 }
 
@@ -46,6 +43,14 @@
     NotAddressee,
     /// The account is not in this instance's bundle.
     UnknownAccount,
-    /// Too many live transfers are held; the part is lost until its deadline.
+    /// Too many live transfers are remembered; the tokens are lost.
     Full,
 }
+
+impl Receipt {
+    /// Tells whether the receiver acknowledges, so that the giver's burst is whole again.
+    #[must_use]
+    pub fn is_acknowledged(self) -> bool {
+        matches!(self, Self::Added | Self::Duplicate)
+    }
+}
