--- a/crates/apricotlug-policy/examples/budget_compare/main.rs
+++ b/crates/apricotlug-policy/examples/budget_compare/main.rs
@@ -223,6 +223,17 @@
             let outcome = run(user, build(user), &load, EVENTS);
             let crash = run(user, build(user), &load, ONE_CRASH);
             let calm = run(user, build(user), &load, &[]);
+            if std::env::var("DETAIL").is_ok() {
+                for account in 0..user.accounts.len() {
+                    let row: String = PHASES
+                        .iter()
+                        .map(|(_, from, to)| {
+                            format!(" {:6.2}", outcome.missed(&[account], *from, *to))
+                        })
+                        .collect();
+                    println!("   {} {row}", user.accounts[account].0);
+                }
+            }
             print_row(&name, &outcome, &crash, &calm);
         }
     }
--- a/crates/apricotlug-policy/examples/budget_compare/schemes.rs
+++ b/crates/apricotlug-policy/examples/budget_compare/schemes.rs
@@ -19,6 +19,9 @@
 /// Interval at which batches are drawn from central counters.
 const BATCH_US: u64 = 100_000;
 
+/// Peers that an instance asks at once.
+const ASKED: usize = 3;
+
 /// What all schemes see of the world.
 pub struct World {
     pub is_alive: Vec<bool>,
@@ -367,25 +370,29 @@
         .collect();
     let turn = (world.time / (SECOND / 5)) as usize;
     for (rank, slot) in alive.iter().enumerate() {
-        let giver = alive[(rank + 1 + turn % (alive.len() - 1)) % alive.len()];
-        if !world.is_connected(*slot, giver) {
-            continue;
-        }
-        let mono = fleet.instances[slots[*slot]].now(world.time).mono;
-        let giver_mono = fleet.instances[slots[giver]].now(world.time).mono;
-        let mut has_asked = false;
-        for account in 0..fleet.bundle.accounts.len() {
-            let budgets = &mut fleet.instances[slots[*slot]].budgets;
-            let lack = budgets.lack(key(account), mono);
-            has_asked |= lack > 0;
-            let budgets = &mut fleet.instances[slots[giver]].budgets;
-            let tokens = lack.min(budgets.spare(key(account), giver_mono));
-            if tokens > 0 {
-                // One message gives, one acknowledges.
-                *messages += 2;
-                fleet.pass(slots[giver], slots[*slot], key(account), tokens);
+        let others = alive.len() - 1;
+        for i in 0..ASKED.min(others) {
+            let giver = alive[(rank + 1 + (turn * ASKED + i) % others) % alive.len()];
+            if !world.is_connected(*slot, giver) {
+                continue;
+            }
+            let mono = fleet.instances[slots[*slot]].now(world.time).mono;
+            let giver_mono = fleet.instances[slots[giver]].now(world.time).mono;
+            let mut has_asked = false;
+            for account in 0..fleet.bundle.accounts.len() {
+                let budgets = &mut fleet.instances[slots[*slot]].budgets;
+                let lack = budgets.lack(key(account), mono);
+                let demand = budgets.demand_milli(key(account));
+                has_asked |= lack > 0;
+                let budgets = &mut fleet.instances[slots[giver]].budgets;
+                let tokens = lack.min(budgets.spare(key(account), demand, giver_mono));
+                if tokens > 0 {
+                    // One message gives, one acknowledges.
+                    *messages += 2;
+                    fleet.pass(slots[giver], slots[*slot], key(account), tokens);
+                }
             }
+            *messages += u64::from(has_asked);
         }
-        *messages += u64::from(has_asked);
     }
 }
--- a/crates/apricotlug-policy/src/budget/entry.rs
+++ b/crates/apricotlug-policy/src/budget/entry.rs
@@ -18,6 +18,9 @@
 /// Time of own demand that an instance keeps back from peers, in milliseconds.
 const KEEP_MS: u64 = 600;
 
+/// Factor by which an asker's demand must exceed the own one to get the last token.
+const HOTTER_FACTOR: u64 = 2;
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Lease {
     part: Part,
@@ -115,10 +118,22 @@
         self.apply();
     }
 
-    /// Returns the tokens that the entry can do without.
-    pub(super) fn spare(&mut self, now: MonoTime) -> u64 {
+    /// Returns the tokens that the entry can do without, or all of them where the asker's demand is
+    /// much higher.
+    pub(super) fn spare(&mut self, asker_milli: u64, now: MonoTime) -> u64 {
         self.advance(now);
-        self.bucket.tokens().saturating_sub(self.demand_in(KEEP_MS))
+        let tokens = self.bucket.tokens();
+        let spare = tokens.saturating_sub(self.demand_in(KEEP_MS));
+        let is_hotter = asker_milli > self.demand_milli.saturating_mul(HOTTER_FACTOR);
+        if spare == 0 && is_hotter {
+            tokens.min(1)
+        } else {
+            spare
+        }
+    }
+
+    pub(super) fn demand_milli(&self) -> u64 {
+        self.demand_milli
     }
 
     /// Returns the tokens that recent demand lacks, as far as the burst has room for them.
--- a/crates/apricotlug-policy/src/budget/ledger.rs
+++ b/crates/apricotlug-policy/src/budget/ledger.rs
@@ -155,12 +155,20 @@
         entry.map_or(Part::ZERO, |entry| entry.holding(now))
     }
 
-    /// Returns the tokens of an account that can be given away without refusing its own recent
-    /// demand.
+    /// Returns the tokens of an account that can be given to an asker with the given demand, in
+    /// thousandths per second, without refusing own recent demand; the last token goes to an asker
+    /// with a much higher demand.
     #[must_use]
-    pub fn spare(&mut self, account: AccountKey, now: MonoTime) -> u64 {
+    pub fn spare(&mut self, account: AccountKey, asker_milli: u64, now: MonoTime) -> u64 {
         let entry = self.entries.get_mut(usize::from(account));
-        entry.map_or(0, |entry| entry.spare(now))
+        entry.map_or(0, |entry| entry.spare(asker_milli, now))
+    }
+
+    /// Returns the account's recent demand here, in thousandths per second.
+    #[must_use]
+    pub fn demand_milli(&self, account: AccountKey) -> u64 {
+        let entry = self.entries.get(usize::from(account));
+        entry.map_or(0, Entry::demand_milli)
     }
 
     /// Returns the tokens that the account's recent demand lacks here; peers may be asked for them.
--- a/crates/apricotlug-policy/tests/budget_ledger.rs
+++ b/crates/apricotlug-policy/tests/budget_ledger.rs
@@ -201,7 +201,11 @@
             budgets.admit(A, MonoTime(1));
         }
         budgets.report(at(1).mono);
-        assert_eq!(budgets.spare(A, at(10).mono), spare, "{arrivals} arrivals");
+        assert_eq!(
+            budgets.spare(A, 0, at(10).mono),
+            spare,
+            "{arrivals} arrivals"
+        );
         count_spent(&mut budgets, at(10));
         assert_eq!(budgets.lack(A, at(10).mono), lack, "{arrivals} arrivals");
     }
