--- a/crates/apricotlug-policy/src/budget/settle.rs
+++ b/crates/apricotlug-policy/src/budget/settle.rs
@@ -11,6 +11,9 @@
 /// Part of its lease, as a divisor, that a grant has left when it is renewed.
 const RENEW_AT_DIVISOR: u32 = 2;
 
+/// Smallest burst of a holder's floor, in requests, unless one holder has it all.
+const MIN_FLOOR_BURST: u64 = 4;
+
 /// Demand that a surplus is sized for, in hundredths of the measured demand.
 const SIZE_PERCENT: u64 = 105;
 
@@ -95,7 +98,7 @@
         let floors = plan.root.floor.parts[row].rate_milli
             / u64::try_from(members.len()).unwrap_or(u64::MAX).max(1);
         let parts = match kind {
-            Kind::Floor => even(total, members.len()),
+            Kind::Floor => even(total, row, members.len()),
             Kind::Surplus => by_demand(total, &demands, floors),
         };
         for (target, part) in targets.iter_mut().zip(parts) {
@@ -110,8 +113,13 @@
     grant.parts[row].plus(grant.fading[row])
 }
 
-fn even(total: Part, holders: usize) -> Vec<Part> {
-    let weights = vec![1; holders];
+/// Divides a floor evenly, among fewer holders where its burst would be cut into single tokens.
+fn even(total: Part, row: usize, holders: usize) -> Vec<Part> {
+    let few = usize::try_from(total.burst / MIN_FLOOR_BURST).unwrap_or(holders);
+    let few = few.clamp(1, holders.max(1));
+    let weights: Vec<u64> = (0..holders)
+        .map(|i| u64::from((i + row) % holders < few))
+        .collect();
     zip(
         apportion(total.rate_milli, &weights),
         apportion(total.burst, &weights),
--- a/crates/apricotlug-policy/tests/budget_plan.rs
+++ b/crates/apricotlug-policy/tests/budget_plan.rs
@@ -272,6 +272,24 @@
     );
 }
 
+#[test]
+fn small_floor_is_held_by_few_instances() {
+    // (burst, floors' bursts among six instances)
+    for (burst, floors) in [
+        (400, [20; 6]),
+        (40, [4, 4, 4, 0, 0, 0]),
+        (8, [2, 0, 0, 0, 0, 0]),
+    ] {
+        let (mut shares, mut site) = (None, Site::new("n"));
+        let bundle = bundle(1, &[("a", 100, burst)]);
+        let reports = ["p", "q", "r", "s", "t", "u"].map(|name| report(name, None, 1));
+        site.step(&mut shares, &bundle, &reports, at(0));
+        let seats = site.seats.unwrap().seats;
+        let bursts: Vec<u64> = seats.iter().map(|seat| seat.floor.parts[0].burst).collect();
+        assert_eq!(bursts, floors, "burst {burst}");
+    }
+}
+
 #[test]
 fn leaving_instance_frees_its_parts_at_once() {
     let (mut shares, mut site) = (None, Site::new("n"));
