--- /dev/null
+++ b/crates/apricotlug-standins/src/platform/mod.rs
@@ -0,0 +1,1 @@
+//! Stand-in of the platform.
