--- /dev/null
+++ b/crates/apricotlug-edge/src/attempt.rs
@@ -0,0 +1,198 @@
+//! One attempt to run a request on one backend server.
+
+use std::{net::SocketAddr, pin::pin, time::Duration};
+
+use apricotlug_http::{
+    BodyReader, BodyWriter, Conn, Framing, HttpError, Limits, ResponseHead, response_framing,
+};
+use apricotlug_model::MonoTime;
+use apricotlug_policy::{order::AttemptState, placement::Outcome};
+use async_std::future::timeout;
+use futures_lite::future;
+
+use crate::{
+    answer::{OUTCOME_HEADER, REQUEST_ID_HEADER},
+    clock::Clock,
+    exchange::{Exchange, RequestBody},
+    pool::Pool,
+};
+
+/// Longest wait for a connection to a backend server.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// Largest answer, in bytes.
+const MAX_ANSWER_BYTES: u64 = u64::MAX;
+
+/// Backend server and deadline of one attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Target {
+    /// Address.
+    pub addr: SocketAddr,
+    /// Point by which the head of the answer must have arrived.
+    pub deadline: MonoTime,
+    /// Whether an idle connection may be used.
+    pub may_reuse: bool,
+}
+
+/// Verified head of an answer, and the connection that carries its body.
+#[derive(Debug)]
+pub struct Answer {
+    /// Head.
+    pub head: ResponseHead,
+    /// Framing of the body.
+    pub framing: Framing,
+    /// Reads the body.
+    pub reader: BodyReader,
+    /// Connection to the backend server.
+    pub conn: Conn,
+    /// Whether the whole request body was sent; if not, neither connection is used again.
+    pub is_request_whole: bool,
+}
+
+/// How an attempt ended without an answer.
+#[derive(Debug)]
+pub struct Failure {
+    /// What is known about the request.
+    pub state: AttemptState,
+    /// What placement learns from it.
+    pub outcome: Outcome,
+    /// Why, for the log.
+    pub why: &'static str,
+    /// Whether the caller's leg failed, so that no other attempt makes sense.
+    pub caller: Option<HttpError>,
+}
+
+impl Failure {
+    fn new(state: AttemptState, outcome: Outcome, why: &'static str) -> Self {
+        Self { state, outcome, why, caller: None }
+    }
+}
+
+/// Sends the request and waits for the verified head of its answer.
+///
+/// # Errors
+/// Returns what is known about the request where no usable answer began.
+pub async fn run(
+    ex: &Exchange,
+    body: &mut RequestBody,
+    caller: &mut Conn,
+    target: Target,
+    pool: &Pool,
+    clock: &Clock,
+) -> Result<Answer, Failure> {
+    let mut conn = connect(target, pool, clock).await?;
+    let sent = timeout(clock.left(target.deadline), send(ex, body, caller, &mut conn)).await;
+    let (head, is_request_whole) = match sent {
+        Ok(sent) => sent?,
+        Err(_) => {
+            return Err(Failure::new(AttemptState::PerhapsRun, Outcome::TimedOut, "timeout"));
+        }
+    };
+    verify(ex, head, conn, is_request_whole).await
+}
+
+async fn connect(target: Target, pool: &Pool, clock: &Clock) -> Result<Conn, Failure> {
+    if target.may_reuse
+        && let Some(conn) = pool.take(target.addr).await
+    {
+        return Ok(conn);
+    }
+    let within = CONNECT.min(clock.left(target.deadline));
+    let limits = Limits { idle: Duration::MAX, ..Limits::default() };
+    Conn::connect(target.addr, limits, within)
+        .await
+        .map_err(|_| Failure::new(AttemptState::NotSent, Outcome::ConnectFailed, "connect"))
+}
+
+/// What ended first: sending the request, or reading the head of its answer.
+enum First {
+    Sent(Result<(), SendError>),
+    Head(Result<ResponseHead, HttpError>),
+}
+
+enum SendError {
+    Caller(HttpError),
+    Backend,
+}
+
+async fn send(
+    ex: &Exchange,
+    body: &mut RequestBody,
+    caller: &mut Conn,
+    conn: &mut Conn,
+) -> Result<(ResponseHead, bool), Failure> {
+    let writer = BodyWriter::new(conn, ex.framing);
+    let mut bytes = ex.head.encode();
+    if !body.kept.is_empty() && matches!(ex.framing, Framing::Length(_)) {
+        bytes.extend_from_slice(&body.kept);
+    }
+    if conn.write(&bytes).await.is_err() {
+        return Err(broken("write"));
+    }
+    let mut sending = pin!(send_body(ex, body, caller, writer));
+    let mut reading = pin!(conn.read_response());
+    let first = future::or(
+        async { First::Head(reading.as_mut().await) },
+        async { First::Sent(sending.as_mut().await) },
+    );
+    match first.await {
+        First::Head(Ok(head)) => Ok((head, false)),
+        First::Head(Err(_)) => Err(broken("answer_head")),
+        First::Sent(Ok(())) => {
+            let head = reading.await.map_err(|_| broken("answer_head"))?;
+            Ok((head, true))
+        }
+        // The backend server may have closed its side after an early answer.
+        First::Sent(Err(SendError::Backend)) => {
+            let head = reading.await.map_err(|_| broken("write"))?;
+            Ok((head, false))
+        }
+        First::Sent(Err(SendError::Caller(e))) => {
+            let mut failure = broken("caller_body");
+            failure.outcome = Outcome::Cancelled;
+            failure.caller = Some(e);
+            Err(failure)
+        }
+    }
+}
+
+fn broken(why: &'static str) -> Failure {
+    Failure::new(AttemptState::PerhapsRun, Outcome::Broken, why)
+}
+
+async fn send_body(
+    ex: &Exchange,
+    body: &mut RequestBody,
+    caller: &mut Conn,
+    mut writer: BodyWriter,
+) -> Result<(), SendError> {
+    // The kept bytes of a body with a length went out together with the head.
+    if !body.kept.is_empty() && !matches!(ex.framing, Framing::Length(_)) {
+        writer.write(&body.kept).await.map_err(|_| SendError::Backend)?;
+    }
+    while let Some(piece) = body.reader.next(caller).await.map_err(SendError::Caller)? {
+        body.keep(&piece);
+        writer.write(&piece).await.map_err(|_| SendError::Backend)?;
+    }
+    writer.finish().await.map_err(|_| SendError::Backend)
+}
+
+async fn verify(
+    ex: &Exchange,
+    head: ResponseHead,
+    mut conn: Conn,
+    is_request_whole: bool,
+) -> Result<Answer, Failure> {
+    let echoed = head.headers.text(REQUEST_ID_HEADER);
+    if echoed.is_some_and(|id| id != ex.id) {
+        return Err(broken("crossed_answer"));
+    }
+    let framing = response_framing(&ex.head.method, &head).map_err(|_| broken("framing"))?;
+    let mut reader = BodyReader::new(framing, MAX_ANSWER_BYTES);
+    let is_refusal = head.status == 503 && head.headers.text(OUTCOME_HEADER) == Some("not-run");
+    if is_refusal {
+        while let Ok(Some(_)) = reader.next(&mut conn).await {}
+        return Err(Failure::new(AttemptState::NotSent, Outcome::Shed, "not_run"));
+    }
+    Ok(Answer { head, framing, reader, conn, is_request_whole })
+}
--- /dev/null
+++ b/crates/apricotlug-edge/src/caller.rs
@@ -0,0 +1,234 @@
+//! Serves the connections of callers: frame, identify, admit, then run or refuse.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use apricotlug_http::{BodyReader, Conn, Framing, HttpError, Limits, RequestHead, request_framing};
+use apricotlug_model::{Bundle, MonoTime};
+use async_std::{
+    net::{TcpListener, TcpStream},
+    task,
+};
+
+use crate::{
+    answer::{self, DEADLINE_HEADER, Outcome, REQUEST_ID_HEADER, Refusal},
+    exchange::{Exchange, RequestBody, log_end},
+    identify::{Unidentified, identify},
+    order::{self, Claimed},
+    run,
+    shared::Shared,
+    view::View,
+};
+
+/// Largest request body, in bytes.
+const MAX_BODY_BYTES: u64 = 1024 * 1024 * 1024;
+
+/// Whether the caller's connection goes on after a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// It may carry another request.
+    KeepAlive,
+    /// It is closed.
+    Close,
+}
+
+/// What a request came to, for the log and the metrics.
+#[derive(Clone, Copy, Debug)]
+pub struct End {
+    /// Status that the caller got; 0 where it got none.
+    pub status: u16,
+    /// What became of the request.
+    pub result: &'static str,
+    /// Attempts made.
+    pub attempts: u32,
+    /// Whether the caller's connection goes on.
+    pub next: Next,
+}
+
+/// Accepts callers until the listener fails.
+pub async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                task::spawn(serve(stream, peer, Arc::clone(&shared)));
+            }
+            Err(e) => {
+                tracing::warn!(error = %e, "cannot accept a caller");
+                // Out of descriptors, most likely: others are freed meanwhile.
+                task::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, peer: SocketAddr, shared: Arc<Shared>) {
+    let mut conn = Conn::new(stream, shared.limits);
+    while serve_one(&mut conn, peer, &shared).await == Next::KeepAlive {}
+}
+
+async fn serve_one(conn: &mut Conn, peer: SocketAddr, shared: &Shared) -> Next {
+    let head = conn.read_request().await;
+    let arrived_at = shared.clock.now();
+    let _in_flight = shared.drain.enter();
+    let id = shared.next_request_id();
+    let head = match head {
+        Ok(head) => head,
+        Err(e) => return refuse_malformed(conn, shared, &id, &e).await,
+    };
+    let framing = match request_framing(&head) {
+        Ok(framing) => framing,
+        Err(e) => return refuse_malformed(conn, shared, &id, &e).await,
+    };
+    let view = shared.view.load();
+    let has_body = framing != Framing::Empty;
+    let is_closing = has_body || !head.is_keep_alive() || shared.drain.is_leaving();
+    let (bundle, ex) = match prepare(shared, &view, head, framing, id.clone(), peer, arrived_at) {
+        Ok(prepared) => prepared,
+        Err(refusal) => return refuse(conn, shared, &id, &refusal, is_closing).await,
+    };
+    let end = execute(conn, shared, &bundle, &ex).await;
+    let latency = shared.clock.now().since(ex.arrived_at);
+    log_end(&ex, &bundle, end.status, end.result, latency.as_micros(), end.attempts);
+    shared.metrics.on_request(&bundle.routes[ex.route].id, end.result, latency);
+    end.next
+}
+
+async fn refuse_malformed(
+    conn: &mut Conn,
+    shared: &Shared,
+    id: &str,
+    error: &HttpError,
+) -> Next {
+    let Some(refusal) = answer::malformed(error) else { return Next::Close };
+    refuse(conn, shared, id, &refusal, true).await
+}
+
+async fn refuse(
+    conn: &mut Conn,
+    shared: &Shared,
+    id: &str,
+    refusal: &Refusal,
+    is_closing: bool,
+) -> Next {
+    tracing::info!(kind = "refusal", request = id, status = refusal.status, code = refusal.code);
+    shared.metrics.on_request("-", refusal.code, Duration::ZERO);
+    let bytes = refusal.encode(id, shared.clock.unix(), is_closing);
+    match answer::send(conn, &bytes, is_closing).await {
+        Ok(()) if !is_closing => Next::KeepAlive,
+        _ => Next::Close,
+    }
+}
+
+/// Frames, identifies and admits a request.
+fn prepare(
+    shared: &Shared,
+    view: &View,
+    mut head: RequestHead,
+    framing: Framing,
+    id: String,
+    peer: SocketAddr,
+    arrived_at: MonoTime,
+) -> Result<(Arc<Bundle>, Exchange), Refusal> {
+    let bundle = view.bundle.clone().ok_or_else(|| {
+        Refusal::not_run(503, "no_bundle", "ask the look-up for another instance")
+    })?;
+    if matches!(framing, Framing::Length(len) if len > MAX_BODY_BYTES) {
+        return Err(Refusal::not_run(413, "body_too_large", "send a smaller body"));
+    }
+    let route = bundle.route(head.path()).ok_or_else(|| {
+        Refusal::not_run(404, "no_route", "use a path that the bundle routes")
+    })?;
+    let account = identify(view, &bundle.routes[route], &mut head).map_err(unidentified)?;
+    if let Some(account) = account {
+        shared.gate.admit(account, arrived_at).map_err(|retry_at| {
+            let mut refusal = Refusal::not_run(429, "over_rate", "come again when told");
+            refusal.retry_at = Some(shared.clock.to_unix(retry_at));
+            refusal
+        })?;
+    }
+    let order = order::named(&bundle.routes[route], account, &head)?;
+    let timeout = Duration::from_millis(bundle.routes[route].timeout_ms.into());
+    let deadline = arrived_at.after(timeout);
+    let head = backend_head(head, framing, &id, shared.clock.to_unix(deadline).0);
+    let caller = peer.ip();
+    let ex = Exchange { id, head, framing, route, account, order, caller, arrived_at, deadline };
+    Ok((bundle, ex))
+}
+
+fn unidentified(why: Unidentified) -> Refusal {
+    match why {
+        Unidentified::NoKey => {
+            Refusal::not_run(401, "no_key", "send `authorization: Bearer ID.SECRET`")
+        }
+        Unidentified::UnknownKey => Refusal::not_run(401, "unknown_key", "check the key"),
+        Unidentified::WithdrawnKey => {
+            Refusal::not_run(401, "withdrawn_key", "ask the operators for a new key")
+        }
+        Unidentified::RepeatedKey => {
+            Refusal::not_run(400, "repeated_key", "send the key in `authorization` only")
+        }
+    }
+}
+
+fn backend_head(
+    mut head: RequestHead,
+    framing: Framing,
+    id: &str,
+    deadline_us: u64,
+) -> RequestHead {
+    head.headers.remove_hop_by_hop();
+    head.headers.remove("expect");
+    head.headers.remove(REQUEST_ID_HEADER);
+    head.headers.remove(DEADLINE_HEADER);
+    head.headers.push(REQUEST_ID_HEADER, id);
+    head.headers.push(DEADLINE_HEADER, deadline_us.to_string());
+    framing.announce(&mut head.headers);
+    head
+}
+
+/// Runs an admitted request, or answers a repeat of its order from memory.
+async fn execute(conn: &mut Conn, shared: &Shared, bundle: &Arc<Bundle>, ex: &Exchange) -> End {
+    let mut body = RequestBody::new(BodyReader::new(ex.framing, MAX_BODY_BYTES));
+    match order::claim(shared, bundle, ex, &mut body, conn).await {
+        Claimed::Run => run::run(conn, shared, bundle, ex, body).await,
+        Claimed::Reply { bytes, status, result } => {
+            let is_closing = !body.reader.is_done() || shared.drain.is_leaving();
+            let sent = answer::send(conn, &bytes, is_closing).await;
+            let next = match sent {
+                Ok(()) if !is_closing => Next::KeepAlive,
+                _ => Next::Close,
+            };
+            End { status, result, attempts: 0, next }
+        }
+        Claimed::Refuse(refusal) => finish_refused(conn, shared, ex, &body, &refusal, 0).await,
+    }
+}
+
+/// Answers an admitted request that got no answer from a backend server.
+pub async fn finish_refused(
+    conn: &mut Conn,
+    shared: &Shared,
+    ex: &Exchange,
+    body: &RequestBody,
+    refusal: &Refusal,
+    attempts: u32,
+) -> End {
+    let is_closing = !body.reader.is_done() || shared.drain.is_leaving();
+    let bytes = refusal.encode(&ex.id, shared.clock.unix(), is_closing);
+    let sent = answer::send(conn, &bytes, is_closing).await;
+    let next = match sent {
+        Ok(()) if !is_closing => Next::KeepAlive,
+        _ => Next::Close,
+    };
+    let result = match refusal.outcome {
+        Outcome::NotRun => "not_run",
+        Outcome::Unknown => "unknown",
+        Outcome::Ran => "ran",
+    };
+    End { status: refusal.status, result, attempts, next }
+}
+
+/// Returns the limits of callers' connections.
+#[must_use]
+pub fn limits() -> Limits {
+    Limits::default()
+}
--- /dev/null
+++ b/crates/apricotlug-edge/src/gate.rs
@@ -0,0 +1,152 @@
+//! Per-process decision state behind one lock; each call holds it for one decision.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use apricotlug_model::{AccountKey, Bundle, DataCentreKey, InstanceId, MonoTime, Repeat};
+use apricotlug_policy::{
+    budget::{Admission, Budgets},
+    order::{AttemptState, OrderLimits, Orders},
+    placement::{Choice, NoPlace, Outcome, Placement, Refusal, Want},
+    retry::RetryBudget,
+};
+use rand::rngs::SmallRng;
+
+/// Decision state that exists once a bundle is in force.
+#[derive(Debug)]
+struct Decisions {
+    budgets: Budgets,
+    placement: Placement,
+}
+
+#[derive(Debug)]
+struct State {
+    decisions: Option<Decisions>,
+    retries: RetryBudget,
+    rng: SmallRng,
+}
+
+/// Decision state of a process.
+#[derive(Debug)]
+pub struct Gate {
+    identity: InstanceId,
+    state: Mutex<State>,
+    orders: Mutex<Orders>,
+    kept_answer_bytes: usize,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Gate {
+    /// Creates the state of a process that has no bundle yet.
+    #[must_use]
+    pub fn new(identity: InstanceId, rng: SmallRng, now: MonoTime) -> Self {
+        let limits = OrderLimits::default();
+        Self {
+            identity,
+            state: Mutex::new(State { decisions: None, retries: RetryBudget::new(now), rng }),
+            orders: Mutex::new(Orders::new(limits)),
+            kept_answer_bytes: limits.one_answer_bytes,
+        }
+    }
+
+    /// Follows a change of the bundle.
+    pub fn set_bundle(
+        &self,
+        old: Option<&Bundle>,
+        new: &Bundle,
+        home: DataCentreKey,
+        now: MonoTime,
+    ) {
+        let mut state = lock(&self.state);
+        match (&mut state.decisions, old) {
+            (Some(decisions), Some(old)) => {
+                decisions.budgets.set_bundle(new, now);
+                decisions.placement.update(old, new, now);
+            }
+            (decisions, _) => {
+                *decisions = Some(Decisions {
+                    budgets: Budgets::new(self.identity.clone(), new, now),
+                    placement: Placement::new(new, home, now),
+                });
+            }
+        }
+    }
+
+    /// Changes the budgets or reads them; returns `None` before the first bundle.
+    pub fn with_budgets<T>(&self, change: impl FnOnce(&mut Budgets) -> T) -> Option<T> {
+        lock(&self.state).decisions.as_mut().map(|decisions| change(&mut decisions.budgets))
+    }
+
+    /// Changes the placement or reads it; returns `None` before the first bundle.
+    pub fn with_placement<T>(&self, change: impl FnOnce(&mut Placement) -> T) -> Option<T> {
+        lock(&self.state).decisions.as_mut().map(|decisions| change(&mut decisions.placement))
+    }
+
+    /// Admits a request of a client account.
+    ///
+    /// # Errors
+    /// Returns the point from which another try may succeed.
+    pub fn admit(&self, account: AccountKey, now: MonoTime) -> Result<(), MonoTime> {
+        let mut state = lock(&self.state);
+        let Some(decisions) = &mut state.decisions else { return Err(now) };
+        match decisions.budgets.admit(account, now) {
+            Admission::Granted => Ok(()),
+            Admission::Refused { retry_at } => Err(retry_at),
+        }
+    }
+
+    /// Places a request on a backend server.
+    ///
+    /// # Errors
+    /// Returns why there is no place.
+    pub fn place(
+        &self,
+        bundle: &Bundle,
+        want: &Want<'_>,
+        now: MonoTime,
+    ) -> Result<Choice, NoPlace> {
+        let mut state = lock(&self.state);
+        let State { decisions, rng, .. } = &mut *state;
+        let Some(decisions) = decisions else {
+            return Err(NoPlace { reason: Refusal::NoEndpoint, retry_at: now });
+        };
+        decisions.placement.place(bundle, want, now, rng)
+    }
+
+    /// Frees the slot of a placed request.
+    pub fn settle(&self, choice: &Choice, outcome: Outcome, now: MonoTime) {
+        if let Some(decisions) = &mut lock(&self.state).decisions {
+            decisions.placement.settle(choice.ticket, outcome, now);
+        }
+    }
+
+    /// Counts a request towards the retry budget.
+    pub fn on_request(&self, now: MonoTime) {
+        lock(&self.state).retries.on_request(now);
+    }
+
+    /// Tells whether a request may be sent again, and takes the retry from the budget.
+    pub fn may_retry(
+        &self,
+        now: MonoTime,
+        deadline: MonoTime,
+        attempt: u32,
+        repeat: Repeat,
+        attempt_state: AttemptState,
+    ) -> bool {
+        lock(&self.state).retries.may_retry(now, deadline, attempt, repeat, attempt_state)
+    }
+
+    /// Returns the table of orders.
+    pub fn orders(&self) -> MutexGuard<'_, Orders> {
+        lock(&self.orders)
+    }
+
+    /// Returns the size of the largest answer that is kept, in bytes.
+    #[must_use]
+    pub fn kept_answer_bytes(&self) -> usize {
+        self.kept_answer_bytes
+    }
+}
--- /dev/null
+++ b/crates/apricotlug-edge/src/identify.rs
@@ -0,0 +1,80 @@
+//! Identifies the client account of a request and takes its key out of the head.
+
+use apricotlug_config::credential;
+use apricotlug_http::RequestHead;
+use apricotlug_model::{Access, AccountKey, Route};
+
+use crate::view::View;
+
+/// Shortest secret that is searched for elsewhere in the head, in bytes.
+const MIN_SEARCHED_SECRET_BYTES: usize = 8;
+
+/// Why a request was not identified.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unidentified {
+    /// No key came with it, or not in the expected form.
+    NoKey,
+    /// The key is unknown or its secret is wrong.
+    UnknownKey,
+    /// The key is withdrawn.
+    WithdrawnKey,
+    /// The secret also stands elsewhere in the head, and would reach a backend server.
+    RepeatedKey,
+}
+
+/// Takes the key out of the head and returns the client account that it belongs to.
+///
+/// On a route open to all the key is taken out just the same, and no account is returned.
+///
+/// # Errors
+/// Returns why a request on a keyed route has no account.
+pub fn identify(
+    view: &View,
+    route: &Route,
+    head: &mut RequestHead,
+) -> Result<Option<AccountKey>, Unidentified> {
+    let key = presented_key(head);
+    head.headers.remove("authorization");
+    if let Some((_, secret)) = &key
+        && is_repeated(head, secret)
+    {
+        return Err(Unidentified::RepeatedKey);
+    }
+    match route.access {
+        Access::Open => Ok(None),
+        Access::Keyed => {
+            let (id, secret) = key.ok_or(Unidentified::NoKey)?;
+            account(view, &id, &secret).map(Some)
+        }
+    }
+}
+
+fn presented_key(head: &RequestHead) -> Option<(String, String)> {
+    let value = head.headers.text("authorization")?;
+    let (scheme, key) = value.split_once(' ')?;
+    if !scheme.eq_ignore_ascii_case("bearer") {
+        return None;
+    }
+    let (id, secret) = key.trim().split_once('.')?;
+    Some((id.to_owned(), secret.to_owned()))
+}
+
+fn account(view: &View, id: &str, secret: &str) -> Result<AccountKey, Unidentified> {
+    let bundle = view.bundle.as_ref().ok_or(Unidentified::UnknownKey)?;
+    let credential = bundle.credentials.get(id).ok_or(Unidentified::UnknownKey)?;
+    if !credential::verify(&credential.hash, secret) {
+        return Err(Unidentified::UnknownKey);
+    }
+    if credential.is_withdrawn || view.withdrawn.contains(id) {
+        return Err(Unidentified::WithdrawnKey);
+    }
+    Ok(credential.account)
+}
+
+fn is_repeated(head: &RequestHead, secret: &str) -> bool {
+    if secret.len() < MIN_SEARCHED_SECRET_BYTES {
+        return false;
+    }
+    let bytes = head.encode();
+    bytes.windows(secret.len()).any(|window| window == secret.as_bytes())
+}
--- /dev/null
+++ b/crates/apricotlug-edge/src/metrics.rs
@@ -0,0 +1,147 @@
+//! Counters and latencies by `opentelemetry`, and the page that shows them.
+
+use std::{fmt::Write, sync::Arc, time::Duration};
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::{
+    InstrumentKind, ManualReader, Pipeline, SdkMeterProvider, Temporality,
+    data::{AggregatedMetrics, MetricData, ResourceMetrics},
+    reader::MetricReader,
+};
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BOUNDS: [f64; 12] =
+    [0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0];
+
+#[derive(Clone, Debug)]
+struct SharedReader(Arc<ManualReader>);
+
+impl MetricReader for SharedReader {
+    fn register_pipeline(&self, pipeline: std::sync::Weak<Pipeline>) {
+        self.0.register_pipeline(pipeline);
+    }
+
+    fn collect(&self, metrics: &mut ResourceMetrics) -> opentelemetry_sdk::error::OTelSdkResult {
+        self.0.collect(metrics)
+    }
+
+    fn force_flush(&self) -> opentelemetry_sdk::error::OTelSdkResult {
+        self.0.force_flush()
+    }
+
+    fn shutdown_with_timeout(&self, within: Duration) -> opentelemetry_sdk::error::OTelSdkResult {
+        self.0.shutdown_with_timeout(within)
+    }
+
+    fn temporality(&self, kind: InstrumentKind) -> Temporality {
+        self.0.temporality(kind)
+    }
+}
+
+/// Instruments of the request path.
+pub struct Metrics {
+    reader: SharedReader,
+    // Keeps the pipeline alive that the reader collects from.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    lookups: Counter<u64>,
+    latency: Histogram<f64>,
+}
+
+impl std::fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Metrics")
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let reader = SharedReader(Arc::new(ManualReader::builder().build()));
+        let provider = SdkMeterProvider::builder().with_reader(reader.clone()).build();
+        let meter = provider.meter("apricotlug");
+        Self {
+            requests: meter.u64_counter("apricotlug_requests").build(),
+            attempts: meter.u64_counter("apricotlug_attempts").build(),
+            lookups: meter.u64_counter("apricotlug_lookups").build(),
+            latency: meter
+                .f64_histogram("apricotlug_latency_seconds")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
+            reader,
+            _provider: provider,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts a request by what became of it, with its latency.
+    pub fn on_request(&self, route: &str, result: &str, latency: Duration) {
+        let attributes =
+            [KeyValue::new("route", route.to_owned()), KeyValue::new("result", result.to_owned())];
+        self.requests.add(1, &attributes);
+        self.latency.record(latency.as_secs_f64(), &attributes[..1]);
+    }
+
+    /// Counts an attempt to run a request on a backend server by how it ended.
+    pub fn on_attempt(&self, end: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("end", end)]);
+    }
+
+    /// Counts a look-up.
+    pub fn on_lookup(&self) {
+        self.lookups.add(1, &[]);
+    }
+
+    /// Renders all instruments as text, one line a value.
+    #[must_use]
+    pub fn page(&self) -> String {
+        let mut collected = ResourceMetrics::default();
+        if let Err(e) = self.reader.collect(&mut collected) {
+            return format!("# metrics could not be collected: {e}\n");
+        }
+        let mut page = String::new();
+        for metric in collected.scope_metrics().flat_map(|scope| scope.metrics()) {
+            render(&mut page, metric.name(), metric.data());
+        }
+        page
+    }
+}
+
+fn render(page: &mut String, name: &str, data: &AggregatedMetrics) {
+    match data {
+        AggregatedMetrics::U64(MetricData::Sum(sum)) => {
+            for point in sum.data_points() {
+                let labels = labels(point.attributes(), None);
+                let _ = writeln!(page, "{name}_total{labels} {}", point.value());
+            }
+        }
+        AggregatedMetrics::F64(MetricData::Histogram(histogram)) => {
+            for point in histogram.data_points() {
+                let mut below = 0;
+                let bounds = point.bounds().map(|bound| bound.to_string());
+                let bounds = bounds.chain(["+Inf".to_owned()]);
+                for (bound, count) in bounds.zip(point.bucket_counts()) {
+                    below += count;
+                    let labels = labels(point.attributes(), Some(&bound));
+                    let _ = writeln!(page, "{name}_bucket{labels} {below}");
+                }
+                let labels = labels(point.attributes(), None);
+                let _ = writeln!(page, "{name}_sum{labels} {}", point.sum());
+                let _ = writeln!(page, "{name}_count{labels} {}", point.count());
+            }
+        }
+        _ => {}
+    }
+}
+
+fn labels<'a>(attributes: impl Iterator<Item = &'a KeyValue>, bound: Option<&str>) -> String {
+    let mut pairs: Vec<String> =
+        attributes.map(|kv| format!("{}=\"{}\"", kv.key, kv.value)).collect();
+    pairs.sort();
+    pairs.extend(bound.map(|bound| format!("le=\"{bound}\"")));
+    if pairs.is_empty() { String::new() } else { format!("{{{}}}", pairs.join(",")) }
+}
--- /dev/null
+++ b/crates/apricotlug-edge/src/order.rs
@@ -0,0 +1,204 @@
+//! Requests that run at most once: which incarnation may run them, and answers to repeats.
+
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+};
+
+use apricotlug_http::{Conn, Framing, RequestHead, ResponseHead};
+use apricotlug_model::{AccountKey, Bundle, Repeat, Route, UnixTime};
+use apricotlug_policy::order::{AttemptState, Begin, KeptAnswer, OrderId, OrderToken};
+
+use crate::{
+    answer::{Outcome, Refusal},
+    exchange::{Exchange, RequestBody},
+    remote,
+    shared::Shared,
+};
+
+/// Header that carries an order token.
+pub const TOKEN_HEADER: &str = "apricotlug-order";
+
+/// Header that carries the caller's own idempotency key.
+pub const KEY_HEADER: &str = "idempotency-key";
+
+/// Longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 200;
+
+/// How a caller named the order of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderName {
+    /// By a token that an instance issued.
+    Token(OrderToken),
+    /// By a key of its own.
+    Key(String),
+}
+
+/// Order that a request belongs to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NamedOrder {
+    /// Name given by the caller.
+    pub name: OrderName,
+    /// Identity in the table of orders.
+    pub id: OrderId,
+    /// Digest of what is asked for.
+    pub request: u64,
+}
+
+/// What to do with a request that may belong to an order.
+#[derive(Debug)]
+pub enum Claimed {
+    /// Run it.
+    Run,
+    /// Send these bytes, the answer to an earlier request for the order.
+    Reply {
+        /// Encoded answer.
+        bytes: Vec<u8>,
+        /// Its status.
+        status: u16,
+        /// What became of the request, for the log.
+        result: &'static str,
+    },
+    /// Refuse it.
+    Refuse(Refusal),
+}
+
+/// Reads the name of a request's order. Routes whose requests are idempotent have no orders.
+///
+/// # Errors
+/// Returns a refusal where the name is malformed.
+pub fn named(
+    route: &Route,
+    account: Option<AccountKey>,
+    head: &RequestHead,
+) -> Result<Option<NamedOrder>, Refusal> {
+    if route.repeat == Repeat::Idempotent {
+        return Ok(None);
+    }
+    let (name, key) = if let Some(text) = head.headers.text(TOKEN_HEADER) {
+        let token: OrderToken = text.parse().map_err(|_| {
+            Refusal::not_run(400, "malformed_token", "send a token as an instance issued it")
+        })?;
+        (OrderName::Token(token), format!("token {text}"))
+    } else if let Some(text) = head.headers.text(KEY_HEADER) {
+        if text.is_empty() || text.len() > MAX_KEY_BYTES {
+            return Err(Refusal::not_run(400, "malformed_key", "send a key of 1 to 200 bytes"));
+        }
+        (OrderName::Key(text.to_owned()), format!("key {text}"))
+    } else {
+        return Ok(None);
+    };
+    let request = digest(head);
+    Ok(Some(NamedOrder { name, id: OrderId { account, key }, request }))
+}
+
+fn digest(head: &RequestHead) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    head.method.hash(&mut hasher);
+    head.target.hash(&mut hasher);
+    head.headers.get("content-length").hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Decides whether this instance runs the request.
+pub async fn claim(
+    shared: &Shared,
+    bundle: &Arc<Bundle>,
+    ex: &Exchange,
+    body: &mut RequestBody,
+    caller: &mut Conn,
+) -> Claimed {
+    let Some(order) = &ex.order else { return Claimed::Run };
+    match &order.name {
+        OrderName::Token(token) if token.holder == shared.identity => {
+            begin(shared, ex, order, token.expires_at)
+        }
+        OrderName::Token(token) => {
+            remote::forward(shared, bundle, ex, body, caller, &token.holder).await
+        }
+        OrderName::Key(_) => remote::claim(shared, bundle, ex, body, caller, order).await,
+    }
+}
+
+/// Begins an order that is bound to this incarnation.
+pub fn begin(shared: &Shared, ex: &Exchange, order: &NamedOrder, expires_at: UnixTime) -> Claimed {
+    let now = shared.clock.unix();
+    match shared.gate.orders().begin(order.id.clone(), order.request, expires_at, now) {
+        Begin::Run => Claimed::Run,
+        Begin::Answered(answer) => reply(shared, ex, &answer),
+        Begin::InProgress => Claimed::Refuse(Refusal {
+            status: 409,
+            code: "order_running",
+            outcome: Outcome::Unknown,
+            help: "ask again for its answer with the same token",
+            retry_at: Some(now),
+        }),
+        Begin::AnsweredNotKept => Claimed::Refuse(Refusal {
+            status: 409,
+            code: "order_ran",
+            outcome: Outcome::Ran,
+            help: "it ran once; its answer was too large to keep",
+            retry_at: None,
+        }),
+        Begin::OutcomeUnknown => Claimed::Refuse(unknown()),
+        Begin::Mismatch => Claimed::Refuse(Refusal::not_run(
+            422,
+            "order_mismatch",
+            "use a token or key for one request only",
+        )),
+        Begin::InvalidExpiry => Claimed::Refuse(Refusal::not_run(
+            400,
+            "malformed_token",
+            "send a token as an instance issued it",
+        )),
+        Begin::Full => Claimed::Refuse(Refusal::not_run(
+            503,
+            "orders_full",
+            "ask the look-up for another instance",
+        )),
+    }
+}
+
+/// Returns the answer to a request that perhaps ran.
+#[must_use]
+pub fn unknown() -> Refusal {
+    let help = "ask whether it was recorded before sending it again";
+    Refusal::unknown(504, "outcome_unknown", help)
+}
+
+fn reply(shared: &Shared, ex: &Exchange, answer: &KeptAnswer) -> Claimed {
+    let mut head = ResponseHead::new(answer.status, "Repeated");
+    for (name, value) in &answer.headers {
+        head.headers.push(name, value.clone());
+    }
+    head.headers.push("apricotlug-repeat", "1");
+    Framing::Length(answer.body.len() as u64).announce(&mut head.headers);
+    if ex.is_closing || shared.drain.is_leaving() {
+        head.headers.push("connection", "close");
+    }
+    let mut bytes = head.encode();
+    if ex.head.method != "HEAD" {
+        bytes.extend_from_slice(&answer.body);
+    }
+    Claimed::Reply { bytes, status: answer.status, result: "repeated" }
+}
+
+/// Records that a request ended without a whole answer.
+pub fn settle_unanswered(shared: &Shared, ex: &Exchange, state: AttemptState) {
+    let Some(order) = &ex.order else { return };
+    match state {
+        AttemptState::NotSent => shared.gate.orders().set_not_run(&order.id),
+        AttemptState::PerhapsRun | AttemptState::Answered => {
+            shared.gate.orders().set_unknown(&order.id);
+        }
+    }
+}
+
+/// Records the whole answer to a request.
+pub fn settle_answered(shared: &Shared, ex: &Exchange, kept: Option<KeptAnswer>) {
+    let Some(order) = &ex.order else { return };
+    match kept {
+        Some(answer) => shared.gate.orders().finish(&order.id, answer),
+        None => shared.gate.orders().finish_unkept(&order.id),
+    }
+}
--- /dev/null
+++ b/crates/apricotlug-edge/src/shared.rs
@@ -0,0 +1,97 @@
+//! What all tasks of one entry instance share.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use apricotlug_http::Limits;
+use apricotlug_model::{Bundle, InstanceId};
+use rand::{SeedableRng, rngs::SmallRng};
+
+use crate::{
+    clock::Clock, drain::Drain, gate::Gate, metrics::Metrics, pool::Pool, view::ViewCell,
+};
+
+/// State shared by all tasks of one entry instance.
+#[derive(Debug)]
+pub struct Shared {
+    /// Name and incarnation of this run.
+    pub identity: InstanceId,
+    /// Data centre, by its name in the bundle.
+    pub data_centre: String,
+    /// Clocks.
+    pub clock: Clock,
+    /// Bundle and withdrawn keys in force.
+    pub view: ViewCell,
+    /// Decision state.
+    pub gate: Gate,
+    /// Idle connections to backend servers.
+    pub pool: Pool,
+    /// Drain of this instance.
+    pub drain: Drain,
+    /// Instruments.
+    pub metrics: Metrics,
+    /// Limits of callers' connections.
+    pub limits: Limits,
+    requests: AtomicU64,
+}
+
+/// Why a bundle was not put in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotInstalled {
+    /// One at least as new is in force.
+    NotNewer,
+    /// It does not name this instance's data centre.
+    UnknownDataCentre,
+}
+
+impl Shared {
+    /// Creates the state of a process that has no bundle yet. `seed` draws its random numbers.
+    #[must_use]
+    pub fn new(identity: InstanceId, data_centre: String, seed: u64) -> Self {
+        let clock = Clock::start();
+        let gate = Gate::new(identity.clone(), SmallRng::seed_from_u64(seed), clock.now());
+        Self {
+            identity,
+            data_centre,
+            clock,
+            view: ViewCell::default(),
+            gate,
+            pool: Pool::default(),
+            drain: Drain::default(),
+            metrics: Metrics::default(),
+            limits: Limits::default(),
+            requests: AtomicU64::new(0),
+        }
+    }
+
+    /// Puts a bundle in force.
+    ///
+    /// # Errors
+    /// Returns why it was not put in force; the one before stays.
+    pub fn install(&self, bundle: Arc<Bundle>) -> Result<(), NotInstalled> {
+        let home = bundle.data_centres.find(|dc| dc.id == self.data_centre);
+        let home = home.ok_or(NotInstalled::UnknownDataCentre)?;
+        let old = self.view.load().bundle.clone();
+        if old.as_ref().is_some_and(|old| old.version >= bundle.version) {
+            return Err(NotInstalled::NotNewer);
+        }
+        // Decision state goes first: requests with the old bundle hold tickets that stay valid.
+        self.gate.set_bundle(old.as_deref(), &bundle, home, self.clock.now());
+        self.view.install(Arc::clone(&bundle));
+        let wanted = |addr: SocketAddr| bundle.endpoints.values().any(|e| e.addr == addr);
+        self.pool.retain(wanted);
+        tracing::info!(kind = "bundle", version = bundle.version.0, "bundle in force");
+        Ok(())
+    }
+
+    /// Returns an id for the next request.
+    pub fn next_request_id(&self) -> String {
+        let number = self.requests.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{:x}-{number:x}", self.identity.name, self.identity.incarnation)
+    }
+}
--- /dev/null
+++ b/crates/apricotlug-edge/src/view.rs
@@ -0,0 +1,48 @@
+//! What every call of a process reads and none changes: the bundle in force and the withdrawn
+//! keys. A change replaces the whole view.
+
+use std::sync::{Arc, PoisonError, RwLock};
+
+use apricotlug_model::{Bundle, HashSet};
+
+/// Read-only state shared by all calls.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Bundle in force; `None` until one was received.
+    pub bundle: Option<Arc<Bundle>>,
+    /// Ids of the keys withdrawn since that bundle was signed off.
+    pub withdrawn: Arc<HashSet<String>>,
+}
+
+/// Holder of the view in force.
+#[derive(Debug, Default)]
+pub struct ViewCell(RwLock<Arc<View>>);
+
+impl ViewCell {
+    /// Returns the view in force.
+    #[must_use]
+    pub fn load(&self) -> Arc<View> {
+        Arc::clone(&self.0.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Puts a bundle in force, unless the one in force is as new. Returns the one replaced, and
+    /// whether the new one is in force.
+    pub fn install(&self, bundle: Arc<Bundle>) -> (Option<Arc<Bundle>>, bool) {
+        let mut view = self.0.write().unwrap_or_else(PoisonError::into_inner);
+        let old = view.bundle.clone();
+        if old.as_ref().is_some_and(|old| old.version >= bundle.version) {
+            return (old, false);
+        }
+        *view = Arc::new(View { bundle: Some(bundle), withdrawn: Arc::clone(&view.withdrawn) });
+        (old, true)
+    }
+
+    /// Adds withdrawn keys. The set only grows.
+    pub fn withdraw(&self, ids: impl IntoIterator<Item = String>) {
+        let mut view = self.0.write().unwrap_or_else(PoisonError::into_inner);
+        let mut withdrawn = HashSet::clone(&view.withdrawn);
+        withdrawn.extend(ids);
+        let bundle = view.bundle.clone();
+        *view = Arc::new(View { bundle, withdrawn: Arc::new(withdrawn) });
+    }
+}
--- a/crates/apricotlug-http/src/conn.rs
+++ b/crates/apricotlug-http/src/conn.rs
@@ -3,7 +3,7 @@
 use std::{
     future::Future,
     io,
-    net::SocketAddr,
+    net::{Shutdown, SocketAddr},
     time::{Duration, Instant},
 };
 
@@ -22,6 +22,9 @@
 /// Bytes asked from the system at once.
 const READ_BYTES: usize = 16 * 1024;
 
+/// Longest time for which input is discarded after a last answer.
+const LINGER: Duration = Duration::from_secs(1);
+
 /// Limits of one connection.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -187,6 +190,23 @@
         write_all(&self.stream, bytes, self.limits.progress).await
     }
 
+    /// Ends the own direction and discards what still arrives for a short while, so that the last
+    /// answer is not lost to a reset.
+    pub async fn linger(&mut self) {
+        if self.stream.shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let deadline = Instant::now() + LINGER;
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            self.take(self.buffered().len());
+            match self.fill(left, Leg::Body).await {
+                Ok(read) if read > 0 && !left.is_zero() => {}
+                _ => return,
+            }
+        }
+    }
+
     /// Tells whether an idle connection may carry another exchange: it is open, and nothing
     /// arrived on it unasked.
     pub async fn is_reusable(&mut self) -> bool {
