--- a/crates/apricotlug-config/src/lib.rs
+++ b/crates/apricotlug-config/src/lib.rs
@@ -1,1 +1,13 @@
 //! Bundle and settings: parse, check, compare.
+//!
+//! A check never stops at the first fault: every finding is collected with its place, and all of
+//! them are returned together.
+
+pub mod bundle;
+pub mod credential;
+mod doc;
+mod fields;
+pub mod settings;
+
+pub use bundle::{load_bundle, parse_bundle};
+pub use settings::{Listen, LogLevel, Settings, parse_settings};
