--- /dev/null
+++ b/crates/apricotlug-policy/src/placement/index.rs
@@ -0,0 +1,128 @@
+//! Endpoints by version and service, nearest first.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use apricotlug_model::{Bundle, DataCentreKey, EndpointKey, RegionKey, ServiceKey, VersionKey};
+
+use super::{health::EndpointState, request::Want, shift::HomeReturn};
+
+/// Index of an endpoint's state.
+pub(super) type StateIndex = u32;
+
+/// Endpoints that answer the same want, of which this instance holds a share.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Group {
+    /// Endpoints of the home data centre.
+    pub(super) home: Vec<StateIndex>,
+    /// Endpoints of other data centres of the home region.
+    pub(super) region: Vec<StateIndex>,
+    /// Endpoints of other regions, the nearest region first.
+    pub(super) foreign: Vec<(RegionKey, Vec<StateIndex>)>,
+    /// Whether requests go home or come back there.
+    pub(super) home_return: HomeReturn,
+}
+
+impl Group {
+    /// Iterates over all endpoints.
+    pub(super) fn members(&self) -> impl Iterator<Item = StateIndex> {
+        let foreign = self.foreign.iter().flat_map(|(_, members)| members);
+        self.home.iter().chain(&self.region).chain(foreign).copied()
+    }
+
+    /// Iterates over the endpoints of the home region.
+    pub(super) fn local(&self) -> impl Iterator<Item = StateIndex> {
+        self.home.iter().chain(&self.region).copied()
+    }
+}
+
+/// Groups of all versions, and of services with several serving versions.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Index {
+    /// Groups: one a version in the order of the bundle, then one a service.
+    pub(super) groups: Vec<Group>,
+    group_of_service: Vec<usize>,
+}
+
+impl Index {
+    /// Builds the groups. `state_of` maps endpoint keys to states.
+    pub(super) fn build(
+        bundle: &Bundle,
+        home: DataCentreKey,
+        state_of: &[StateIndex],
+        states: &[EndpointState],
+    ) -> Self {
+        let versions = bundle.versions.len();
+        let serving: Vec<_> = bundle.services.keys().map(|s| serving(bundle, s)).collect();
+        let mut rows = vec![Vec::new(); versions + serving.len()];
+        for (key, endpoint) in bundle.endpoints.iter() {
+            let state = state_of[usize::from(key)];
+            if !states[state as usize].limit.is_held() {
+                continue;
+            }
+            rows[usize::from(endpoint.version)].push((key, state));
+            let service = bundle.versions[endpoint.version].service;
+            let is_merged = serving[usize::from(service)].len() > 1;
+            if is_merged && bundle.versions[endpoint.version].incoming.is_none() {
+                rows[versions + usize::from(service)].push((key, state));
+            }
+        }
+        let group_of_service = serving
+            .iter()
+            .enumerate()
+            .map(|(i, serving)| match serving[..] {
+                [only] => usize::from(only),
+                _ => versions + i,
+            });
+        Self {
+            group_of_service: group_of_service.collect(),
+            groups: rows.iter().map(|rows| group(bundle, home, rows)).collect(),
+        }
+    }
+
+    /// Returns the group of a want.
+    pub(super) fn group_of(&self, want: &Want<'_>) -> Option<usize> {
+        match want.version {
+            Some(version) => Some(usize::from(version)),
+            None => self
+                .group_of_service
+                .get(usize::from(want.service))
+                .copied(),
+        }
+    }
+}
+
+fn serving(bundle: &Bundle, service: ServiceKey) -> Vec<VersionKey> {
+    let versions = bundle.services[service].versions.iter().copied();
+    versions
+        .filter(|version| bundle.versions[*version].incoming.is_none())
+        .collect()
+}
+
+fn group(bundle: &Bundle, home: DataCentreKey, rows: &[(EndpointKey, StateIndex)]) -> Group {
+    let home_region = bundle.data_centres[home].region;
+    let mut group = Group::default();
+    let mut foreign: BTreeMap<(Duration, RegionKey), Vec<StateIndex>> = BTreeMap::new();
+    for &(key, state) in rows {
+        let region = bundle.region_of(key);
+        if bundle.data_centre_of(key) == home {
+            group.home.push(state);
+        } else if region == home_region {
+            group.region.push(state);
+        } else {
+            let delay = delay(bundle, home_region, region);
+            foreign.entry((delay, region)).or_default().push(state);
+        }
+    }
+    let foreign = foreign.into_iter();
+    group.foreign = foreign
+        .map(|((_, region), members)| (region, members))
+        .collect();
+    group
+}
+
+fn delay(bundle: &Bundle, from: RegionKey, to: RegionKey) -> Duration {
+    let link = bundle.links.get(&(from, to));
+    link.map_or(Duration::MAX, |link| {
+        Duration::from_micros(link.delay_us.into())
+    })
+}
--- a/crates/apricotlug-policy/src/placement/mod.rs
+++ b/crates/apricotlug-policy/src/placement/mod.rs
@@ -1,1 +1,20 @@
 //! Placement of a request on a backend server endpoint.
+//!
+//! A request goes to the better of two random endpoints of its home data centre, then of its
+//! region, then of other regions, always within this instance's slot share of each endpoint.
+
+mod decide;
+mod engine;
+mod health;
+mod index;
+mod link;
+mod pick;
+mod request;
+mod share;
+mod shift;
+mod slots;
+
+pub use engine::Placement;
+pub use link::Traffic;
+pub use request::{Choice, LoadReport, NoPlace, Outcome, PlaceReason, Refusal, Ticket, Want};
+pub use share::{ShareHolder, SlotShares};
