Request path compiles: gate, orders, attempts, delivery

Change: bundle change and decision state are published under one lock, so that no request decides with keys of another bundle; it reloads instead. Measured: builds; not run yet.

--- a/crates/apricotlug-edge/src/answer.rs
+++ b/crates/apricotlug-edge/src/answer.rs
@@ -54,14 +54,26 @@
 impl Refusal {
     /// Creates a refusal of a request that did not run.
     #[must_use]
-    pub fn not_run(status: u16, code: &'static str, help: &'static str) -> Self {
-        Self { status, code, outcome: Outcome::NotRun, help, retry_at: None }
+    pub const fn not_run(status: u16, code: &'static str, help: &'static str) -> Self {
+        Self {
+            status,
+            code,
+            outcome: Outcome::NotRun,
+            help,
+            retry_at: None,
+        }
     }
 
     /// Creates the answer to a request that perhaps ran.
     #[must_use]
-    pub fn unknown(status: u16, code: &'static str, help: &'static str) -> Self {
-        Self { status, code, outcome: Outcome::Unknown, help, retry_at: None }
+    pub const fn unknown(status: u16, code: &'static str, help: &'static str) -> Self {
+        Self {
+            status,
+            code,
+            outcome: Outcome::Unknown,
+            help,
+            retry_at: None,
+        }
     }
 
     /// Encodes the answer, head and body.
@@ -98,10 +110,16 @@
 pub fn malformed(error: &HttpError) -> Option<Refusal> {
     let status = error.caller_status()?;
     let (code, help) = match status {
-        408 => ("request_timeout", "send the whole request within the time limit"),
+        408 => (
+            "request_timeout",
+            "send the whole request within the time limit",
+        ),
         413 => ("body_too_large", "send a smaller body"),
         431 => ("head_too_large", "send fewer or shorter headers"),
-        _ => ("malformed_request", "send one unambiguous HTTP/1.1 request at a time"),
+        _ => (
+            "malformed_request",
+            "send one unambiguous HTTP/1.1 request at a time",
+        ),
     };
     Some(Refusal::not_run(status, code, help))
 }
--- a/crates/apricotlug-edge/src/attempt.rs
+++ b/crates/apricotlug-edge/src/attempt.rs
@@ -64,7 +64,12 @@
 
 impl Failure {
     fn new(state: AttemptState, outcome: Outcome, why: &'static str) -> Self {
-        Self { state, outcome, why, caller: None }
+        Self {
+            state,
+            outcome,
+            why,
+            caller: None,
+        }
     }
 }
 
@@ -81,11 +86,19 @@
     clock: &Clock,
 ) -> Result<Answer, Failure> {
     let mut conn = connect(target, pool, clock).await?;
-    let sent = timeout(clock.left(target.deadline), send(ex, body, caller, &mut conn)).await;
+    let sent = timeout(
+        clock.left(target.deadline),
+        send(ex, body, caller, &mut conn),
+    )
+    .await;
     let (head, is_request_whole) = match sent {
         Ok(sent) => sent?,
         Err(_) => {
-            return Err(Failure::new(AttemptState::PerhapsRun, Outcome::TimedOut, "timeout"));
+            return Err(Failure::new(
+                AttemptState::PerhapsRun,
+                Outcome::TimedOut,
+                "timeout",
+            ));
         }
     };
     verify(ex, head, conn, is_request_whole).await
@@ -98,7 +111,10 @@
         return Ok(conn);
     }
     let within = CONNECT.min(clock.left(target.deadline));
-    let limits = Limits { idle: Duration::MAX, ..Limits::default() };
+    let limits = Limits {
+        idle: Duration::MAX,
+        ..Limits::default()
+    };
     Conn::connect(target.addr, limits, within)
         .await
         .map_err(|_| Failure::new(AttemptState::NotSent, Outcome::ConnectFailed, "connect"))
@@ -131,10 +147,9 @@
     }
     let mut sending = pin!(send_body(ex, body, caller, writer));
     let mut reading = pin!(conn.read_response());
-    let first = future::or(
-        async { First::Head(reading.as_mut().await) },
-        async { First::Sent(sending.as_mut().await) },
-    );
+    let first = future::or(async { First::Head(reading.as_mut().await) }, async {
+        First::Sent(sending.as_mut().await)
+    });
     match first.await {
         First::Head(Ok(head)) => Ok((head, false)),
         First::Head(Err(_)) => Err(broken("answer_head")),
@@ -168,7 +183,10 @@
 ) -> Result<(), SendError> {
     // The kept bytes of a body with a length went out together with the head.
     if !body.kept.is_empty() && !matches!(ex.framing, Framing::Length(_)) {
-        writer.write(&body.kept).await.map_err(|_| SendError::Backend)?;
+        writer
+            .write(&body.kept)
+            .await
+            .map_err(|_| SendError::Backend)?;
     }
     while let Some(piece) = body.reader.next(caller).await.map_err(SendError::Caller)? {
         body.keep(&piece);
@@ -192,7 +210,17 @@
     let is_refusal = head.status == 503 && head.headers.text(OUTCOME_HEADER) == Some("not-run");
     if is_refusal {
         while let Ok(Some(_)) = reader.next(&mut conn).await {}
-        return Err(Failure::new(AttemptState::NotSent, Outcome::Shed, "not_run"));
+        return Err(Failure::new(
+            AttemptState::NotSent,
+            Outcome::Shed,
+            "not_run",
+        ));
     }
-    Ok(Answer { head, framing, reader, conn, is_request_whole })
+    Ok(Answer {
+        head,
+        framing,
+        reader,
+        conn,
+        is_request_whole,
+    })
 }
--- a/crates/apricotlug-edge/src/caller.rs
+++ b/crates/apricotlug-edge/src/caller.rs
@@ -1,9 +1,13 @@
 //! Serves the connections of callers: frame, identify, admit, then run or refuse.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
-use apricotlug_http::{BodyReader, Conn, Framing, HttpError, Limits, RequestHead, request_framing};
-use apricotlug_model::{Bundle, MonoTime};
+use apricotlug_http::{BodyReader, Conn, Framing, HttpError, RequestHead, request_framing};
+use apricotlug_model::{AccountKey, Bundle, MonoTime};
 use async_std::{
     net::{TcpListener, TcpStream},
     task,
@@ -12,16 +16,23 @@
 use crate::{
     answer::{self, DEADLINE_HEADER, Outcome, REQUEST_ID_HEADER, Refusal},
     exchange::{Exchange, RequestBody, log_end},
+    gate::NotAdmitted,
     identify::{Unidentified, identify},
     order::{self, Claimed},
     run,
     shared::Shared,
-    view::View,
 };
 
 /// Largest request body, in bytes.
 const MAX_BODY_BYTES: u64 = 1024 * 1024 * 1024;
 
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+const NO_BUNDLE: Refusal =
+    Refusal::not_run(503, "no_bundle", "ask the look-up for another instance");
+
+const NO_ROUTE: Refusal = Refusal::not_run(404, "no_route", "use a path that the bundle routes");
+
 /// Whether the caller's connection goes on after a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
@@ -78,27 +89,50 @@
         Ok(framing) => framing,
         Err(e) => return refuse_malformed(conn, shared, &id, &e).await,
     };
-    let view = shared.view.load();
-    let has_body = framing != Framing::Empty;
-    let is_closing = has_body || !head.is_keep_alive() || shared.drain.is_leaving();
-    let (bundle, ex) = match prepare(shared, &view, head, framing, id.clone(), peer, arrived_at) {
+    let expects_continue = head
+        .headers
+        .list("expect")
+        .iter()
+        .any(|e| e == "100-continue");
+    let is_closing = !head.is_keep_alive() || shared.drain.is_leaving();
+    let arrival = Arrival {
+        id: id.clone(),
+        framing,
+        caller: peer.ip(),
+        arrived_at,
+        is_closing,
+    };
+    let (bundle, ex) = match prepare(shared, head, arrival) {
         Ok(prepared) => prepared,
-        Err(refusal) => return refuse(conn, shared, &id, &refusal, is_closing).await,
+        Err(refusal) => {
+            // A body that nobody reads must not pass for the next request.
+            let is_closing = is_closing || framing != Framing::Empty;
+            return refuse(conn, shared, &id, &refusal, is_closing).await;
+        }
     };
+    if expects_continue && conn.write(CONTINUE).await.is_err() {
+        return Next::Close;
+    }
     let end = execute(conn, shared, &bundle, &ex).await;
     let latency = shared.clock.now().since(ex.arrived_at);
-    log_end(&ex, &bundle, end.status, end.result, latency.as_micros(), end.attempts);
-    shared.metrics.on_request(&bundle.routes[ex.route].id, end.result, latency);
+    log_end(
+        &ex,
+        &bundle,
+        end.status,
+        end.result,
+        latency.as_micros(),
+        end.attempts,
+    );
+    shared
+        .metrics
+        .on_request(&bundle.routes[ex.route].id, end.result, latency);
     end.next
 }
 
-async fn refuse_malformed(
-    conn: &mut Conn,
-    shared: &Shared,
-    id: &str,
-    error: &HttpError,
-) -> Next {
-    let Some(refusal) = answer::malformed(error) else { return Next::Close };
+async fn refuse_malformed(conn: &mut Conn, shared: &Shared, id: &str, error: &HttpError) -> Next {
+    let Some(refusal) = answer::malformed(error) else {
+        return Next::Close;
+    };
     refuse(conn, shared, id, &refusal, true).await
 }
 
@@ -109,7 +143,12 @@
     refusal: &Refusal,
     is_closing: bool,
 ) -> Next {
-    tracing::info!(kind = "refusal", request = id, status = refusal.status, code = refusal.code);
+    tracing::info!(
+        kind = "refusal",
+        request = id,
+        status = refusal.status,
+        code = refusal.code
+    );
     shared.metrics.on_request("-", refusal.code, Duration::ZERO);
     let bytes = refusal.encode(id, shared.clock.unix(), is_closing);
     match answer::send(conn, &bytes, is_closing).await {
@@ -118,42 +157,74 @@
     }
 }
 
-/// Frames, identifies and admits a request.
+/// What is known of a request beside its head.
+struct Arrival {
+    id: String,
+    framing: Framing,
+    caller: IpAddr,
+    arrived_at: MonoTime,
+    is_closing: bool,
+}
+
+/// Routes, identifies and admits a request.
 fn prepare(
     shared: &Shared,
-    view: &View,
     mut head: RequestHead,
-    framing: Framing,
-    id: String,
-    peer: SocketAddr,
-    arrived_at: MonoTime,
+    arrival: Arrival,
 ) -> Result<(Arc<Bundle>, Exchange), Refusal> {
-    let bundle = view.bundle.clone().ok_or_else(|| {
-        Refusal::not_run(503, "no_bundle", "ask the look-up for another instance")
-    })?;
-    if matches!(framing, Framing::Length(len) if len > MAX_BODY_BYTES) {
-        return Err(Refusal::not_run(413, "body_too_large", "send a smaller body"));
-    }
-    let route = bundle.route(head.path()).ok_or_else(|| {
-        Refusal::not_run(404, "no_route", "use a path that the bundle routes")
-    })?;
-    let account = identify(view, &bundle.routes[route], &mut head).map_err(unidentified)?;
-    if let Some(account) = account {
-        shared.gate.admit(account, arrived_at).map_err(|retry_at| {
-            let mut refusal = Refusal::not_run(429, "over_rate", "come again when told");
-            refusal.retry_at = Some(shared.clock.to_unix(retry_at));
-            refusal
-        })?;
+    if matches!(arrival.framing, Framing::Length(len) if len > MAX_BODY_BYTES) {
+        return Err(Refusal::not_run(
+            413,
+            "body_too_large",
+            "send a smaller body",
+        ));
     }
+    let (bundle, route, account) = loop {
+        let view = shared.view.load();
+        let bundle = view.bundle.clone().ok_or(NO_BUNDLE)?;
+        let route = bundle.route(head.path()).ok_or(NO_ROUTE)?;
+        let account = identify(&view, &bundle.routes[route], &head).map_err(unidentified)?;
+        match admit(shared, &bundle, account, arrival.arrived_at) {
+            Ok(()) => break (bundle, route, account),
+            Err(NotAdmitted::OtherBundle) => {}
+            Err(NotAdmitted::OverRate { retry_at }) => return Err(over_rate(shared, retry_at)),
+        }
+    };
+    head.headers.remove("authorization");
     let order = order::named(&bundle.routes[route], account, &head)?;
     let timeout = Duration::from_millis(bundle.routes[route].timeout_ms.into());
-    let deadline = arrived_at.after(timeout);
-    let head = backend_head(head, framing, &id, shared.clock.to_unix(deadline).0);
-    let caller = peer.ip();
-    let ex = Exchange { id, head, framing, route, account, order, caller, arrived_at, deadline };
+    let deadline = arrival.arrived_at.after(timeout);
+    let deadline_us = shared.clock.to_unix(deadline).0;
+    let ex = Exchange {
+        head: backend_head(head, arrival.framing, &arrival.id, deadline_us),
+        id: arrival.id,
+        framing: arrival.framing,
+        route,
+        account,
+        order,
+        is_closing: arrival.is_closing,
+        caller: arrival.caller,
+        arrived_at: arrival.arrived_at,
+        deadline,
+    };
     Ok((bundle, ex))
 }
 
+fn admit(
+    shared: &Shared,
+    bundle: &Bundle,
+    account: Option<AccountKey>,
+    now: MonoTime,
+) -> Result<(), NotAdmitted> {
+    account.map_or(Ok(()), |account| shared.gate.admit(bundle, account, now))
+}
+
+fn over_rate(shared: &Shared, retry_at: MonoTime) -> Refusal {
+    let mut refusal = Refusal::not_run(429, "over_rate", "come again when told");
+    refusal.retry_at = Some(shared.clock.to_unix(retry_at));
+    refusal
+}
+
 fn unidentified(why: Unidentified) -> Refusal {
     match why {
         Unidentified::NoKey => {
@@ -190,14 +261,23 @@
     let mut body = RequestBody::new(BodyReader::new(ex.framing, MAX_BODY_BYTES));
     match order::claim(shared, bundle, ex, &mut body, conn).await {
         Claimed::Run => run::run(conn, shared, bundle, ex, body).await,
-        Claimed::Reply { bytes, status, result } => {
-            let is_closing = !body.reader.is_done() || shared.drain.is_leaving();
+        Claimed::Reply {
+            bytes,
+            status,
+            result,
+        } => {
+            let is_closing = ex.is_closing || !body.reader.is_done() || shared.drain.is_leaving();
             let sent = answer::send(conn, &bytes, is_closing).await;
             let next = match sent {
                 Ok(()) if !is_closing => Next::KeepAlive,
                 _ => Next::Close,
             };
-            End { status, result, attempts: 0, next }
+            End {
+                status,
+                result,
+                attempts: 0,
+                next,
+            }
         }
         Claimed::Refuse(refusal) => finish_refused(conn, shared, ex, &body, &refusal, 0).await,
     }
@@ -212,7 +292,7 @@
     refusal: &Refusal,
     attempts: u32,
 ) -> End {
-    let is_closing = !body.reader.is_done() || shared.drain.is_leaving();
+    let is_closing = ex.is_closing || !body.reader.is_done() || shared.drain.is_leaving();
     let bytes = refusal.encode(&ex.id, shared.clock.unix(), is_closing);
     let sent = answer::send(conn, &bytes, is_closing).await;
     let next = match sent {
@@ -224,11 +304,10 @@
         Outcome::Unknown => "unknown",
         Outcome::Ran => "ran",
     };
-    End { status: refusal.status, result, attempts, next }
-}
-
-/// Returns the limits of callers' connections.
-#[must_use]
-pub fn limits() -> Limits {
-    Limits::default()
+    End {
+        status: refusal.status,
+        result,
+        attempts,
+        next,
+    }
 }
--- a/crates/apricotlug-edge/src/clock.rs
+++ b/crates/apricotlug-edge/src/clock.rs
@@ -15,7 +15,10 @@
     /// Starts the clocks.
     #[must_use]
     pub fn start() -> Self {
-        Self { start: Instant::now(), wall_at_start: UnixTime::now() }
+        Self {
+            start: Instant::now(),
+            wall_at_start: UnixTime::now(),
+        }
     }
 
     /// Returns the time since the start.
--- a/crates/apricotlug-edge/src/deliver.rs
+++ b/crates/apricotlug-edge/src/deliver.rs
@@ -58,7 +58,11 @@
     let is_old_caller = ex.head.minor == 0;
     let has_no_length = matches!(answer.framing, Framing::Chunked | Framing::UntilClose);
     let is_closing = is_closing || (is_old_caller && has_no_length);
-    let framing = if is_old_caller && has_no_length { Framing::Empty } else { answer.framing };
+    let framing = if is_old_caller && has_no_length {
+        Framing::Empty
+    } else {
+        answer.framing
+    };
     let head = caller_head(ex, answer, framing, is_closing);
     let mut kept = Some(Vec::new());
     let mut bytes = 0;
@@ -70,7 +74,12 @@
             Ok(None) => break,
             Err(_) => {
                 caller.write(&out).await?;
-                return Ok(Delivered { is_whole: false, may_go_on: false, bytes, kept: None });
+                return Ok(Delivered {
+                    is_whole: false,
+                    may_go_on: false,
+                    bytes,
+                    kept: None,
+                });
             }
         };
         bytes += piece.len() as u64;
@@ -89,11 +98,18 @@
     caller.write(&out).await?;
     writer.finish().await?;
     let kept = kept.map(|body| kept_answer(&head, body));
-    Ok(Delivered { is_whole: true, may_go_on: !is_closing, bytes, kept })
+    Ok(Delivered {
+        is_whole: true,
+        may_go_on: !is_closing,
+        bytes,
+        kept,
+    })
 }
 
 fn keep(kept: &mut Option<Vec<u8>>, piece: &[u8], most: usize) {
-    let fits = kept.as_ref().is_some_and(|held| held.len() + piece.len() <= most);
+    let fits = kept
+        .as_ref()
+        .is_some_and(|held| held.len() + piece.len() <= most);
     if !fits {
         *kept = None;
     }
@@ -108,6 +124,12 @@
             && !name.eq_ignore_ascii_case("transfer-encoding")
             && !name.eq_ignore_ascii_case("content-length")
     });
-    let headers = lines.map(|(name, value)| (name.to_owned(), value.to_owned())).collect();
-    KeptAnswer { status: head.status, headers, body }
+    let headers = lines
+        .map(|(name, value)| (name.to_owned(), value.to_owned()))
+        .collect();
+    KeptAnswer {
+        status: head.status,
+        headers,
+        body,
+    }
 }
--- a/crates/apricotlug-edge/src/exchange.rs
+++ b/crates/apricotlug-edge/src/exchange.rs
@@ -4,7 +4,8 @@
 
 use apricotlug_http::{BodyReader, Framing, RequestHead};
 use apricotlug_model::{AccountKey, Bundle, MonoTime, RouteKey};
-use apricotlug_policy::order::OrderId;
+
+use crate::order::NamedOrder;
 
 /// Request that was framed, identified and admitted.
 #[derive(Debug)]
@@ -20,7 +21,9 @@
     /// Client account; `None` on a route open to all.
     pub account: Option<AccountKey>,
     /// Order that it belongs to, if the caller named one.
-    pub order: Option<OrderId>,
+    pub order: Option<NamedOrder>,
+    /// Whether the caller's connection closes after the answer.
+    pub is_closing: bool,
     /// Address of the caller.
     pub caller: IpAddr,
     /// Point at which it arrived.
@@ -47,7 +50,11 @@
     /// Starts a body.
     #[must_use]
     pub fn new(reader: BodyReader) -> Self {
-        Self { reader, kept: Vec::new(), is_replayable: true }
+        Self {
+            reader,
+            kept: Vec::new(),
+            is_replayable: true,
+        }
     }
 
     /// Keeps a piece for another attempt, or gives up on keeping.
@@ -66,7 +73,9 @@
 
 /// Writes the line that is logged when a request ends.
 pub fn log_end(ex: &Exchange, bundle: &Bundle, status: u16, result: &str, us: u128, attempts: u32) {
-    let account = ex.account.map_or("-", |key| bundle.accounts[key].id.as_str());
+    let account = ex
+        .account
+        .map_or("-", |key| bundle.accounts[key].id.as_str());
     tracing::info!(
         kind = "request",
         request = ex.id,
--- a/crates/apricotlug-edge/src/gate.rs
+++ b/crates/apricotlug-edge/src/gate.rs
@@ -2,15 +2,17 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use apricotlug_model::{AccountKey, Bundle, DataCentreKey, InstanceId, MonoTime, Repeat};
+use apricotlug_model::{AccountKey, Bundle, BundleVersion, DataCentreKey, InstanceId, MonoTime};
 use apricotlug_policy::{
     budget::{Admission, Budgets},
-    order::{AttemptState, OrderLimits, Orders},
+    order::{OrderLimits, Orders},
     placement::{Choice, NoPlace, Outcome, Placement, Refusal, Want},
-    retry::RetryBudget,
 };
 use rand::rngs::SmallRng;
 
+/// Most attempts of one request.
+const MAX_ATTEMPTS: u32 = 2;
+
 /// Decision state that exists once a bundle is in force.
 #[derive(Debug)]
 struct Decisions {
@@ -20,11 +22,23 @@
 
 #[derive(Debug)]
 struct State {
+    bundle: BundleVersion,
     decisions: Option<Decisions>,
-    retries: RetryBudget,
     rng: SmallRng,
 }
 
+/// Why a request is not admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotAdmitted {
+    /// Another bundle has come into force; its keys differ.
+    OtherBundle,
+    /// The client account has no token left here.
+    OverRate {
+        /// Point from which another try may succeed.
+        retry_at: MonoTime,
+    },
+}
+
 /// Decision state of a process.
 #[derive(Debug)]
 pub struct Gate {
@@ -41,23 +55,28 @@
 impl Gate {
     /// Creates the state of a process that has no bundle yet.
     #[must_use]
-    pub fn new(identity: InstanceId, rng: SmallRng, now: MonoTime) -> Self {
+    pub fn new(identity: InstanceId, rng: SmallRng) -> Self {
         let limits = OrderLimits::default();
         Self {
             identity,
-            state: Mutex::new(State { decisions: None, retries: RetryBudget::new(now), rng }),
+            state: Mutex::new(State {
+                bundle: BundleVersion(0),
+                decisions: None,
+                rng,
+            }),
             orders: Mutex::new(Orders::new(limits)),
             kept_answer_bytes: limits.one_answer_bytes,
         }
     }
 
-    /// Follows a change of the bundle.
+    /// Follows a change of the bundle, and publishes it before any decision is made with it.
     pub fn set_bundle(
         &self,
         old: Option<&Bundle>,
         new: &Bundle,
         home: DataCentreKey,
         now: MonoTime,
+        publish: impl FnOnce(),
     ) {
         let mut state = lock(&self.state);
         match (&mut state.decisions, old) {
@@ -72,28 +91,46 @@
                 });
             }
         }
+        state.bundle = new.version;
+        publish();
     }
 
     /// Changes the budgets or reads them; returns `None` before the first bundle.
     pub fn with_budgets<T>(&self, change: impl FnOnce(&mut Budgets) -> T) -> Option<T> {
-        lock(&self.state).decisions.as_mut().map(|decisions| change(&mut decisions.budgets))
+        lock(&self.state)
+            .decisions
+            .as_mut()
+            .map(|decisions| change(&mut decisions.budgets))
     }
 
     /// Changes the placement or reads it; returns `None` before the first bundle.
     pub fn with_placement<T>(&self, change: impl FnOnce(&mut Placement) -> T) -> Option<T> {
-        lock(&self.state).decisions.as_mut().map(|decisions| change(&mut decisions.placement))
+        lock(&self.state)
+            .decisions
+            .as_mut()
+            .map(|decisions| change(&mut decisions.placement))
     }
 
-    /// Admits a request of a client account.
+    /// Admits a request of a client account of the bundle.
     ///
     /// # Errors
-    /// Returns the point from which another try may succeed.
-    pub fn admit(&self, account: AccountKey, now: MonoTime) -> Result<(), MonoTime> {
+    /// Returns why it is not admitted.
+    pub fn admit(
+        &self,
+        bundle: &Bundle,
+        account: AccountKey,
+        now: MonoTime,
+    ) -> Result<(), NotAdmitted> {
         let mut state = lock(&self.state);
-        let Some(decisions) = &mut state.decisions else { return Err(now) };
+        if state.bundle != bundle.version {
+            return Err(NotAdmitted::OtherBundle);
+        }
+        let Some(decisions) = &mut state.decisions else {
+            return Err(NotAdmitted::OtherBundle);
+        };
         match decisions.budgets.admit(account, now) {
             Admission::Granted => Ok(()),
-            Admission::Refused { retry_at } => Err(retry_at),
+            Admission::Refused { retry_at } => Err(NotAdmitted::OverRate { retry_at }),
         }
     }
 
@@ -110,7 +147,10 @@
         let mut state = lock(&self.state);
         let State { decisions, rng, .. } = &mut *state;
         let Some(decisions) = decisions else {
-            return Err(NoPlace { reason: Refusal::NoEndpoint, retry_at: now });
+            return Err(NoPlace {
+                reason: Refusal::NoEndpoint,
+                retry_at: now,
+            });
         };
         decisions.placement.place(bundle, want, now, rng)
     }
@@ -122,21 +162,9 @@
         }
     }
 
-    /// Counts a request towards the retry budget.
-    pub fn on_request(&self, now: MonoTime) {
-        lock(&self.state).retries.on_request(now);
-    }
-
-    /// Tells whether a request may be sent again, and takes the retry from the budget.
-    pub fn may_retry(
-        &self,
-        now: MonoTime,
-        deadline: MonoTime,
-        attempt: u32,
-        repeat: Repeat,
-        attempt_state: AttemptState,
-    ) -> bool {
-        lock(&self.state).retries.may_retry(now, deadline, attempt, repeat, attempt_state)
+    /// Tells whether a request may be sent again.
+    pub fn may_retry(&self, attempt: u32) -> bool {
+        attempt < MAX_ATTEMPTS
     }
 
     /// Returns the table of orders.
--- a/crates/apricotlug-edge/src/identify.rs
+++ b/crates/apricotlug-edge/src/identify.rs
@@ -1,4 +1,4 @@
-//! Identifies the client account of a request and takes its key out of the head.
+//! Identifies the client account of a request by its key.
 
 use apricotlug_config::credential;
 use apricotlug_http::RequestHead;
@@ -22,19 +22,16 @@
     RepeatedKey,
 }
 
-/// Takes the key out of the head and returns the client account that it belongs to.
-///
-/// On a route open to all the key is taken out just the same, and no account is returned.
+/// Returns the client account that the request's key belongs to; none on a route open to all.
 ///
 /// # Errors
 /// Returns why a request on a keyed route has no account.
 pub fn identify(
     view: &View,
     route: &Route,
-    head: &mut RequestHead,
+    head: &RequestHead,
 ) -> Result<Option<AccountKey>, Unidentified> {
     let key = presented_key(head);
-    head.headers.remove("authorization");
     if let Some((_, secret)) = &key
         && is_repeated(head, secret)
     {
@@ -75,6 +72,10 @@
     if secret.len() < MIN_SEARCHED_SECRET_BYTES {
         return false;
     }
+    let mut head = head.clone();
+    head.headers.remove("authorization");
     let bytes = head.encode();
-    bytes.windows(secret.len()).any(|window| window == secret.as_bytes())
+    bytes
+        .windows(secret.len())
+        .any(|window| window == secret.as_bytes())
 }
--- a/crates/apricotlug-edge/src/lib.rs
+++ b/crates/apricotlug-edge/src/lib.rs
@@ -1,1 +1,31 @@
 //! The request path: accept, identify, admit, place, send, verify, answer, settle.
+//!
+//! A request reads only this process's memory: it waits for no platform call, and for a peer
+//! only where its order is bound to another instance.
+
+mod answer;
+mod attempt;
+mod caller;
+mod clock;
+mod deliver;
+mod drain;
+mod exchange;
+mod gate;
+mod identify;
+mod metrics;
+mod order;
+mod pool;
+mod remote;
+mod run;
+mod shared;
+mod view;
+
+pub use answer::{DEADLINE_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER};
+pub use caller::accept;
+pub use clock::Clock;
+pub use drain::Drain;
+pub use gate::Gate;
+pub use metrics::Metrics;
+pub use order::{KEY_HEADER, TOKEN_HEADER};
+pub use shared::{NotInstalled, Shared};
+pub use view::{View, ViewCell};
--- a/crates/apricotlug-edge/src/metrics.rs
+++ b/crates/apricotlug-edge/src/metrics.rs
@@ -13,8 +13,9 @@
 };
 
 /// Upper bounds of the latency buckets, in seconds.
-const LATENCY_BOUNDS: [f64; 12] =
-    [0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0];
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0,
+];
 
 #[derive(Clone, Debug)]
 struct SharedReader(Arc<ManualReader>);
@@ -61,7 +62,9 @@
 impl Default for Metrics {
     fn default() -> Self {
         let reader = SharedReader(Arc::new(ManualReader::builder().build()));
-        let provider = SdkMeterProvider::builder().with_reader(reader.clone()).build();
+        let provider = SdkMeterProvider::builder()
+            .with_reader(reader.clone())
+            .build();
         let meter = provider.meter("apricotlug");
         Self {
             requests: meter.u64_counter("apricotlug_requests").build(),
@@ -80,8 +83,10 @@
 impl Metrics {
     /// Counts a request by what became of it, with its latency.
     pub fn on_request(&self, route: &str, result: &str, latency: Duration) {
-        let attributes =
-            [KeyValue::new("route", route.to_owned()), KeyValue::new("result", result.to_owned())];
+        let attributes = [
+            KeyValue::new("route", route.to_owned()),
+            KeyValue::new("result", result.to_owned()),
+        ];
         self.requests.add(1, &attributes);
         self.latency.record(latency.as_secs_f64(), &attributes[..1]);
     }
@@ -139,9 +144,14 @@
 }
 
 fn labels<'a>(attributes: impl Iterator<Item = &'a KeyValue>, bound: Option<&str>) -> String {
-    let mut pairs: Vec<String> =
-        attributes.map(|kv| format!("{}=\"{}\"", kv.key, kv.value)).collect();
+    let mut pairs: Vec<String> = attributes
+        .map(|kv| format!("{}=\"{}\"", kv.key, kv.value))
+        .collect();
     pairs.sort();
     pairs.extend(bound.map(|bound| format!("le=\"{bound}\"")));
-    if pairs.is_empty() { String::new() } else { format!("{{{}}}", pairs.join(",")) }
+    if pairs.is_empty() {
+        String::new()
+    } else {
+        format!("{{{}}}", pairs.join(","))
+    }
 }
--- a/crates/apricotlug-edge/src/order.rs
+++ b/crates/apricotlug-edge/src/order.rs
@@ -77,19 +77,31 @@
     }
     let (name, key) = if let Some(text) = head.headers.text(TOKEN_HEADER) {
         let token: OrderToken = text.parse().map_err(|_| {
-            Refusal::not_run(400, "malformed_token", "send a token as an instance issued it")
+            Refusal::not_run(
+                400,
+                "malformed_token",
+                "send a token as an instance issued it",
+            )
         })?;
         (OrderName::Token(token), format!("token {text}"))
     } else if let Some(text) = head.headers.text(KEY_HEADER) {
         if text.is_empty() || text.len() > MAX_KEY_BYTES {
-            return Err(Refusal::not_run(400, "malformed_key", "send a key of 1 to 200 bytes"));
+            return Err(Refusal::not_run(
+                400,
+                "malformed_key",
+                "send a key of 1 to 200 bytes",
+            ));
         }
         (OrderName::Key(text.to_owned()), format!("key {text}"))
     } else {
         return Ok(None);
     };
     let request = digest(head);
-    Ok(Some(NamedOrder { name, id: OrderId { account, key }, request }))
+    Ok(Some(NamedOrder {
+        name,
+        id: OrderId { account, key },
+        request,
+    }))
 }
 
 fn digest(head: &RequestHead) -> u64 {
@@ -108,7 +120,9 @@
     body: &mut RequestBody,
     caller: &mut Conn,
 ) -> Claimed {
-    let Some(order) = &ex.order else { return Claimed::Run };
+    let Some(order) = &ex.order else {
+        return Claimed::Run;
+    };
     match &order.name {
         OrderName::Token(token) if token.holder == shared.identity => {
             begin(shared, ex, order, token.expires_at)
@@ -123,7 +137,11 @@
 /// Begins an order that is bound to this incarnation.
 pub fn begin(shared: &Shared, ex: &Exchange, order: &NamedOrder, expires_at: UnixTime) -> Claimed {
     let now = shared.clock.unix();
-    match shared.gate.orders().begin(order.id.clone(), order.request, expires_at, now) {
+    match shared
+        .gate
+        .orders()
+        .begin(order.id.clone(), order.request, expires_at, now)
+    {
         Begin::Run => Claimed::Run,
         Begin::Answered(answer) => reply(shared, ex, &answer),
         Begin::InProgress => Claimed::Refuse(Refusal {
@@ -180,7 +198,11 @@
     if ex.head.method != "HEAD" {
         bytes.extend_from_slice(&answer.body);
     }
-    Claimed::Reply { bytes, status: answer.status, result: "repeated" }
+    Claimed::Reply {
+        bytes,
+        status: answer.status,
+        result: "repeated",
+    }
 }
 
 /// Records that a request ended without a whole answer.
--- a/crates/apricotlug-edge/src/pool.rs
+++ b/crates/apricotlug-edge/src/pool.rs
@@ -45,7 +45,10 @@
         let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let conns = idle.entry(addr).or_default();
         if conns.len() < MAX_IDLE {
-            conns.push(Idle { conn, expires_at: Instant::now() + IDLE });
+            conns.push(Idle {
+                conn,
+                expires_at: Instant::now() + IDLE,
+            });
         }
     }
 
@@ -60,6 +63,10 @@
     }
 
     fn pop(&self, addr: SocketAddr) -> Option<Idle> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).get_mut(&addr)?.pop()
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .get_mut(&addr)?
+            .pop()
     }
 }
--- a/crates/apricotlug-edge/src/run.rs
+++ b/crates/apricotlug-edge/src/run.rs
@@ -3,10 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use apricotlug_http::Conn;
-use apricotlug_model::{Bundle, EndpointKey, MonoTime, Repeat};
+use apricotlug_model::{Bundle, EndpointKey, MonoTime, Repeat, Route, RouteKey};
 use apricotlug_policy::{
     order::{AttemptState, Disposition},
-    placement::{Choice, NoPlace, Outcome, Want},
+    placement::{self, Choice, NoPlace, Outcome, Want},
 };
 
 use crate::{
@@ -34,7 +34,9 @@
 
 impl Drop for Permit<'_> {
     fn drop(&mut self) {
-        self.shared.gate.settle(&self.choice, self.outcome, self.shared.clock.now());
+        self.shared
+            .gate
+            .settle(&self.choice, self.outcome, self.shared.clock.now());
     }
 }
 
@@ -53,12 +55,26 @@
     ex: &Exchange,
     mut body: RequestBody,
 ) -> End {
-    let mut tried = Tried { state: AttemptState::NotSent, attempts: 0, used: Vec::new() };
-    let repeat = bundle.routes[ex.route].repeat;
-    shared.gate.on_request(shared.clock.now());
+    let mut tried = Tried {
+        state: AttemptState::NotSent,
+        attempts: 0,
+        used: Vec::new(),
+    };
+    let mut bundle = Arc::clone(bundle);
+    let mut route = ex.route;
+    let repeat = bundle.routes[route].repeat;
     loop {
-        let mut permit = match place(shared, bundle, ex, &tried) {
+        let mut permit = match place(shared, &bundle, &bundle.routes[route], ex, &tried) {
             Ok(permit) => permit,
+            Err(no_place) if no_place.reason == placement::Refusal::OtherBundle => {
+                let Some((other, key)) = reroute(shared, ex) else {
+                    let refusal = no_place_refusal(shared, &tried, no_place);
+                    return give_up(conn, shared, ex, &body, &tried, &refusal).await;
+                };
+                (bundle, route) = (other, key);
+                tried.used.clear();
+                continue;
+            }
             Err(no_place) => {
                 let refusal = no_place_refusal(shared, &tried, no_place);
                 return give_up(conn, shared, ex, &body, &tried, &refusal).await;
@@ -66,14 +82,17 @@
         };
         tried.attempts += 1;
         let sent_at = shared.clock.now();
-        let target = target(shared, bundle, ex, &permit, repeat, sent_at);
+        let target = target(shared, &bundle, ex, &permit, repeat, sent_at);
         let attempt = attempt::run(ex, &mut body, conn, target, &shared.pool, &shared.clock).await;
         match attempt {
             Ok(answer) => {
                 shared.metrics.on_attempt("answered");
                 let latency = shared.clock.now().since(sent_at);
                 let server_error = answer.head.status >= 500;
-                permit.outcome = Outcome::Answered { latency, server_error };
+                permit.outcome = Outcome::Answered {
+                    latency,
+                    server_error,
+                };
                 return finish(conn, shared, ex, answer, permit, &tried).await;
             }
             Err(failure) => {
@@ -82,7 +101,7 @@
                 tried.state = tried.state.and(failure.state);
                 tried.used.push(permit.choice.endpoint);
                 drop(permit);
-                log_failure(bundle, ex, &tried, &failure);
+                log_failure(&bundle, ex, &tried, &failure);
                 if let Some(refusal) = final_refusal(shared, ex, &body, &tried, &failure, repeat) {
                     return give_up(conn, shared, ex, &body, &tried, &refusal).await;
                 }
@@ -91,14 +110,25 @@
     }
 }
 
+/// Returns the bundle in force and the route of the request in it.
+fn reroute(shared: &Shared, ex: &Exchange) -> Option<(Arc<Bundle>, RouteKey)> {
+    let bundle = shared.view.load().bundle.clone()?;
+    let route = bundle.route(ex.head.path())?;
+    Some((bundle, route))
+}
+
 fn place<'a>(
     shared: &'a Shared,
     bundle: &Bundle,
+    route: &Route,
     ex: &Exchange,
     tried: &Tried,
 ) -> Result<Permit<'a>, NoPlace> {
-    let service = bundle.routes[ex.route].service;
-    let want = Want { service, version: None, exclude: &tried.used };
+    let want = Want {
+        service: route.service,
+        version: None,
+        exclude: &tried.used,
+    };
     let choice = shared.gate.place(bundle, &want, shared.clock.now())?;
     let endpoint = &bundle.endpoints[choice.endpoint];
     tracing::info!(
@@ -109,7 +139,11 @@
         candidates = choice.candidates,
         reason = ?choice.reason,
     );
-    Ok(Permit { shared, choice, outcome: Outcome::Cancelled })
+    Ok(Permit {
+        shared,
+        choice,
+        outcome: Outcome::Cancelled,
+    })
 }
 
 fn target(
@@ -122,7 +156,11 @@
 ) -> Target {
     let may_repeat = repeat == Repeat::Idempotent;
     let left = shared.clock.left(ex.deadline);
-    let deadline = if may_repeat { now.after(left / FIRST_ATTEMPT_PART) } else { ex.deadline };
+    let deadline = if may_repeat {
+        now.after(left / FIRST_ATTEMPT_PART)
+    } else {
+        ex.deadline
+    };
     Target {
         addr: bundle.endpoints[permit.choice.endpoint].addr,
         deadline,
@@ -152,14 +190,13 @@
     let is_allowed = failure.state.disposition(repeat) == Disposition::MayRetry
         && body.is_replayable
         && ex.deadline.since(now) > MIN_LEFT
-        && shared.gate.may_retry(now, ex.deadline, tried.attempts, repeat, failure.state);
+        && shared.gate.may_retry(tried.attempts);
     if is_allowed {
         return None;
     }
     Some(match tried.state {
         AttemptState::NotSent => {
-            let mut refusal =
-                Refusal::not_run(503, "no_backend_server", "come again when told");
+            let mut refusal = Refusal::not_run(503, "no_backend_server", "come again when told");
             refusal.retry_at = Some(shared.clock.unix().after(Duration::from_secs(1)));
             refusal
         }
@@ -173,9 +210,7 @@
 
 fn no_place_refusal(shared: &Shared, tried: &Tried, no_place: NoPlace) -> Refusal {
     let mut refusal = match tried.state {
-        AttemptState::NotSent => {
-            Refusal::not_run(503, "no_place", "come again when told")
-        }
+        AttemptState::NotSent => Refusal::not_run(503, "no_place", "come again when told"),
         _ => Refusal::unknown(
             504,
             "outcome_unknown",
@@ -187,7 +222,10 @@
 }
 
 fn log_failure(bundle: &Bundle, ex: &Exchange, tried: &Tried, failure: &Failure) {
-    let endpoint = tried.used.last().map_or("-", |key| bundle.endpoints[*key].id.as_str());
+    let endpoint = tried
+        .used
+        .last()
+        .map_or("-", |key| bundle.endpoints[*key].id.as_str());
     tracing::info!(
         kind = "attempt_failed",
         request = ex.id,
@@ -218,23 +256,35 @@
     tried: &Tried,
 ) -> End {
     let status = answer.head.status;
-    let is_closing = !answer.is_request_whole
-        || ex.is_closing
-        || shared.drain.is_leaving();
-    let keep_bytes = if ex.order.is_some() { shared.gate.kept_answer_bytes() } else { 0 };
+    let is_closing = !answer.is_request_whole || ex.is_closing || shared.drain.is_leaving();
+    let keep_bytes = if ex.order.is_some() {
+        shared.gate.kept_answer_bytes()
+    } else {
+        0
+    };
     let delivered = deliver(ex, &mut answer, conn, is_closing, keep_bytes).await;
     let attempts = tried.attempts;
     let delivered = match delivered {
         Ok(delivered) => delivered,
         Err(_) => {
             order::settle_unanswered(shared, ex, AttemptState::PerhapsRun);
-            return End { status, result: "caller_gone", attempts, next: Next::Close };
+            return End {
+                status,
+                result: "caller_gone",
+                attempts,
+                next: Next::Close,
+            };
         }
     };
     if !delivered.is_whole {
         permit.outcome = Outcome::Broken;
         order::settle_unanswered(shared, ex, AttemptState::PerhapsRun);
-        return End { status, result: "answer_cut", attempts, next: Next::Close };
+        return End {
+            status,
+            result: "answer_cut",
+            attempts,
+            next: Next::Close,
+        };
     }
     order::settle_answered(shared, ex, delivered.kept);
     drop(permit);
@@ -251,5 +301,10 @@
             Next::Close
         }
     };
-    End { status, result: "answered", attempts, next }
+    End {
+        status,
+        result: "answered",
+        attempts,
+        next,
+    }
 }
--- a/crates/apricotlug-edge/src/shared.rs
+++ b/crates/apricotlug-edge/src/shared.rs
@@ -12,9 +12,7 @@
 use apricotlug_model::{Bundle, InstanceId};
 use rand::{SeedableRng, rngs::SmallRng};
 
-use crate::{
-    clock::Clock, drain::Drain, gate::Gate, metrics::Metrics, pool::Pool, view::ViewCell,
-};
+use crate::{clock::Clock, drain::Drain, gate::Gate, metrics::Metrics, pool::Pool, view::ViewCell};
 
 /// State shared by all tasks of one entry instance.
 #[derive(Debug)]
@@ -54,7 +52,7 @@
     #[must_use]
     pub fn new(identity: InstanceId, data_centre: String, seed: u64) -> Self {
         let clock = Clock::start();
-        let gate = Gate::new(identity.clone(), SmallRng::seed_from_u64(seed), clock.now());
+        let gate = Gate::new(identity.clone(), SmallRng::seed_from_u64(seed));
         Self {
             identity,
             data_centre,
@@ -77,21 +75,33 @@
         let home = bundle.data_centres.find(|dc| dc.id == self.data_centre);
         let home = home.ok_or(NotInstalled::UnknownDataCentre)?;
         let old = self.view.load().bundle.clone();
-        if old.as_ref().is_some_and(|old| old.version >= bundle.version) {
+        if old
+            .as_ref()
+            .is_some_and(|old| old.version >= bundle.version)
+        {
             return Err(NotInstalled::NotNewer);
         }
-        // Decision state goes first: requests with the old bundle hold tickets that stay valid.
-        self.gate.set_bundle(old.as_deref(), &bundle, home, self.clock.now());
-        self.view.install(Arc::clone(&bundle));
+        let now = self.clock.now();
+        self.gate
+            .set_bundle(old.as_deref(), &bundle, home, now, || {
+                self.view.install(Arc::clone(&bundle));
+            });
         let wanted = |addr: SocketAddr| bundle.endpoints.values().any(|e| e.addr == addr);
         self.pool.retain(wanted);
-        tracing::info!(kind = "bundle", version = bundle.version.0, "bundle in force");
+        tracing::info!(
+            kind = "bundle",
+            version = bundle.version.0,
+            "bundle in force"
+        );
         Ok(())
     }
 
     /// Returns an id for the next request.
     pub fn next_request_id(&self) -> String {
         let number = self.requests.fetch_add(1, Ordering::Relaxed);
-        format!("{}-{:x}-{number:x}", self.identity.name, self.identity.incarnation)
+        format!(
+            "{}-{:x}-{number:x}",
+            self.identity.name, self.identity.incarnation
+        )
     }
 }
--- a/crates/apricotlug-edge/src/view.rs
+++ b/crates/apricotlug-edge/src/view.rs
@@ -30,10 +30,16 @@
     pub fn install(&self, bundle: Arc<Bundle>) -> (Option<Arc<Bundle>>, bool) {
         let mut view = self.0.write().unwrap_or_else(PoisonError::into_inner);
         let old = view.bundle.clone();
-        if old.as_ref().is_some_and(|old| old.version >= bundle.version) {
+        if old
+            .as_ref()
+            .is_some_and(|old| old.version >= bundle.version)
+        {
             return (old, false);
         }
-        *view = Arc::new(View { bundle: Some(bundle), withdrawn: Arc::clone(&view.withdrawn) });
+        *view = Arc::new(View {
+            bundle: Some(bundle),
+            withdrawn: Arc::clone(&view.withdrawn),
+        });
         (old, true)
     }
 
@@ -43,6 +49,9 @@
         let mut withdrawn = HashSet::clone(&view.withdrawn);
         withdrawn.extend(ids);
         let bundle = view.bundle.clone();
-        *view = Arc::new(View { bundle, withdrawn: Arc::new(withdrawn) });
+        *view = Arc::new(View {
+            bundle,
+            withdrawn: Arc::new(withdrawn),
+        });
     }
 }
