Report every overlap of blocks, and read single values in a module of their own

Cause: only neighbours in address order were compared, so a block inside a wider one that is not its neighbour was reported after the next correction only; the table case failed first. Change: each block is compared with the widest one before it; blocks can be iterated.

--- a/crates/apricotlug-config/src/bundle/blocks.rs
+++ b/crates/apricotlug-config/src/bundle/blocks.rs
@@ -7,7 +7,8 @@
 use super::names::Names;
 use crate::{
     doc::{At, Doc},
-    fields::{self, Fields},
+    fields::Fields,
+    value,
 };
 
 /// Reads the blocks of all sites.
@@ -24,8 +25,8 @@
     let mut offsets = Vec::new();
     for (site, list) in table.entries() {
         let home = sites.resolve(doc, site);
-        for item in fields::some_list(doc, list, site.value) {
-            let Some(text) = fields::string(doc, item, "block") else {
+        for item in value::some_list(doc, list, site.value) {
+            let Some(text) = value::string(doc, item, "block") else {
                 continue;
             };
             let Some((network, prefix)) = parse_block(doc, text) else {
--- a/crates/apricotlug-config/src/bundle/services.rs
+++ b/crates/apricotlug-config/src/bundle/services.rs
@@ -13,7 +13,8 @@
 };
 use crate::{
     doc::{At, Doc},
-    fields::{Fields, Port},
+    fields::Fields,
+    value::Port,
 };
 
 const SLOTS: RangeInclusive<i64> = 1..=65_535;
--- a/crates/apricotlug-config/src/bundle/versions.rs
+++ b/crates/apricotlug-config/src/bundle/versions.rs
@@ -10,7 +10,8 @@
 use super::{datetime::unix_time, names::Names};
 use crate::{
     doc::{At, Doc},
-    fields::{self, Fields},
+    fields::Fields,
+    value,
 };
 
 const SHARE_THOUSANDTHS: RangeInclusive<i64> = 1..=1000;
@@ -230,7 +231,7 @@
     let offset = value.span().start;
     let Some(datetime) = value.get_ref().as_datetime() else {
         let expected = "a datetime without quotes, e.g. 2027-03-01T18:00:00Z";
-        fields::wrong_type(doc, value, "deadline", expected);
+        value::wrong_type(doc, value, "deadline", expected);
         return None;
     };
     let Some(deadline) = unix_time(datetime) else {
@@ -254,10 +255,10 @@
 }
 
 fn read_stages(doc: &mut Doc<'_>, value: &Spanned<DeValue<'_>>) -> Option<Vec<u16>> {
-    let items = fields::some_list(doc, value, "stages");
+    let items = value::some_list(doc, value, "stages");
     let stages: Vec<_> = items
         .iter()
-        .map(|item| fields::integer(doc, item, "stages", SHARE_THOUSANDTHS))
+        .map(|item| value::integer(doc, item, "stages", SHARE_THOUSANDTHS))
         .collect();
     let stages: Vec<u16> = stages.into_iter().collect::<Option<_>>()?;
     let is_rising = stages.windows(2).all(|pair| pair[0] < pair[1]);
--- a/crates/apricotlug-config/src/fields.rs
+++ b/crates/apricotlug-config/src/fields.rs
@@ -1,10 +1,7 @@
 //! Typed reader over one TOML table: records what is missing, of the wrong type, out of range or
 //! unknown, and goes on.
 
-use std::{
-    net::{IpAddr, SocketAddr},
-    ops::RangeInclusive,
-};
+use std::{net::SocketAddr, ops::RangeInclusive};
 
 use apricotlug_model::FindingCode;
 use toml::{
@@ -12,18 +9,10 @@
     de::{DeTable, DeValue},
 };
 
-use crate::doc::{At, Doc};
-
-const MAX_ID_BYTES: usize = 64;
-
-/// Port rule for an address.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Port {
-    /// The system may pick a free port: port 0 is allowed.
-    Any,
-    /// The port must be named.
-    Named,
-}
+use crate::{
+    doc::{At, Doc},
+    value::{self, Port},
+};
 
 /// Fields of one table.
 pub(crate) struct Fields<'t> {
@@ -90,13 +79,13 @@
     /// Reads a required string.
     pub(crate) fn string(&mut self, doc: &mut Doc<'_>, name: &'static str) -> Option<At<&'t str>> {
         let value = self.required(doc, name)?;
-        string(doc, value, name)
+        value::string(doc, value, name)
     }
 
     /// Reads a required name: 1 to 64 letters, digits, `-`, `_` or `.`.
     pub(crate) fn id(&mut self, doc: &mut Doc<'_>, name: &'static str) -> Option<At<&'t str>> {
         let id = self.string(doc, name)?;
-        check_id(doc, id)
+        value::check_id(doc, id)
     }
 
     /// Reads the public id of a key: a name without `.`, which ends the id in `id.secret`.
@@ -142,7 +131,7 @@
         range: RangeInclusive<i64>,
     ) -> Option<T> {
         let value = self.required(doc, name)?;
-        integer(doc, value, name, range)
+        value::integer(doc, value, name, range)
     }
 
     /// Reads an optional integer within a range, or returns the default.
@@ -154,7 +143,7 @@
         default: T,
     ) -> Option<T> {
         match self.optional(name) {
-            Some(value) => integer(doc, value, name, range),
+            Some(value) => value::integer(doc, value, name, range),
             None => Some(default),
         }
     }
@@ -166,7 +155,7 @@
         };
         let flag = value.get_ref().as_bool();
         if flag.is_none() {
-            wrong_type(doc, value, name, "true or false");
+            value::wrong_type(doc, value, name, "true or false");
         }
         flag
     }
@@ -200,13 +189,16 @@
         port: Port,
     ) -> Option<At<SocketAddr>> {
         let text = self.string(doc, name)?;
-        addr(doc, text, name, port)
+        value::addr(doc, text, name, port)
     }
 
     /// Reads a required list of at least one socket address.
     pub(crate) fn some_addrs(&mut self, doc: &mut Doc<'_>, name: &'static str) -> Vec<SocketAddr> {
-        if let Some(value) = self.optional(name).filter(|value| is_empty_list(value)) {
-            empty_list(doc, value, name);
+        if let Some(value) = self
+            .optional(name)
+            .filter(|value| value::is_empty_list(value))
+        {
+            value::empty_list(doc, value, name);
         }
         self.addrs(doc, name)
     }
@@ -215,7 +207,8 @@
     pub(crate) fn addrs(&mut self, doc: &mut Doc<'_>, name: &'static str) -> Vec<SocketAddr> {
         let mut addrs = Vec::new();
         for item in self.list(doc, name) {
-            let read = string(doc, item, name).and_then(|text| addr(doc, text, name, Port::Named));
+            let read = value::string(doc, item, name)
+                .and_then(|text| value::addr(doc, text, name, Port::Named));
             let Some(read) = read else { continue };
             if addrs.contains(&read.value) {
                 doc.add(
@@ -237,7 +230,7 @@
         name: &'static str,
     ) -> &'t [Spanned<DeValue<'t>>] {
         match self.required(doc, name) {
-            Some(value) => list(doc, value, name),
+            Some(value) => value::list(doc, value, name),
             None => &[],
         }
     }
@@ -252,9 +245,9 @@
         let Some(value) = self.optional(name) else {
             return Vec::new();
         };
-        list(doc, value, name)
+        value::list(doc, value, name)
             .iter()
-            .filter_map(|item| table(doc, item, what))
+            .filter_map(|item| value::table(doc, item, what))
             .collect()
     }
 
@@ -267,9 +260,9 @@
     ) -> Vec<Fields<'t>> {
         if let Some(value) = self
             .required(doc, name)
-            .filter(|value| is_empty_list(value))
+            .filter(|value| value::is_empty_list(value))
         {
-            empty_list(doc, value, name);
+            value::empty_list(doc, value, name);
         }
         self.tables(doc, name, what)
     }
@@ -282,7 +275,7 @@
         what: &'static str,
     ) -> Option<Fields<'t>> {
         let value = self.required(doc, name)?;
-        table(doc, value, what)
+        value::table(doc, value, what)
     }
 
     /// Reads an optional table.
@@ -293,7 +286,7 @@
         what: &'static str,
     ) -> Option<Fields<'t>> {
         let value = self.optional(name)?;
-        table(doc, value, what)
+        value::table(doc, value, what)
     }
 
     /// Iterates over all entries of a table whose field names are free.
@@ -327,168 +320,3 @@
         }
     }
 }
-
-/// Reads a string.
-pub(crate) fn string<'t>(
-    doc: &mut Doc<'_>,
-    value: &'t Spanned<DeValue<'t>>,
-    name: &str,
-) -> Option<At<&'t str>> {
-    let text = value.get_ref().as_str();
-    if text.is_none() {
-        wrong_type(doc, value, name, "a string");
-    }
-    text.map(|text| At {
-        value: text,
-        offset: value.span().start,
-    })
-}
-
-/// Reads an integer within a range.
-pub(crate) fn integer<T: TryFrom<i64>>(
-    doc: &mut Doc<'_>,
-    value: &Spanned<DeValue<'_>>,
-    name: &str,
-    range: RangeInclusive<i64>,
-) -> Option<T> {
-    let Some(digits) = value.get_ref().as_integer() else {
-        wrong_type(doc, value, name, "an integer");
-        return None;
-    };
-    let number = i64::from_str_radix(digits.as_str(), digits.radix()).ok();
-    let number = number.filter(|number| range.contains(number));
-    let number = number.and_then(|number| T::try_from(number).ok());
-    if number.is_none() {
-        doc.add(
-            FindingCode::OutOfRange,
-            value.span().start,
-            format!("`{name}` is {digits}"),
-            format!("use {} to {}", range.start(), range.end()),
-        );
-    }
-    number
-}
-
-/// Reads a list, which may be empty.
-fn list<'t>(
-    doc: &mut Doc<'_>,
-    value: &'t Spanned<DeValue<'t>>,
-    name: &str,
-) -> &'t [Spanned<DeValue<'t>>] {
-    match value.get_ref().as_array() {
-        Some(items) => items,
-        None => {
-            wrong_type(doc, value, name, "a list");
-            &[]
-        }
-    }
-}
-
-/// Reads a list that must hold at least one value.
-pub(crate) fn some_list<'t>(
-    doc: &mut Doc<'_>,
-    value: &'t Spanned<DeValue<'t>>,
-    name: &str,
-) -> &'t [Spanned<DeValue<'t>>] {
-    if is_empty_list(value) {
-        empty_list(doc, value, name);
-    }
-    list(doc, value, name)
-}
-
-fn is_empty_list(value: &Spanned<DeValue<'_>>) -> bool {
-    value
-        .get_ref()
-        .as_array()
-        .is_some_and(|items| items.is_empty())
-}
-
-fn empty_list(doc: &mut Doc<'_>, value: &Spanned<DeValue<'_>>, name: &str) {
-    doc.add(
-        FindingCode::OutOfRange,
-        value.span().start,
-        format!("`{name}` is an empty list"),
-        "name at least one",
-    );
-}
-
-fn table<'t>(
-    doc: &mut Doc<'_>,
-    value: &'t Spanned<DeValue<'t>>,
-    what: &'static str,
-) -> Option<Fields<'t>> {
-    let table = value.get_ref().as_table();
-    if table.is_none() {
-        wrong_type(doc, value, what, "a table");
-    }
-    table.map(|table| Fields::new(table, value.span().start, what))
-}
-
-fn addr(doc: &mut Doc<'_>, text: At<&str>, name: &str, port: Port) -> Option<At<SocketAddr>> {
-    let Ok(addr) = text.value.parse::<SocketAddr>() else {
-        doc.add(
-            FindingCode::OutOfRange,
-            text.offset,
-            format!("`{name}` has {:?}, which is no address", text.value),
-            "write IP number and port, e.g. \"10.0.0.1:7000\" or \"[fd00::1]:7000\"",
-        );
-        return None;
-    };
-    if addr.port() == 0 && port == Port::Named {
-        doc.add(
-            FindingCode::OutOfRange,
-            text.offset,
-            format!("`{name}` has {addr} with port 0"),
-            "use a port from 1 to 65535",
-        );
-    }
-    check_ip(doc, addr.ip(), text.offset, name);
-    Some(At {
-        value: addr,
-        offset: text.offset,
-    })
-}
-
-fn check_ip(doc: &mut Doc<'_>, ip: IpAddr, offset: usize, name: &str) {
-    if ip.is_unspecified() || ip.is_multicast() {
-        doc.add(
-            FindingCode::OutOfRange,
-            offset,
-            format!("`{name}` has {ip}, which others cannot connect to"),
-            "use the IP number of one network interface",
-        );
-    }
-}
-
-fn check_id<'t>(doc: &mut Doc<'_>, id: At<&'t str>) -> Option<At<&'t str>> {
-    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    let is_id =
-        !id.value.is_empty() && id.value.len() <= MAX_ID_BYTES && id.value.chars().all(is_allowed);
-    if !is_id {
-        doc.add(
-            FindingCode::OutOfRange,
-            id.offset,
-            format!("{:?} is no name", id.value),
-            format!("use 1 to {MAX_ID_BYTES} letters, digits, `-`, `_` or `.`"),
-        );
-    }
-    is_id.then_some(id)
-}
-
-/// Reports a value of the wrong type.
-pub(crate) fn wrong_type(
-    doc: &mut Doc<'_>,
-    value: &Spanned<DeValue<'_>>,
-    name: &str,
-    expected: &str,
-) {
-    doc.add(
-        FindingCode::WrongType,
-        value.span().start,
-        format!(
-            "`{name}` is of type {}, expected {expected}",
-            value.get_ref().type_str()
-        ),
-        format!("write {expected}"),
-    );
-}
--- a/crates/apricotlug-config/src/lib.rs
+++ b/crates/apricotlug-config/src/lib.rs
@@ -8,6 +8,7 @@
 mod doc;
 mod fields;
 pub mod settings;
+mod value;
 
 pub use bundle::{load_bundle, parse_bundle};
 pub use settings::{Listen, LogLevel, Settings, parse_settings};
--- a/crates/apricotlug-config/src/settings.rs
+++ b/crates/apricotlug-config/src/settings.rs
@@ -6,7 +6,8 @@
 
 use crate::{
     doc::{At, Doc},
-    fields::{Fields, Port},
+    fields::Fields,
+    value::Port,
 };
 
 const DEFAULT_DRAIN_MS: u32 = 30_000;
--- a/crates/apricotlug-config/tests/bundle.rs
+++ b/crates/apricotlug-config/tests/bundle.rs
@@ -163,7 +163,7 @@
         ("10.2.0.0/24", "10.2.0.0/33", &[OutOfRange]),
         ("10.2.0.0/24", "10.2.0.0/+8", &[OutOfRange]),
         ("10.2.0.0/24", "10.1.4.0/24", &[Duplicate]),
-        ("10.2.0.0/24", "10.0.0.0/8", &[Duplicate]),
+        ("10.2.0.0/24", "10.0.0.0/8", &[Duplicate, Duplicate]),
         ("\"10.2.0.0/24\"", "7", &[WrongType]),
     ];
     for (from, to, expected) in cases {
--- a/crates/apricotlug-model/src/block.rs
+++ b/crates/apricotlug-model/src/block.rs
@@ -74,6 +74,21 @@
         }
     }
 
+    /// Iterates over the blocks: IPv4 before IPv6, each in the order of addresses.
+    pub fn iter(&self) -> impl Iterator<Item = Block> {
+        let v4 = self.v4.iter().map(|&(first, last, home)| Block {
+            network: IpAddr::V4(first.into()),
+            prefix: prefix((first ^ last).leading_zeros()),
+            home,
+        });
+        let v6 = self.v6.iter().map(|&(first, last, home)| Block {
+            network: IpAddr::V6(first.into()),
+            prefix: prefix((first ^ last).leading_zeros()),
+            home,
+        });
+        v4.chain(v6)
+    }
+
     /// Returns the number of blocks.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -87,6 +102,11 @@
     }
 }
 
+/// Narrows the number of leading bits that two addresses share.
+fn prefix(bits: u32) -> u8 {
+    u8::try_from(bits).unwrap_or(u8::MAX)
+}
+
 fn find<T: Ord + Copy>(rows: &[(T, T, SiteKey)], addr: T) -> Option<SiteKey> {
     let next = rows.partition_point(|row| row.0 <= addr);
     let row = rows.get(next.checked_sub(1)?)?;
@@ -94,8 +114,15 @@
 }
 
 fn overlaps<T: Ord + Copy>(rows: &[(T, T, SiteKey, usize)]) -> Vec<(usize, usize)> {
-    rows.windows(2)
-        .filter(|pair| pair[1].0 <= pair[0].1)
-        .map(|pair| (pair[0].3, pair[1].3))
-        .collect()
+    let mut overlaps = Vec::new();
+    let mut widest: Option<&(T, T, SiteKey, usize)> = None;
+    for row in rows {
+        if let Some(before) = widest.filter(|before| row.0 <= before.1) {
+            overlaps.push((before.3, row.3));
+        }
+        if widest.is_none_or(|before| row.1 > before.1) {
+            widest = Some(row);
+        }
+    }
+    overlaps
 }
