--- a/crates/apricotlug-policy/src/lib.rs
+++ b/crates/apricotlug-policy/src/lib.rs
@@ -2,6 +2,7 @@
 //! source of their own. `now` and the random generator are arguments.
 
 pub mod budget;
+mod limit;
 pub mod lookup;
 pub mod moves;
 pub mod order;
--- /dev/null
+++ b/crates/apricotlug-policy/src/lookup/directory.rs
@@ -0,0 +1,343 @@
+//! The look-up decision.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+use apricotlug_model::{Bundle, DataCentreKey, RegionKey, SiteKey, UnixTime};
+use rand::{Rng, RngExt};
+
+use super::{
+    charge::ChargeRing,
+    entry::InstanceEntry,
+    overflow::Overflow,
+    pool::{Member, Pool},
+};
+use crate::limit::DelayedLimit;
+
+/// Instances that an answer names at most.
+const MAX_INSTANCES: usize = 3;
+/// Time for which callers may use an answer of their home region.
+const HOME_TTL: Duration = Duration::from_secs(10);
+/// Time for which callers may use an answer of another region.
+const SHIFTED_TTL: Duration = Duration::from_secs(5);
+/// Time after which what a lost or restarted instance answered has expired.
+const SHIFT_SETTLE_TIME: Duration = Duration::from_secs(8);
+/// Time after which to ask again where no region has room.
+const REFUSED_TTL: Duration = Duration::from_secs(1);
+/// Slots that one answer's caller is taken to occupy before anything was measured, in thousandths.
+const ASSUMED_MILLI_SLOTS: u64 = 100;
+/// Largest such estimate, in thousandths.
+const MAX_MILLI_SLOTS: u64 = 1000;
+/// Weight of the earlier estimate against a new one of weight 1.
+const ESTIMATE_MEMORY: u64 = 7;
+
+/// Answer to a look-up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// Addresses to use, the preferred first; empty where no region has room.
+    pub instances: Vec<SocketAddr>,
+    /// Point from which the caller must ask again.
+    pub expires_at: UnixTime,
+    /// Region of the instances.
+    pub region: Option<RegionKey>,
+    /// Why these were named.
+    pub reason: AnswerReason,
+}
+
+/// Why an answer names what it names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerReason {
+    /// The home region serves.
+    Home,
+    /// The home region has no instance.
+    HomeDown,
+    /// The home region is over its cap.
+    HomeOver,
+    /// No region has room within its cap.
+    NoRoom,
+}
+
+/// Entry instances of all regions, prepared for look-ups.
+#[derive(Clone, Debug)]
+pub struct Directory {
+    own: DataCentreKey,
+    home_of_site: Vec<DataCentreKey>,
+    region_of: Vec<RegionKey>,
+    data_centres: Vec<Pool>,
+    regions: Vec<Region>,
+    milli_slots: u64,
+}
+
+/// Region as the look-up knows it.
+#[derive(Clone, Debug, Default)]
+struct Region {
+    pool: Pool,
+    nearest: Vec<RegionKey>,
+    shift_cap: DelayedLimit<u64, UnixTime>,
+    charged: ChargeRing,
+    home_answers: ChargeRing,
+    overflow: Overflow,
+}
+
+impl Directory {
+    /// Returns a directory without instances. Since an earlier run of this instance may have given
+    /// answers that still live, shifted answers begin some seconds after the first update.
+    ///
+    /// Callers of no known block are taken as callers of
+    /// the data centre `own`.
+    #[must_use]
+    pub fn new(bundle: &Bundle, own: DataCentreKey) -> Self {
+        let mut directory = Self {
+            own,
+            home_of_site: Vec::new(),
+            region_of: Vec::new(),
+            data_centres: Vec::new(),
+            regions: Vec::new(),
+            milli_slots: ASSUMED_MILLI_SLOTS,
+        };
+        directory.follow_bundle(bundle);
+        directory
+    }
+
+    /// Takes in a new bundle or new instances, states and loads. What live answers are charged
+    /// stays, by region id.
+    pub fn update(&mut self, old: &Bundle, new: &Bundle, entries: &[InstanceEntry], now: UnixTime) {
+        if old.version != new.version {
+            self.keep_charges(old, new);
+            self.follow_bundle(new);
+        }
+        self.follow_entries(new, entries, now);
+        self.learn_cost(entries, now);
+        for (key, region) in new.regions.keys().zip(&mut self.regions) {
+            let local = entries
+                .iter()
+                .filter(|e| new.data_centres[e.data_centre].region == key);
+            let named = local.filter(|e| e.is_named());
+            let (outstanding, slots) = load(named);
+            region.overflow.observe(outstanding, slots, now);
+        }
+    }
+
+    /// Answers a look-up.
+    pub fn lookup(
+        &mut self,
+        bundle: &Bundle,
+        client: IpAddr,
+        now: UnixTime,
+        rng: &mut impl Rng,
+    ) -> Answer {
+        let site = bundle.blocks.home(client);
+        let home = site.and_then(|site| self.home(site)).unwrap_or(self.own);
+        let region = self.region_of[usize::from(home)];
+        let state = &mut self.regions[usize::from(region)];
+        let reason = match state.overflow.permille() {
+            _ if state.pool.is_empty() => AnswerReason::HomeDown,
+            0 => AnswerReason::Home,
+            permille if !rng.random_ratio(permille.into(), 1000) => AnswerReason::Home,
+            _ => AnswerReason::HomeOver,
+        };
+        if reason == AnswerReason::Home {
+            return self.answer_home(home, region, now, rng);
+        }
+        if let Some(other) = self.find_room(region, now) {
+            return self.answer_shifted(other, reason, now, rng);
+        }
+        match reason {
+            AnswerReason::HomeOver => self.answer_home(home, region, now, rng),
+            _ => refusal(now),
+        }
+    }
+
+    /// Returns what live answers may still bring to a region from others, in thousandths of a
+    /// slot.
+    pub fn charged_milli_slots(&mut self, region: RegionKey, now: UnixTime) -> u64 {
+        let region = &mut self.regions[usize::from(region)];
+        region.charged.live(now).milli_slots
+    }
+
+    /// Returns this instance's part of a region's shift cap, in thousandths of a slot.
+    #[must_use]
+    pub fn shift_cap_milli_slots(&self, region: RegionKey, now: UnixTime) -> u64 {
+        self.regions[usize::from(region)].shift_cap.at(now)
+    }
+
+    fn home(&self, site: SiteKey) -> Option<DataCentreKey> {
+        self.home_of_site.get(usize::from(site)).copied()
+    }
+
+    fn answer_home(
+        &mut self,
+        home: DataCentreKey,
+        region: RegionKey,
+        now: UnixTime,
+        rng: &mut impl Rng,
+    ) -> Answer {
+        let state = &mut self.regions[usize::from(region)];
+        let expires_at = now.after(HOME_TTL);
+        state.home_answers.add(0, expires_at, now);
+        Answer {
+            instances: name(&self.data_centres[usize::from(home)], &state.pool, rng),
+            expires_at,
+            region: Some(region),
+            reason: AnswerReason::Home,
+        }
+    }
+
+    fn answer_shifted(
+        &mut self,
+        region: RegionKey,
+        reason: AnswerReason,
+        now: UnixTime,
+        rng: &mut impl Rng,
+    ) -> Answer {
+        let state = &mut self.regions[usize::from(region)];
+        let expires_at = now.after(SHIFTED_TTL);
+        state.charged.add(self.milli_slots, expires_at, now);
+        Answer {
+            instances: name(&Pool::default(), &state.pool, rng),
+            expires_at,
+            region: Some(region),
+            reason,
+        }
+    }
+
+    /// Returns the nearest region that has instances and room within its shift cap.
+    fn find_room(&mut self, home: RegionKey, now: UnixTime) -> Option<RegionKey> {
+        let nearest = std::mem::take(&mut self.regions[usize::from(home)].nearest);
+        let found = nearest.iter().copied().find(|region| {
+            let state = &mut self.regions[usize::from(*region)];
+            let charged = state.charged.live(now).milli_slots + self.milli_slots;
+            !state.pool.is_empty()
+                && !state.overflow.is_over()
+                && charged <= state.shift_cap.at(now)
+        });
+        self.regions[usize::from(home)].nearest = nearest;
+        found
+    }
+
+    fn follow_bundle(&mut self, bundle: &Bundle) {
+        let sites = bundle.sites.values();
+        self.home_of_site = sites.map(|site| site.data_centre).collect();
+        let data_centres = bundle.data_centres.values();
+        self.region_of = data_centres.map(|dc| dc.region).collect();
+        self.regions
+            .resize_with(bundle.regions.len(), Region::default);
+        for (key, region) in bundle.regions.keys().zip(&mut self.regions) {
+            region.nearest = nearest(bundle, key);
+        }
+    }
+
+    fn keep_charges(&mut self, old: &Bundle, new: &Bundle) {
+        if let Some(own) = new
+            .data_centres
+            .find(|dc| dc.id == old.data_centres[self.own].id)
+        {
+            self.own = own;
+        }
+        let earlier = std::mem::take(&mut self.regions);
+        let mut earlier: Vec<_> = earlier.into_iter().map(Some).collect();
+        let regions = new.regions.values().map(|region| {
+            let key = old.regions.find(|other| other.id == region.id)?;
+            earlier.get_mut(usize::from(key))?.take()
+        });
+        self.regions = regions.map(Option::unwrap_or_default).collect();
+    }
+
+    fn follow_entries(&mut self, bundle: &Bundle, entries: &[InstanceEntry], now: UnixTime) {
+        self.data_centres = vec![Pool::default(); bundle.data_centres.len()];
+        for region in &mut self.regions {
+            region.pool = Pool::default();
+        }
+        for entry in entries.iter().filter(|entry| entry.is_named()) {
+            let member = Member {
+                addr: entry.addr,
+                data_centre: entry.data_centre,
+                weight: entry.weight(),
+            };
+            let region = self.region_of[usize::from(entry.data_centre)];
+            self.data_centres[usize::from(entry.data_centre)].push(member);
+            self.regions[usize::from(region)].pool.push(member);
+        }
+        let answering = entries.iter().filter(|entry| entry.is_named()).count();
+        for (key, region) in bundle.regions.keys().zip(&mut self.regions) {
+            let part = shift_cap(bundle, key) / answering.max(1) as u64;
+            region
+                .shift_cap
+                .set(part, now.after(SHIFT_SETTLE_TIME), now);
+        }
+    }
+
+    /// Estimates the slots that one answer's caller occupies: all slots in use over all live
+    /// answers, taking the other instances to have given as many as this one.
+    fn learn_cost(&mut self, entries: &[InstanceEntry], now: UnixTime) {
+        let named = entries.iter().filter(|entry| entry.is_named());
+        let (outstanding, _) = load(named.clone());
+        let live = |region: &mut Region| {
+            region.home_answers.live(now).answers + region.charged.live(now).answers
+        };
+        let own_answers: u64 = self.regions.iter_mut().map(live).sum();
+        let answers = own_answers * named.count() as u64;
+        if answers == 0 || outstanding == 0 {
+            return;
+        }
+        let sample = (outstanding * 1000 / answers).clamp(1, MAX_MILLI_SLOTS);
+        let sum = self.milli_slots * ESTIMATE_MEMORY + sample;
+        self.milli_slots = sum.div_ceil(ESTIMATE_MEMORY + 1);
+    }
+}
+
+/// Names one instance of the first pool, then others of the second, in data centres apart.
+fn name(first: &Pool, then: &Pool, rng: &mut impl Rng) -> Vec<SocketAddr> {
+    let mut taken = Vec::with_capacity(MAX_INSTANCES);
+    taken.extend(first.draw(rng).or_else(|| then.draw(rng)));
+    while taken.len() < MAX_INSTANCES {
+        let Some(member) = then.draw_other(&taken, rng) else {
+            break;
+        };
+        taken.push(member);
+    }
+    taken.iter().map(|member| member.addr).collect()
+}
+
+fn refusal(now: UnixTime) -> Answer {
+    Answer {
+        instances: Vec::new(),
+        expires_at: now.after(REFUSED_TTL),
+        region: None,
+        reason: AnswerReason::NoRoom,
+    }
+}
+
+fn load<'a>(entries: impl Iterator<Item = &'a InstanceEntry>) -> (u64, u64) {
+    entries.fold((0, 0), |(outstanding, slots), entry| {
+        (
+            outstanding + u64::from(entry.load.outstanding),
+            slots + u64::from(entry.load.slots),
+        )
+    })
+}
+
+fn shift_cap(bundle: &Bundle, region: RegionKey) -> u64 {
+    let endpoints = bundle.endpoints.iter();
+    let local = endpoints.filter(|(key, _)| bundle.region_of(*key) == region);
+    let slots: u64 = local.map(|(_, endpoint)| u64::from(endpoint.slots)).sum();
+    slots * u64::from(bundle.regions[region].shift_cap_percent) * 1000 / 100
+}
+
+fn nearest(bundle: &Bundle, from: RegionKey) -> Vec<RegionKey> {
+    let mut others: Vec<_> = bundle
+        .regions
+        .keys()
+        .filter(|region| *region != from)
+        .collect();
+    let delay = |to| {
+        bundle
+            .links
+            .get(&(from, to))
+            .map_or(u32::MAX, |link| link.delay_us)
+    };
+    others.sort_by_key(|region| (delay(*region), *region));
+    others
+}
--- a/crates/apricotlug-policy/src/placement/engine.rs
+++ b/crates/apricotlug-policy/src/placement/engine.rs
@@ -13,8 +13,8 @@
     request::{LoadReport, Outcome, Ticket},
     share::{ShareHolder, SlotShares},
     shift::RegionShift,
-    slots::SlotLimit,
 };
+use crate::limit::DelayedLimit;
 
 /// Part of a version's endpoints that may be ejected for errors at once, in hundredths.
 const MAX_EJECTED_PERCENT: usize = 50;
@@ -36,7 +36,7 @@
     pub(super) typical_us: Vec<f32>,
     pub(super) shifts: Vec<RegionShift>,
     pub(super) home_region: RegionKey,
-    pub(super) shifted_in_limit: SlotLimit,
+    pub(super) shifted_in_limit: DelayedLimit<u16, MonoTime>,
     pub(super) shifted_in: u16,
     home: DataCentreKey,
     holders: Vec<ShareHolder>,
@@ -67,7 +67,7 @@
             typical_us: Vec::new(),
             shifts: Vec::new(),
             home_region: bundle.data_centres[home].region,
-            shifted_in_limit: SlotLimit::default(),
+            shifted_in_limit: DelayedLimit::default(),
             shifted_in: 0,
             home,
             holders: vec![holder],
--- a/crates/apricotlug-policy/src/placement/health.rs
+++ b/crates/apricotlug-policy/src/placement/health.rs
@@ -4,10 +4,8 @@
 
 use apricotlug_model::{EndpointKey, MonoTime, RegionKey};
 
-use super::{
-    request::{LoadReport, Outcome},
-    slots::SlotLimit,
-};
+use super::request::{LoadReport, Outcome};
+use crate::limit::DelayedLimit;
 
 /// Weight of a new sample in the moving averages.
 const SAMPLE_WEIGHT: f32 = 0.2;
@@ -55,7 +53,7 @@
     /// Index of its version.
     pub(super) version: usize,
     /// Slots of this instance's share.
-    pub(super) limit: SlotLimit,
+    pub(super) limit: DelayedLimit<u16, MonoTime>,
     /// Requests that this instance has placed and not settled.
     pub(super) outstanding: u16,
     /// Whether operators drain it.
@@ -79,7 +77,7 @@
             key,
             region,
             version: 0,
-            limit: SlotLimit::default(),
+            limit: DelayedLimit::default(),
             outstanding: 0,
             is_draining: false,
             latency_us: 0.0,
--- a/crates/apricotlug-policy/src/placement/mod.rs
+++ b/crates/apricotlug-policy/src/placement/mod.rs
@@ -12,7 +12,6 @@
 mod request;
 mod share;
 mod shift;
-mod slots;
 
 pub use engine::Placement;
 pub use link::Traffic;
