--- a/crates/apricotlug-standins/src/lib.rs
+++ b/crates/apricotlug-standins/src/lib.rs
@@ -1,1 +1,3 @@
 //! Small stand-ins of the platform and of backend servers, with faults.
+
+pub mod platform;
