Entry instance: look-ups, pages, bundle sync (in progress)

Cause: the parts of the request path need a process around them. Change: crate apricotlug-node; orders passed on between instances over a process edge trait.

--- a/crates/apricotlug-edge/src/attempt.rs
+++ b/crates/apricotlug-edge/src/attempt.rs
@@ -80,7 +80,7 @@
 pub async fn run(
     ex: &Exchange,
     body: &mut RequestBody,
-    caller: &mut Conn,
+    caller: Option<&mut Conn>,
     target: Target,
     pool: &Pool,
     clock: &Clock,
@@ -134,7 +134,7 @@
 async fn send(
     ex: &Exchange,
     body: &mut RequestBody,
-    caller: &mut Conn,
+    caller: Option<&mut Conn>,
     conn: &mut Conn,
 ) -> Result<(ResponseHead, bool), Failure> {
     let writer = BodyWriter::new(conn, ex.framing);
@@ -178,7 +178,7 @@
 async fn send_body(
     ex: &Exchange,
     body: &mut RequestBody,
-    caller: &mut Conn,
+    caller: Option<&mut Conn>,
     mut writer: BodyWriter,
 ) -> Result<(), SendError> {
     // The kept bytes of a body with a length went out together with the head.
@@ -188,9 +188,11 @@
             .await
             .map_err(|_| SendError::Backend)?;
     }
-    while let Some(piece) = body.reader.next(caller).await.map_err(SendError::Caller)? {
-        body.keep(&piece);
-        writer.write(&piece).await.map_err(|_| SendError::Backend)?;
+    if let Some(caller) = caller {
+        while let Some(piece) = body.reader.next(caller).await.map_err(SendError::Caller)? {
+            body.keep(&piece);
+            writer.write(&piece).await.map_err(|_| SendError::Backend)?;
+        }
     }
     writer.finish().await.map_err(|_| SendError::Backend)
 }
--- a/crates/apricotlug-edge/src/caller.rs
+++ b/crates/apricotlug-edge/src/caller.rs
@@ -14,12 +14,13 @@
 };
 
 use crate::{
-    answer::{self, DEADLINE_HEADER, Outcome, REQUEST_ID_HEADER, Refusal},
+    answer::{self, DEADLINE_HEADER, REQUEST_ID_HEADER, Refusal},
     exchange::{Exchange, RequestBody, log_end},
     gate::NotAdmitted,
     identify::{Unidentified, identify},
     order::{self, Claimed},
     run,
+    settle::{self, End, Next},
     shared::Shared,
 };
 
@@ -33,28 +34,6 @@
 
 const NO_ROUTE: Refusal = Refusal::not_run(404, "no_route", "use a path that the bundle routes");
 
-/// Whether the caller's connection goes on after a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Next {
-    /// It may carry another request.
-    KeepAlive,
-    /// It is closed.
-    Close,
-}
-
-/// What a request came to, for the log and the metrics.
-#[derive(Clone, Copy, Debug)]
-pub struct End {
-    /// Status that the caller got; 0 where it got none.
-    pub status: u16,
-    /// What became of the request.
-    pub result: &'static str,
-    /// Attempts made.
-    pub attempts: u32,
-    /// Whether the caller's connection goes on.
-    pub next: Next,
-}
-
 /// Accepts callers until the listener fails.
 pub async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     loop {
@@ -260,54 +239,11 @@
 async fn execute(conn: &mut Conn, shared: &Shared, bundle: &Arc<Bundle>, ex: &Exchange) -> End {
     let mut body = RequestBody::new(BodyReader::new(ex.framing, MAX_BODY_BYTES));
     match order::claim(shared, bundle, ex, &mut body, conn).await {
-        Claimed::Run => run::run(conn, shared, bundle, ex, body).await,
-        Claimed::Reply {
-            bytes,
-            status,
-            result,
-        } => {
-            let is_closing = ex.is_closing || !body.reader.is_done() || shared.drain.is_leaving();
-            let sent = answer::send(conn, &bytes, is_closing).await;
-            let next = match sent {
-                Ok(()) if !is_closing => Next::KeepAlive,
-                _ => Next::Close,
-            };
-            End {
-                status,
-                result,
-                attempts: 0,
-                next,
-            }
-        }
-        Claimed::Refuse(refusal) => finish_refused(conn, shared, ex, &body, &refusal, 0).await,
-    }
-}
-
-/// Answers an admitted request that got no answer from a backend server.
-pub async fn finish_refused(
-    conn: &mut Conn,
-    shared: &Shared,
-    ex: &Exchange,
-    body: &RequestBody,
-    refusal: &Refusal,
-    attempts: u32,
-) -> End {
-    let is_closing = ex.is_closing || !body.reader.is_done() || shared.drain.is_leaving();
-    let bytes = refusal.encode(&ex.id, shared.clock.unix(), is_closing);
-    let sent = answer::send(conn, &bytes, is_closing).await;
-    let next = match sent {
-        Ok(()) if !is_closing => Next::KeepAlive,
-        _ => Next::Close,
-    };
-    let result = match refusal.outcome {
-        Outcome::NotRun => "not_run",
-        Outcome::Unknown => "unknown",
-        Outcome::Ran => "ran",
-    };
-    End {
-        status: refusal.status,
-        result,
-        attempts,
-        next,
+        Claimed::Run => match run::obtain(shared, bundle, ex, &mut body, Some(&mut *conn)).await {
+            Ok(obtained) => settle::answered(conn, shared, ex, obtained).await,
+            Err(end) => settle::unanswered(conn, shared, ex, &body, end).await,
+        },
+        Claimed::Repeat(answer) => settle::repeated(conn, shared, ex, &body, &answer).await,
+        Claimed::Refuse(refusal) => settle::refused(conn, shared, ex, &body, &refusal, 0).await,
     }
 }
--- a/crates/apricotlug-edge/src/deliver.rs
+++ b/crates/apricotlug-edge/src/deliver.rs
@@ -106,6 +106,23 @@
     })
 }
 
+/// Reads the whole answer; `None` where it has more than `most` bytes.
+///
+/// # Errors
+/// Returns an error where the backend server's leg comes up short.
+pub async fn collect(
+    ex: &Exchange,
+    answer: &mut Answer,
+    most: usize,
+) -> Result<Option<KeptAnswer>, HttpError> {
+    let head = caller_head(ex, answer, answer.framing, false);
+    let mut kept = Some(Vec::new());
+    while let Some(piece) = answer.reader.next(&mut answer.conn).await? {
+        keep(&mut kept, &piece, most);
+    }
+    Ok(kept.map(|body| kept_answer(&head, body)))
+}
+
 fn keep(kept: &mut Option<Vec<u8>>, piece: &[u8], most: usize) {
     let fits = kept
         .as_ref()
--- a/crates/apricotlug-edge/src/exchange.rs
+++ b/crates/apricotlug-edge/src/exchange.rs
@@ -1,11 +1,11 @@
 //! One request on its way through the filters, and what is logged about it.
 
-use std::net::IpAddr;
+use std::{net::IpAddr, time::Duration};
 
 use apricotlug_http::{BodyReader, Framing, RequestHead};
 use apricotlug_model::{AccountKey, Bundle, MonoTime, RouteKey};
 
-use crate::order::NamedOrder;
+use crate::{order::NamedOrder, settle::End};
 
 /// Request that was framed, identified and admitted.
 #[derive(Debug)]
@@ -72,19 +72,19 @@
 }
 
 /// Writes the line that is logged when a request ends.
-pub fn log_end(ex: &Exchange, bundle: &Bundle, status: u16, result: &str, us: u128, attempts: u32) {
-    let account = ex
-        .account
-        .map_or("-", |key| bundle.accounts[key].id.as_str());
+pub fn log_end(ex: &Exchange, bundle: &Bundle, end: &End, latency: Duration) {
+    let account = ex.account.map_or("-", |key| bundle.accounts[key].id.as_str());
     tracing::info!(
         kind = "request",
         request = ex.id,
+        caller = %ex.caller,
         account,
         route = bundle.routes[ex.route].id,
         bundle = bundle.version.0,
-        status,
-        result,
-        attempts,
-        latency_us = u64::try_from(us).unwrap_or(u64::MAX),
+        status = end.status,
+        result = end.result,
+        attempts = end.attempts,
+        bytes = end.bytes,
+        latency_us = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX),
     );
 }
--- a/crates/apricotlug-edge/src/gate.rs
+++ b/crates/apricotlug-edge/src/gate.rs
@@ -2,17 +2,15 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use apricotlug_model::{AccountKey, Bundle, BundleVersion, DataCentreKey, InstanceId, MonoTime};
+use apricotlug_model::{AccountKey, Bundle, BundleVersion, DataCentreKey, InstanceId, MonoTime, Repeat};
 use apricotlug_policy::{
     budget::{Admission, Budgets},
-    order::{OrderLimits, Orders},
+    order::{AttemptState, OrderLimits, Orders},
     placement::{Choice, NoPlace, Outcome, Placement, Refusal, Want},
+    retry::RetryBudget,
 };
 use rand::rngs::SmallRng;
 
-/// Most attempts of one request.
-const MAX_ATTEMPTS: u32 = 2;
-
 /// Decision state that exists once a bundle is in force.
 #[derive(Debug)]
 struct Decisions {
@@ -24,6 +22,7 @@
 struct State {
     bundle: BundleVersion,
     decisions: Option<Decisions>,
+    retries: RetryBudget,
     rng: SmallRng,
 }
 
@@ -162,9 +161,22 @@
         }
     }
 
-    /// Tells whether a request may be sent again.
-    pub fn may_retry(&self, attempt: u32) -> bool {
-        attempt < MAX_ATTEMPTS
+    /// Counts a request towards the retry budget.
+    pub fn on_request(&self, now: MonoTime) {
+        lock(&self.state).retries.on_request(now);
+    }
+
+    /// Tells whether a request may be sent again, and takes the retry from the budget.
+    pub fn may_retry(
+        &self,
+        now: MonoTime,
+        deadline: MonoTime,
+        attempt: u32,
+        repeat: Repeat,
+        attempt_state: AttemptState,
+    ) -> bool {
+        let retries = &mut lock(&self.state).retries;
+        retries.may_retry(now, deadline, attempt, repeat, attempt_state).is_retry()
     }
 
     /// Returns the table of orders.
--- a/crates/apricotlug-edge/src/lib.rs
+++ b/crates/apricotlug-edge/src/lib.rs
@@ -17,6 +17,7 @@
 mod pool;
 mod remote;
 mod run;
+mod settle;
 mod shared;
 mod view;
 
@@ -27,5 +28,6 @@
 pub use gate::Gate;
 pub use metrics::Metrics;
 pub use order::{KEY_HEADER, TOKEN_HEADER};
+pub use remote::{Fleet, FleetFuture, Forwarded, KeyClaim, answer as answer_order};
 pub use shared::{NotInstalled, Shared};
 pub use view::{View, ViewCell};
--- a/crates/apricotlug-edge/src/order.rs
+++ b/crates/apricotlug-edge/src/order.rs
@@ -50,15 +50,8 @@
 pub enum Claimed {
     /// Run it.
     Run,
-    /// Send these bytes, the answer to an earlier request for the order.
-    Reply {
-        /// Encoded answer.
-        bytes: Vec<u8>,
-        /// Its status.
-        status: u16,
-        /// What became of the request, for the log.
-        result: &'static str,
-    },
+    /// Send the answer to an earlier request for the order.
+    Repeat(Arc<KeptAnswer>),
     /// Refuse it.
     Refuse(Refusal),
 }
@@ -125,7 +118,7 @@
     };
     match &order.name {
         OrderName::Token(token) if token.holder == shared.identity => {
-            begin(shared, ex, order, token.expires_at)
+            begin(shared, order, token.expires_at)
         }
         OrderName::Token(token) => {
             remote::forward(shared, bundle, ex, body, caller, &token.holder).await
@@ -135,7 +128,7 @@
 }
 
 /// Begins an order that is bound to this incarnation.
-pub fn begin(shared: &Shared, ex: &Exchange, order: &NamedOrder, expires_at: UnixTime) -> Claimed {
+pub fn begin(shared: &Shared, order: &NamedOrder, expires_at: UnixTime) -> Claimed {
     let now = shared.clock.unix();
     match shared
         .gate
@@ -143,7 +136,7 @@
         .begin(order.id.clone(), order.request, expires_at, now)
     {
         Begin::Run => Claimed::Run,
-        Begin::Answered(answer) => reply(shared, ex, &answer),
+        Begin::Answered(answer) => Claimed::Repeat(answer),
         Begin::InProgress => Claimed::Refuse(Refusal {
             status: 409,
             code: "order_running",
@@ -151,13 +144,7 @@
             help: "ask again for its answer with the same token",
             retry_at: Some(now),
         }),
-        Begin::AnsweredNotKept => Claimed::Refuse(Refusal {
-            status: 409,
-            code: "order_ran",
-            outcome: Outcome::Ran,
-            help: "it ran once; its answer was too large to keep",
-            retry_at: None,
-        }),
+        Begin::AnsweredNotKept => Claimed::Refuse(ran_unkept()),
         Begin::OutcomeUnknown => Claimed::Refuse(unknown()),
         Begin::Mismatch => Claimed::Refuse(Refusal::not_run(
             422,
@@ -184,25 +171,35 @@
     Refusal::unknown(504, "outcome_unknown", help)
 }
 
-fn reply(shared: &Shared, ex: &Exchange, answer: &KeptAnswer) -> Claimed {
+/// Returns the answer to a request that ran and whose answer cannot be repeated.
+#[must_use]
+pub fn ran_unkept() -> Refusal {
+    Refusal {
+        status: 409,
+        code: "order_ran",
+        outcome: Outcome::Ran,
+        help: "it ran once; its answer was too large to keep",
+        retry_at: None,
+    }
+}
+
+/// Encodes the answer to the repeat of an order.
+#[must_use]
+pub fn encode_repeat(ex: &Exchange, answer: &KeptAnswer, is_closing: bool) -> Vec<u8> {
     let mut head = ResponseHead::new(answer.status, "Repeated");
     for (name, value) in &answer.headers {
         head.headers.push(name, value.clone());
     }
     head.headers.push("apricotlug-repeat", "1");
     Framing::Length(answer.body.len() as u64).announce(&mut head.headers);
-    if ex.is_closing || shared.drain.is_leaving() {
+    if is_closing {
         head.headers.push("connection", "close");
     }
     let mut bytes = head.encode();
     if ex.head.method != "HEAD" {
         bytes.extend_from_slice(&answer.body);
     }
-    Claimed::Reply {
-        bytes,
-        status: answer.status,
-        result: "repeated",
-    }
+    bytes
 }
 
 /// Records that a request ended without a whole answer.
--- a/crates/apricotlug-edge/src/run.rs
+++ b/crates/apricotlug-edge/src/run.rs
@@ -1,4 +1,4 @@
-//! Places a request, sends it, sends it again where that is allowed, and delivers the answer.
+//! Places a request, sends it, and sends it again where that is allowed.
 
 use std::{sync::Arc, time::Duration};
 
@@ -12,10 +12,8 @@
 use crate::{
     answer::{self, Refusal},
     attempt::{self, Answer, Failure, Target},
-    caller::{End, Next, finish_refused},
-    deliver::deliver,
     exchange::{Exchange, RequestBody},
-    order,
+    order::unknown,
     shared::Shared,
 };
 
@@ -25,75 +23,101 @@
 /// Shortest time left with which another attempt is worthwhile.
 const MIN_LEFT: Duration = Duration::from_millis(20);
 
+/// Time after which a caller may try again where nothing tells a better one.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Slot of a backend server, settled when dropped.
-struct Permit<'a> {
+#[derive(Debug)]
+pub struct Permit<'a> {
     shared: &'a Shared,
     choice: Choice,
-    outcome: Outcome,
+    /// How the attempt ended; a cancelled one unless set.
+    pub outcome: Outcome,
 }
 
 impl Drop for Permit<'_> {
     fn drop(&mut self) {
-        self.shared
-            .gate
-            .settle(&self.choice, self.outcome, self.shared.clock.now());
+        self.shared.gate.settle(&self.choice, self.outcome, self.shared.clock.now());
     }
 }
 
-/// What is known after all attempts of a request.
+/// Answer whose body is still to be read, and the slot that it occupies until then.
+#[derive(Debug)]
+pub struct Obtained<'a> {
+    /// Answer.
+    pub answer: Answer,
+    /// Slot.
+    pub permit: Permit<'a>,
+    /// Attempts made.
+    pub attempts: u32,
+}
+
+/// Request that got no answer from a backend server.
+#[derive(Debug)]
+pub struct Unanswered {
+    /// What the caller is told.
+    pub refusal: Refusal,
+    /// What is known about all attempts together.
+    pub state: AttemptState,
+    /// Attempts made.
+    pub attempts: u32,
+}
+
+/// What is known about the attempts made so far.
 struct Tried {
     state: AttemptState,
     attempts: u32,
     used: Vec<EndpointKey>,
 }
 
-/// Runs a request and answers its caller.
-pub async fn run(
-    conn: &mut Conn,
-    shared: &Shared,
+impl Tried {
+    fn give_up(&self, refusal: Refusal) -> Unanswered {
+        Unanswered { refusal, state: self.state, attempts: self.attempts }
+    }
+}
+
+/// Runs a request until an answer begins. `caller` is the connection that brings the rest of the
+/// body; `None` where the whole body is kept already.
+///
+/// # Errors
+/// Returns what the caller is told where no answer began.
+pub async fn obtain<'a>(
+    shared: &'a Shared,
     bundle: &Arc<Bundle>,
     ex: &Exchange,
-    mut body: RequestBody,
-) -> End {
-    let mut tried = Tried {
-        state: AttemptState::NotSent,
-        attempts: 0,
-        used: Vec::new(),
-    };
+    body: &mut RequestBody,
+    mut caller: Option<&mut Conn>,
+) -> Result<Obtained<'a>, Unanswered> {
+    let mut tried = Tried { state: AttemptState::NotSent, attempts: 0, used: Vec::new() };
     let mut bundle = Arc::clone(bundle);
     let mut route = ex.route;
     let repeat = bundle.routes[route].repeat;
+    shared.gate.on_request(shared.clock.now());
     loop {
         let mut permit = match place(shared, &bundle, &bundle.routes[route], ex, &tried) {
             Ok(permit) => permit,
             Err(no_place) if no_place.reason == placement::Refusal::OtherBundle => {
-                let Some((other, key)) = reroute(shared, ex) else {
-                    let refusal = no_place_refusal(shared, &tried, no_place);
-                    return give_up(conn, shared, ex, &body, &tried, &refusal).await;
-                };
-                (bundle, route) = (other, key);
+                let rerouted = reroute(shared, ex);
+                let refusal = || tried.give_up(no_place_refusal(shared, &tried, no_place));
+                (bundle, route) = rerouted.ok_or_else(refusal)?;
                 tried.used.clear();
                 continue;
             }
             Err(no_place) => {
-                let refusal = no_place_refusal(shared, &tried, no_place);
-                return give_up(conn, shared, ex, &body, &tried, &refusal).await;
+                return Err(tried.give_up(no_place_refusal(shared, &tried, no_place)));
             }
         };
         tried.attempts += 1;
         let sent_at = shared.clock.now();
         let target = target(shared, &bundle, ex, &permit, repeat, sent_at);
-        let attempt = attempt::run(ex, &mut body, conn, target, &shared.pool, &shared.clock).await;
-        match attempt {
+        let conn = caller.as_deref_mut();
+        match attempt::run(ex, body, conn, target, &shared.pool, &shared.clock).await {
             Ok(answer) => {
                 shared.metrics.on_attempt("answered");
                 let latency = shared.clock.now().since(sent_at);
                 let server_error = answer.head.status >= 500;
-                permit.outcome = Outcome::Answered {
-                    latency,
-                    server_error,
-                };
-                return finish(conn, shared, ex, answer, permit, &tried).await;
+                permit.outcome = Outcome::Answered { latency, server_error };
+                return Ok(Obtained { answer, permit, attempts: tried.attempts });
             }
             Err(failure) => {
                 shared.metrics.on_attempt(failure.why);
@@ -102,8 +126,8 @@
                 tried.used.push(permit.choice.endpoint);
                 drop(permit);
                 log_failure(&bundle, ex, &tried, &failure);
-                if let Some(refusal) = final_refusal(shared, ex, &body, &tried, &failure, repeat) {
-                    return give_up(conn, shared, ex, &body, &tried, &refusal).await;
+                if let Some(refusal) = final_refusal(shared, ex, body, &tried, &failure, repeat) {
+                    return Err(tried.give_up(refusal));
                 }
             }
         }
@@ -124,11 +148,7 @@
     ex: &Exchange,
     tried: &Tried,
 ) -> Result<Permit<'a>, NoPlace> {
-    let want = Want {
-        service: route.service,
-        version: None,
-        exclude: &tried.used,
-    };
+    let want = Want { service: route.service, version: None, exclude: &tried.used };
     let choice = shared.gate.place(bundle, &want, shared.clock.now())?;
     let endpoint = &bundle.endpoints[choice.endpoint];
     tracing::info!(
@@ -139,11 +159,7 @@
         candidates = choice.candidates,
         reason = ?choice.reason,
     );
-    Ok(Permit {
-        shared,
-        choice,
-        outcome: Outcome::Cancelled,
-    })
+    Ok(Permit { shared, choice, outcome: Outcome::Cancelled })
 }
 
 fn target(
@@ -156,11 +172,7 @@
 ) -> Target {
     let may_repeat = repeat == Repeat::Idempotent;
     let left = shared.clock.left(ex.deadline);
-    let deadline = if may_repeat {
-        now.after(left / FIRST_ATTEMPT_PART)
-    } else {
-        ex.deadline
-    };
+    let deadline = if may_repeat { now.after(left / FIRST_ATTEMPT_PART) } else { ex.deadline };
     Target {
         addr: bundle.endpoints[permit.choice.endpoint].addr,
         deadline,
@@ -179,53 +191,39 @@
     repeat: Repeat,
 ) -> Option<Refusal> {
     if let Some(e) = &failure.caller {
-        let refusal = answer::malformed(e);
-        let gone = Refusal::unknown(400, "request_cut", "send the whole request");
-        return Some(refusal.map_or(gone, |refusal| Refusal {
-            outcome: answer::Outcome::Unknown,
-            ..refusal
-        }));
+        let cut = Refusal::unknown(400, "request_cut", "send the whole request");
+        let refusal = answer::malformed(e).unwrap_or(cut);
+        return Some(Refusal { outcome: answer::Outcome::Unknown, ..refusal });
     }
     let now = shared.clock.now();
     let is_allowed = failure.state.disposition(repeat) == Disposition::MayRetry
         && body.is_replayable
         && ex.deadline.since(now) > MIN_LEFT
-        && shared.gate.may_retry(tried.attempts);
+        && shared.gate.may_retry(now, ex.deadline, tried.attempts, repeat, failure.state);
     if is_allowed {
         return None;
     }
     Some(match tried.state {
         AttemptState::NotSent => {
             let mut refusal = Refusal::not_run(503, "no_backend_server", "come again when told");
-            refusal.retry_at = Some(shared.clock.unix().after(Duration::from_secs(1)));
+            refusal.retry_at = Some(shared.clock.unix().after(RETRY_AFTER));
             refusal
         }
-        _ => Refusal::unknown(
-            504,
-            "outcome_unknown",
-            "ask whether it was recorded before sending it again",
-        ),
+        AttemptState::PerhapsRun | AttemptState::Answered => unknown(),
     })
 }
 
 fn no_place_refusal(shared: &Shared, tried: &Tried, no_place: NoPlace) -> Refusal {
     let mut refusal = match tried.state {
         AttemptState::NotSent => Refusal::not_run(503, "no_place", "come again when told"),
-        _ => Refusal::unknown(
-            504,
-            "outcome_unknown",
-            "ask whether it was recorded before sending it again",
-        ),
+        AttemptState::PerhapsRun | AttemptState::Answered => unknown(),
     };
     refusal.retry_at = Some(shared.clock.to_unix(no_place.retry_at));
     refusal
 }
 
 fn log_failure(bundle: &Bundle, ex: &Exchange, tried: &Tried, failure: &Failure) {
-    let endpoint = tried
-        .used
-        .last()
-        .map_or("-", |key| bundle.endpoints[*key].id.as_str());
+    let endpoint = tried.used.last().map_or("-", |key| bundle.endpoints[*key].id.as_str());
     tracing::info!(
         kind = "attempt_failed",
         request = ex.id,
@@ -234,77 +232,3 @@
         state = ?failure.state,
     );
 }
-
-async fn give_up(
-    conn: &mut Conn,
-    shared: &Shared,
-    ex: &Exchange,
-    body: &RequestBody,
-    tried: &Tried,
-    refusal: &Refusal,
-) -> End {
-    order::settle_unanswered(shared, ex, tried.state);
-    finish_refused(conn, shared, ex, body, refusal, tried.attempts).await
-}
-
-async fn finish(
-    conn: &mut Conn,
-    shared: &Shared,
-    ex: &Exchange,
-    mut answer: Answer,
-    mut permit: Permit<'_>,
-    tried: &Tried,
-) -> End {
-    let status = answer.head.status;
-    let is_closing = !answer.is_request_whole || ex.is_closing || shared.drain.is_leaving();
-    let keep_bytes = if ex.order.is_some() {
-        shared.gate.kept_answer_bytes()
-    } else {
-        0
-    };
-    let delivered = deliver(ex, &mut answer, conn, is_closing, keep_bytes).await;
-    let attempts = tried.attempts;
-    let delivered = match delivered {
-        Ok(delivered) => delivered,
-        Err(_) => {
-            order::settle_unanswered(shared, ex, AttemptState::PerhapsRun);
-            return End {
-                status,
-                result: "caller_gone",
-                attempts,
-                next: Next::Close,
-            };
-        }
-    };
-    if !delivered.is_whole {
-        permit.outcome = Outcome::Broken;
-        order::settle_unanswered(shared, ex, AttemptState::PerhapsRun);
-        return End {
-            status,
-            result: "answer_cut",
-            attempts,
-            next: Next::Close,
-        };
-    }
-    order::settle_answered(shared, ex, delivered.kept);
-    drop(permit);
-    if answer.is_request_whole && answer.head.is_keep_alive() {
-        let addr = answer.conn.peer_addr();
-        if let Ok(addr) = addr {
-            shared.pool.put(addr, answer.conn).await;
-        }
-    }
-    let next = match delivered.may_go_on {
-        true => Next::KeepAlive,
-        false => {
-            conn.linger().await;
-            Next::Close
-        }
-    };
-    End {
-        status,
-        result: "answered",
-        attempts,
-        next,
-    }
-}
--- a/crates/apricotlug-edge/src/shared.rs
+++ b/crates/apricotlug-edge/src/shared.rs
@@ -1,9 +1,10 @@
 //! What all tasks of one entry instance share.
 
 use std::{
+    fmt,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicU64, Ordering},
     },
 };
@@ -12,10 +13,9 @@
 use apricotlug_model::{Bundle, InstanceId};
 use rand::{SeedableRng, rngs::SmallRng};
 
-use crate::{clock::Clock, drain::Drain, gate::Gate, metrics::Metrics, pool::Pool, view::ViewCell};
+use crate::{clock::Clock, drain::Drain, gate::Gate, metrics::Metrics, pool::Pool, remote::Fleet, view::ViewCell};
 
 /// State shared by all tasks of one entry instance.
-#[derive(Debug)]
 pub struct Shared {
     /// Name and incarnation of this run.
     pub identity: InstanceId,
@@ -35,6 +35,7 @@
     pub metrics: Metrics,
     /// Limits of callers' connections.
     pub limits: Limits,
+    fleet: OnceLock<Arc<dyn Fleet>>,
     requests: AtomicU64,
 }
 
@@ -63,6 +64,7 @@
             drain: Drain::default(),
             metrics: Metrics::default(),
             limits: Limits::default(),
+            fleet: OnceLock::new(),
             requests: AtomicU64::new(0),
         }
     }
@@ -96,6 +98,18 @@
         Ok(())
     }
 
+    /// Connects the request path with the rest of the fleet; done once, before the first request.
+    pub fn set_fleet(&self, fleet: Arc<dyn Fleet>) {
+        // A second call has no effect.
+        let _ = self.fleet.set(fleet);
+    }
+
+    /// Returns the rest of the fleet, once connected.
+    #[must_use]
+    pub fn fleet(&self) -> Option<Arc<dyn Fleet>> {
+        self.fleet.get().map(Arc::clone)
+    }
+
     /// Returns an id for the next request.
     pub fn next_request_id(&self) -> String {
         let number = self.requests.fetch_add(1, Ordering::Relaxed);
@@ -105,3 +119,9 @@
         )
     }
 }
+
+impl fmt::Debug for Shared {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Shared").field("identity", &self.identity).finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/apricotlug-node/src/error.rs
@@ -0,0 +1,30 @@
+//! Errors of an entry instance.
+
+use std::{io, net::SocketAddr};
+
+use thiserror::Error;
+
+/// What can keep an entry instance from starting or from following the bundle.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    /// An address could not be bound.
+    #[error("cannot listen on {addr}: {source}")]
+    Listen {
+        /// Address from the settings.
+        addr: SocketAddr,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// The platform could not be asked.
+    #[error(transparent)]
+    Platform(#[from] apricotlug_platform::Error),
+    /// The manifest of a bundle is malformed.
+    #[error("malformed manifest: {0}")]
+    Manifest(#[from] serde_json::Error),
+    /// A bundle could not be put together.
+    #[error(transparent)]
+    Chunk(#[from] apricotlug_config::chunk::ChunkError),
+    /// A bundle was refused.
+    #[error("bundle refused: {0}")]
+    Bundle(apricotlug_model::Findings),
+}
--- /dev/null
+++ b/crates/apricotlug-node/src/lib.rs
@@ -0,0 +1,11 @@
+//! One entry instance: its listeners, its part in the fleet, its start and its drain.
+
+mod error;
+mod lookups;
+mod node;
+mod pages;
+mod sync;
+
+pub use error::NodeError;
+pub use lookups::{LookupPages, Lookups, Named};
+pub use node::{Addrs, Node, NodeConfig};
--- a/crates/apricotlug-policy/src/retry.rs
+++ b/crates/apricotlug-policy/src/retry.rs
@@ -7,6 +7,8 @@
 
 use apricotlug_model::{MonoTime, Repeat};
 
+use crate::order::{AttemptState, Disposition};
+
 /// Retries and hedges per hundred requests of the window.
 const RETRY_PERCENT: u32 = 8;
 /// Number of slices of the window.
@@ -26,15 +28,6 @@
 /// Number of latency buckets: from 1 µs to 2^30 µs, 18 minutes.
 const BUCKETS: usize = 120;
 
-/// What is known of an attempt that brought no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AttemptState {
-    /// No byte of the request was written, or the backend server stated that it did not run.
-    NotSent,
-    /// The request may have run.
-    PerhapsRun,
-}
-
 /// Decision on another attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryDecision {
@@ -88,11 +81,7 @@
         repeat: Repeat,
         state: AttemptState,
     ) -> RetryDecision {
-        let may_run_twice = match (repeat, state) {
-            (Repeat::Idempotent, _) | (Repeat::Once, AttemptState::NotSent) => true,
-            (Repeat::Once, AttemptState::PerhapsRun) => false,
-        };
-        if !may_run_twice {
+        if state.disposition(repeat) == Disposition::OutcomeUnknown {
             return RetryDecision::OnceOnly;
         }
         self.spend(now, deadline, attempt)
