Content-addressed chunks of a bundle's text, cut at lines

Cause: a changed block should not move the whole text. Ruled out: minimum chunk lengths, since a cut then depends on the lines before it and one change can run on through later chunks. Change: a line ends a chunk by its own hash; each chunk is verified by its hash on joining.

--- a/crates/apricotlug-config/src/lib.rs
+++ b/crates/apricotlug-config/src/lib.rs
@@ -4,6 +4,7 @@
 //! them are returned together.
 
 pub mod bundle;
+pub mod chunk;
 pub mod credential;
 mod doc;
 mod fields;
