--- a/crates/apricotlug-platform/src/lib.rs
+++ b/crates/apricotlug-platform/src/lib.rs
@@ -11,6 +11,7 @@
 mod lease;
 mod outcome;
 mod pacer;
+mod swap;
 mod transport;
 mod watch;
 mod withdrawals;
--- a/crates/apricotlug-platform/src/outcome.rs
+++ b/crates/apricotlug-platform/src/outcome.rs
@@ -63,27 +63,30 @@
     Unknown,
 }
 
-/// Decides a write whose comparison failed, from the entry that stands.
-///
-/// `is_uncertain` tells that an earlier attempt of the same write may have taken effect.
-pub(crate) fn judge(
-    id: WriteId,
-    expected: Option<&Entry>,
-    current: Option<Entry>,
-    is_uncertain: bool,
-) -> Swap {
-    if let Some(entry) = &current
-        && let Some(place) = entry.lineage.iter().position(|other| *other == id)
-    {
-        return Swap::Written {
-            revision: entry.mod_revision,
-            is_superseded: place > 0,
-        };
-    }
-    if is_uncertain && !is_lineage_complete(expected, current.as_ref()) {
-        return Swap::Unknown;
+impl Swap {
+    /// Decides a write whose comparison failed, from the entry that stands.
+    ///
+    /// `is_uncertain` tells that an earlier attempt of the same write may have taken effect.
+    #[must_use]
+    pub fn judge(
+        id: WriteId,
+        expected: Option<&Entry>,
+        current: Option<Entry>,
+        is_uncertain: bool,
+    ) -> Self {
+        if let Some(entry) = &current
+            && let Some(place) = entry.lineage.iter().position(|other| *other == id)
+        {
+            return Self::Written {
+                revision: entry.mod_revision,
+                is_superseded: place > 0,
+            };
+        }
+        if is_uncertain && !is_lineage_complete(expected, current.as_ref()) {
+            return Self::Unknown;
+        }
+        Self::Conflict { current }
     }
-    Swap::Conflict { current }
 }
 
 /// Tells whether the current lineage reaches back to the expected entry, so that an id absent
--- a/crates/apricotlug-standins/src/platform/faults.rs
+++ b/crates/apricotlug-standins/src/platform/faults.rs
@@ -27,6 +27,8 @@
     pub cut_answers: u32,
     /// Calls a second beyond which the answer is 429.
     pub calls_per_s: Option<u32>,
+    /// Whether a new watch starts from the first revision, whatever it asked for.
+    pub is_watch_stale: bool,
     /// Lag of the list of instances, in milliseconds.
     pub list_lag_ms: u32,
 }
--- a/crates/apricotlug-standins/src/platform/handler.rs
+++ b/crates/apricotlug-standins/src/platform/handler.rs
@@ -92,7 +92,7 @@
             Ok(Streamed { result })
         }),
         "/v3/lease/revoke" | "/v3/kv/lease/revoke" => reply(body, |req| store.revoke(&req)),
-        "/v3/watch" => watch(store, body),
+        "/v3/watch" => watch(store, body, shared.faults().is_watch_stale),
         _ => refuse(Refusal(404, "Not Found")),
     }
 }
@@ -110,10 +110,13 @@
     }
 }
 
-fn watch(store: &mut Store, body: &[u8]) -> Response {
-    let Ok(req) = serde_json::from_slice::<WatchRequest>(body) else {
+fn watch(store: &mut Store, body: &[u8], is_stale: bool) -> Response {
+    let Ok(mut req) = serde_json::from_slice::<WatchRequest>(body) else {
         return refuse(Refusal(400, "malformed request"));
     };
+    if is_stale {
+        req.create_request.start_revision.0 = 1;
+    }
     let parts = Box::pin(store.watch(&req.create_request));
     let mut res = Response::new(StatusCode::Ok);
     res.set_body(Body::from_reader(parts.into_async_read(), None));
--- a/crates/apricotlug-standins/src/platform/server.rs
+++ b/crates/apricotlug-standins/src/platform/server.rs
@@ -196,6 +196,13 @@
         self.shared.store().watchers.len()
     }
 
+    /// Returns the number of leases that have neither run out nor been revoked.
+    #[must_use]
+    pub fn leases(&self) -> usize {
+        self.shared.tick();
+        self.shared.store().leases()
+    }
+
     /// Forgets the history, so that watches from earlier revisions are refused.
     pub fn compact(&self) {
         self.shared.store().compact();
--- a/crates/apricotlug-standins/src/platform/store.rs
+++ b/crates/apricotlug-standins/src/platform/store.rs
@@ -140,6 +140,11 @@
             .open(req, self.revision, self.compacted, &self.history)
     }
 
+    /// Returns the number of leases.
+    pub(super) fn leases(&self) -> usize {
+        self.leases.len()
+    }
+
     /// Forgets the history up to the present revision.
     pub(super) fn compact(&mut self) {
         self.compacted = self.revision;
