Commands entry, dev, bundle, lookup, status; budgets driver (in progress)

Cause: the thin path needs processes and a first run. Change: argh commands one a file, logs through a bounded queue, signals, seat driver over the platform.

--- a/crates/apricotlug-edge/src/caller.rs
+++ b/crates/apricotlug-edge/src/caller.rs
@@ -94,14 +94,7 @@
     }
     let end = execute(conn, shared, &bundle, &ex).await;
     let latency = shared.clock.now().since(ex.arrived_at);
-    log_end(
-        &ex,
-        &bundle,
-        end.status,
-        end.result,
-        latency.as_micros(),
-        end.attempts,
-    );
+    log_end(&ex, &bundle, &end, latency);
     shared
         .metrics
         .on_request(&bundle.routes[ex.route].id, end.result, latency);
--- a/crates/apricotlug-edge/src/gate.rs
+++ b/crates/apricotlug-edge/src/gate.rs
@@ -61,6 +61,7 @@
             state: Mutex::new(State {
                 bundle: BundleVersion(0),
                 decisions: None,
+                retries: RetryBudget::default(),
                 rng,
             }),
             orders: Mutex::new(Orders::new(limits)),
--- a/crates/apricotlug-node/src/lib.rs
+++ b/crates/apricotlug-node/src/lib.rs
@@ -4,6 +4,7 @@
 mod lookups;
 mod node;
 mod pages;
+mod seats;
 mod sync;
 
 pub use error::NodeError;
--- a/crates/apricotlug-node/src/node.rs
+++ b/crates/apricotlug-node/src/node.rs
@@ -17,6 +17,7 @@
     error::NodeError,
     lookups::{self, LookupPages, Lookups, Named},
     pages::{self, AdminPages},
+    seats::{self, Reports, Seats},
     sync,
 };
 
@@ -24,6 +25,9 @@
 /// answers that name it.
 const LINGER: Duration = Duration::from_secs(5);
 
+/// Pause between two steps on the budgets.
+const SEATS_PERIOD: Duration = Duration::from_millis(500);
+
 /// Pause between two looks at the fleet.
 const FLEET_PERIOD: Duration = Duration::from_millis(200);
 
@@ -84,7 +88,8 @@
         let tasks = vec![
             task::spawn(async move { log_end(serve_app(lookup.0, lookup_app).await) }),
             task::spawn(async move { log_end(serve_app(admin.0, admin_app).await) }),
-            task::spawn(sync::follow(BundleStore::new(client), Arc::clone(&shared))),
+            task::spawn(sync::follow(BundleStore::new(client.clone()), Arc::clone(&shared))),
+            task::spawn(keep_seats(Arc::clone(&shared), client)),
             task::spawn(follow_fleet(Arc::clone(&shared), lookups, addrs)),
         ];
         let accept = task::spawn(accept(caller.0, Arc::clone(&shared)));
@@ -142,6 +147,21 @@
     }
 }
 
+async fn keep_seats(shared: Arc<Shared>, client: Client) {
+    let reports = Arc::new(Reports::default());
+    let mut seats = Seats::new(Arc::clone(&shared), client, Arc::clone(&reports));
+    loop {
+        if let Some(report) = seats::report(&shared) {
+            reports.put(report, shared.clock.now());
+            match seats.step().await {
+                Ok(allotments) => allotments.iter().for_each(|a| seats::install(&shared, a)),
+                Err(e) => tracing::warn!(error = %e, "budgets not renewed"),
+            }
+        }
+        task::sleep(SEATS_PERIOD).await;
+    }
+}
+
 async fn follow_fleet(shared: Arc<Shared>, lookups: Arc<Lookups>, addrs: Addrs) {
     loop {
         let bundle = shared.view.load().bundle.clone();
--- /dev/null
+++ b/src/commands/bundle.rs
@@ -0,0 +1,210 @@
+//! `apricotlug bundle`: checks, signs off and shows bundles.
+
+use std::{fs, net::SocketAddr, process::ExitCode, time::Duration};
+
+use anyhow::{Context, bail};
+use apricotlug_config::{
+    chunk::{Manifest, join, split},
+    parse_bundle,
+};
+use apricotlug_model::{BundleVersion, Findings, UnixTime};
+use apricotlug_platform::{BundleStore, ChunkHash, Client, ClientConfig, Head, SignOff};
+use argh::FromArgs;
+
+/// Exit code of a command that refused its input.
+pub const REFUSED: u8 = 2;
+
+/// Exit code of a command that lost a race.
+const CONFLICT: u8 = 3;
+
+/// Check, sign off or show a bundle.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "bundle")]
+pub struct Bundle {
+    #[argh(subcommand)]
+    verb: Verb,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Verb {
+    Check(Check),
+    SignOff(Sign),
+    Show(Show),
+}
+
+/// Check a bundle file and report every finding.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "check",
+    example = "apricotlug bundle check examples/caisses-armor.toml"
+)]
+struct Check {
+    /// bundle file
+    #[argh(positional)]
+    file: String,
+}
+
+/// Put a bundle in force, unless another operator was first.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "sign-off",
+    example = "apricotlug bundle sign-off examples/caisses-armor.toml --platform 127.0.0.1:7100 --operator armor-signer"
+)]
+struct Sign {
+    /// bundle file
+    #[argh(positional)]
+    file: String,
+    /// address of the platform's key-value service
+    #[argh(option)]
+    platform: SocketAddr,
+    /// id of the operator, for the history
+    #[argh(option)]
+    operator: String,
+}
+
+/// Show the bundle in force.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "show",
+    example = "apricotlug bundle show --platform 127.0.0.1:7100"
+)]
+struct Show {
+    /// address of the platform's key-value service
+    #[argh(option)]
+    platform: SocketAddr,
+}
+
+/// Reports findings and returns the exit code of refused input.
+pub fn refused(findings: &Findings) -> ExitCode {
+    eprintln!("{findings}");
+    ExitCode::from(REFUSED)
+}
+
+impl Bundle {
+    /// Runs the command.
+    ///
+    /// # Errors
+    /// Returns an error where a file cannot be read or the platform cannot be asked.
+    pub async fn run(self) -> anyhow::Result<ExitCode> {
+        match self.verb {
+            Verb::Check(check) => check.run(),
+            Verb::SignOff(sign) => sign.run().await,
+            Verb::Show(show) => show.run().await,
+        }
+    }
+}
+
+impl Check {
+    fn run(self) -> anyhow::Result<ExitCode> {
+        let text = read(&self.file)?;
+        match parse_bundle(&self.file, &text, UnixTime::now()) {
+            Ok(bundle) => {
+                println!("{}: version {}, no findings", self.file, bundle.version);
+                Ok(ExitCode::SUCCESS)
+            }
+            Err(findings) => Ok(refused(&findings)),
+        }
+    }
+}
+
+impl Sign {
+    async fn run(self) -> anyhow::Result<ExitCode> {
+        let text = read(&self.file)?;
+        let bundle = match parse_bundle(&self.file, &text, UnixTime::now()) {
+            Ok(bundle) => bundle,
+            Err(findings) => return Ok(refused(&findings)),
+        };
+        let store = store(self.platform);
+        match sign_off(&store, &text, bundle.version, &self.operator).await? {
+            SignOff::Accepted => {
+                println!("version {} is in force", bundle.version);
+                Ok(ExitCode::SUCCESS)
+            }
+            SignOff::Conflict { winner } => {
+                let winner = winner.as_deref().map_or("another bundle".to_owned(), describe);
+                eprintln!("conflict: {winner} is in force; compare, raise the version, try again");
+                Ok(ExitCode::from(CONFLICT))
+            }
+            SignOff::Unknown => bail!("the platform's answer was lost; run `bundle show`"),
+        }
+    }
+}
+
+/// Signs a bundle off on top of the one in force.
+///
+/// # Errors
+/// Returns an error where the platform cannot be asked or the version is not above the one in
+/// force.
+pub async fn sign_off(
+    store: &BundleStore,
+    text: &str,
+    version: BundleVersion,
+    operator: &str,
+) -> anyhow::Result<SignOff> {
+    let base = store.read_head().await?;
+    let (hashes, chunks) = split(text);
+    let manifest = Manifest {
+        version,
+        write_id: rand::random(),
+        signed_by: operator.to_owned(),
+        signed_at: UnixTime::now(),
+        chunks: hashes,
+    };
+    let chunks: Vec<_> =
+        chunks.into_iter().map(|chunk| (ChunkHash(chunk.hash.0), chunk.text.into_bytes())).collect();
+    let manifest = serde_json::to_vec(&manifest)?;
+    if base.as_ref().is_some_and(|head| head.version >= version) {
+        return Ok(SignOff::Conflict { winner: base.map(Box::new) });
+    }
+    Ok(store.sign_off(base.as_ref(), version, &manifest, &chunks).await?)
+}
+
+impl Show {
+    async fn run(self) -> anyhow::Result<ExitCode> {
+        let store = store(self.platform);
+        let Some(head) = store.read_head().await? else {
+            println!("no bundle was signed off yet");
+            return Ok(ExitCode::SUCCESS);
+        };
+        let manifest: Manifest = serde_json::from_slice(&head.manifest)?;
+        let mut chunks = std::collections::BTreeMap::new();
+        for hash in manifest.missing(|_| false) {
+            if let Some(bytes) = store.read_chunk(ChunkHash(hash.0)).await? {
+                chunks.insert(hash, bytes);
+            }
+        }
+        eprintln!("{}", describe(&head));
+        print!("{}", join(&manifest, |hash| chunks.get(&hash))?);
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
+fn describe(head: &Head) -> String {
+    let manifest: Option<Manifest> = serde_json::from_slice(&head.manifest).ok();
+    let signer = manifest.map_or("unknown".to_owned(), |manifest| manifest.signed_by);
+    format!("version {} signed off by {signer}", head.version)
+}
+
+fn read(file: &str) -> anyhow::Result<String> {
+    fs::read_to_string(file).with_context(|| format!("cannot read {file}"))
+}
+
+fn store(platform: SocketAddr) -> BundleStore {
+    let cfg = ClientConfig {
+        addrs: vec![platform],
+        seed: rand::random(),
+        calls_per_s: 200,
+        burst: 200,
+        call_timeout_ms: duration_ms(Duration::from_secs(3)),
+        ..ClientConfig::default()
+    };
+    BundleStore::new(Client::new(cfg))
+}
+
+fn duration_ms(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
