Compare two bundles entry by entry, with points in time as RFC 3339

Cause: an operator signs off what differs, and must see it by names. Ruled out: a textual diff, since a reordered file is no change.

--- a/crates/apricotlug-config/src/bundle/mod.rs
+++ b/crates/apricotlug-config/src/bundle/mod.rs
@@ -6,7 +6,6 @@
 
 mod accounts;
 mod blocks;
-mod datetime;
 mod names;
 mod services;
 mod topology;
--- a/crates/apricotlug-config/src/bundle/versions.rs
+++ b/crates/apricotlug-config/src/bundle/versions.rs
@@ -7,8 +7,9 @@
 };
 use toml::{Spanned, de::DeValue};
 
-use super::{datetime::unix_time, names::Names};
+use super::names::Names;
 use crate::{
+    datetime::unix_time,
     doc::{At, Doc},
     fields::Fields,
     value,
--- a/crates/apricotlug-config/src/lib.rs
+++ b/crates/apricotlug-config/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod bundle;
 pub mod chunk;
 pub mod credential;
+pub mod datetime;
+pub mod diff;
 mod doc;
 mod fields;
 pub mod settings;
