Peer calls: wire schema, membership and news state, node and handle

Cause: instances need one view of members, bundle, withdrawn keys and records with no coordination service. Change: pure gossip state, Cap'n Proto schema with committed code, RPC client and server, PeerNode and PeerHandle. Ruled out: an RPC method of its own for withdrawals; they travel in the exchange, pushed at once.

--- /dev/null
+++ b/crates/apricotlug-peer/src/handle.rs
@@ -0,0 +1,219 @@
+//! Handle by which the rest of the process uses its peer node.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{Arc, RwLock},
+};
+
+use apricotlug_model::InstanceId;
+use async_channel::{Receiver, Sender};
+use futures::channel::oneshot;
+
+use crate::{
+    BundleHead, Chunk, CompleteBundle, Member, NamedRecord, PeerError, Traffic, Transfer,
+    TransferOutcome, rpc::Meter,
+};
+
+/// Snapshot of what the node knows.
+#[derive(Clone, Debug, Default)]
+pub struct FleetView {
+    /// Members, this instance included, in the order of their names.
+    pub members: Arc<[Member]>,
+    /// Ids of withdrawn keys.
+    pub withdrawn: Arc<BTreeSet<String>>,
+    /// Names of members that have not confirmed a withdrawal, by key id; keys that everybody
+    /// has confirmed are absent.
+    pub unconfirmed: Arc<BTreeMap<String, Vec<String>>>,
+    /// Records by name.
+    pub records: Arc<BTreeMap<String, NamedRecord>>,
+    /// Newest complete bundle.
+    pub bundle: Option<Arc<CompleteBundle>>,
+    /// Whether another live run uses this instance's name.
+    pub is_superseded: bool,
+    /// Whether no other instance has been heard of for a while.
+    pub is_isolated: bool,
+}
+
+/// Request from a handle to its node.
+pub(crate) enum Command {
+    PublishBundle(CompleteBundle, Reply<()>),
+    Withdraw(String, Reply<()>),
+    PublishRecord(NamedRecord, Reply<()>),
+    Transfer(InstanceId, Transfer, Reply<TransferOutcome>),
+    ForwardOrder(InstanceId, Vec<u8>, Reply<Option<Vec<u8>>>),
+    SetLoad(u16),
+    SetListed(Vec<SocketAddr>),
+    AnnounceLeaving,
+    Stop(oneshot::Sender<()>),
+}
+
+/// Where the answer to a command goes.
+pub(crate) type Reply<T> = oneshot::Sender<Result<T, PeerError>>;
+
+/// Handle of a running peer node. Clones share the node.
+#[derive(Clone, Debug)]
+pub struct PeerHandle {
+    pub(crate) id: InstanceId,
+    pub(crate) addr: SocketAddr,
+    pub(crate) commands: Sender<Command>,
+    pub(crate) view: Arc<RwLock<Arc<FleetView>>>,
+    pub(crate) bundles: Receiver<Arc<CompleteBundle>>,
+    pub(crate) meter: Arc<Meter>,
+}
+
+impl PeerHandle {
+    /// Returns the name and incarnation of this run.
+    #[must_use]
+    pub fn id(&self) -> &InstanceId {
+        &self.id
+    }
+
+    /// Returns the address that the node listens on.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Returns what the node knows, at most one period old.
+    ///
+    /// # Panics
+    /// Where the node's thread has panicked while it replaced the snapshot.
+    #[must_use]
+    pub fn view(&self) -> Arc<FleetView> {
+        Arc::clone(&self.view.read().expect("snapshot lock"))
+    }
+
+    /// Returns the members, this instance included.
+    #[must_use]
+    pub fn members(&self) -> Arc<[Member]> {
+        Arc::clone(&self.view().members)
+    }
+
+    /// Returns the ids of withdrawn keys.
+    #[must_use]
+    pub fn withdrawn(&self) -> Arc<BTreeSet<String>> {
+        Arc::clone(&self.view().withdrawn)
+    }
+
+    /// Returns the records by name.
+    #[must_use]
+    pub fn records(&self) -> Arc<BTreeMap<String, NamedRecord>> {
+        Arc::clone(&self.view().records)
+    }
+
+    /// Returns the newest complete bundle.
+    #[must_use]
+    pub fn bundle(&self) -> Option<Arc<CompleteBundle>> {
+        self.view().bundle.clone()
+    }
+
+    /// Returns the receiver of bundles that were completed, each with a higher version than the
+    /// one before. All clones share one queue; where the reader lags, the oldest are dropped.
+    #[must_use]
+    pub fn bundle_updates(&self) -> Receiver<Arc<CompleteBundle>> {
+        self.bundles.clone()
+    }
+
+    /// Publishes a bundle. A version that is not higher than the newest one has no effect.
+    ///
+    /// # Errors
+    /// Where a limit is exceeded, a chunk is absent or the node has stopped.
+    pub async fn publish_bundle(
+        &self,
+        head: BundleHead,
+        chunks: Vec<Chunk>,
+    ) -> Result<(), PeerError> {
+        let bundle = CompleteBundle::new(head, &chunks)?;
+        self.ask(|reply| Command::PublishBundle(bundle, reply))
+            .await
+    }
+
+    /// Withdraws a key on all instances that can be reached, now or later.
+    ///
+    /// # Errors
+    /// Where the id is too long, too many keys are withdrawn or the node has stopped.
+    pub async fn withdraw(&self, key_id: impl Into<String>) -> Result<(), PeerError> {
+        let key_id = key_id.into();
+        self.ask(|reply| Command::Withdraw(key_id, reply)).await
+    }
+
+    /// Publishes a record. The highest version of a name wins everywhere.
+    ///
+    /// # Errors
+    /// Where a limit is exceeded or the node has stopped.
+    pub async fn publish_record(&self, record: NamedRecord) -> Result<(), PeerError> {
+        self.ask(|reply| Command::PublishRecord(record, reply))
+            .await
+    }
+
+    /// Sends a transfer to one run of an instance. A repeat with the same id is applied once.
+    ///
+    /// # Errors
+    /// [`PeerError::Timeout`] and [`PeerError::Call`] leave open whether it was applied; every
+    /// other error means that it was not.
+    pub async fn send_transfer(
+        &self,
+        to: &InstanceId,
+        transfer: Transfer,
+    ) -> Result<TransferOutcome, PeerError> {
+        let to = to.clone();
+        self.ask(|reply| Command::Transfer(to, transfer, reply))
+            .await
+    }
+
+    /// Forwards an order to the run that it is bound to. Returns `None` where that run is gone.
+    ///
+    /// # Errors
+    /// [`PeerError::Timeout`] and [`PeerError::Call`] leave open whether it has run; every other
+    /// error means that it was not sent.
+    pub async fn forward_order(
+        &self,
+        to: &InstanceId,
+        order: Vec<u8>,
+    ) -> Result<Option<Vec<u8>>, PeerError> {
+        let to = to.clone();
+        self.ask(|reply| Command::ForwardOrder(to, order, reply))
+            .await
+    }
+
+    /// Returns what the node has sent and received since it started.
+    #[must_use]
+    pub fn traffic(&self) -> Traffic {
+        self.meter.read()
+    }
+
+    /// Sets the load that members of the same data centre see, in thousandths of the capacity.
+    pub fn set_load(&self, load: u16) {
+        self.tell(Command::SetLoad(load));
+    }
+
+    /// Sets the peer addresses from the platform's lagging list of instances.
+    pub fn set_listed(&self, addrs: Vec<SocketAddr>) {
+        self.tell(Command::SetListed(addrs));
+    }
+
+    /// Announces that this instance takes no more work.
+    pub fn announce_leaving(&self) {
+        self.tell(Command::AnnounceLeaving);
+    }
+
+    /// Announces that this instance is gone, then stops the node. Returns once it has stopped.
+    pub async fn stop(&self) {
+        let (tx, rx) = oneshot::channel();
+        self.tell(Command::Stop(tx));
+        let _ = rx.await;
+    }
+
+    fn tell(&self, command: Command) {
+        // A failure means that the node has stopped, and then nothing is left to tell.
+        let _ = self.commands.try_send(command);
+    }
+
+    async fn ask<T>(&self, command: impl FnOnce(Reply<T>) -> Command) -> Result<T, PeerError> {
+        let (tx, rx) = oneshot::channel();
+        let sent = self.commands.send(command(tx)).await;
+        sent.map_err(|_| PeerError::Stopped)?;
+        rx.await.map_err(|_| PeerError::Stopped)?
+    }
+}
--- a/crates/apricotlug-peer/src/lib.rs
+++ b/crates/apricotlug-peer/src/lib.rs
@@ -1,1 +1,40 @@
-//! Calls between entry instances: membership, bundle, transfers.
+//! Calls between entry instances: membership, bundle distribution, withdrawn keys, small records,
+//! budget transfers and forwarded orders.
+//!
+//! [`Gossip`] holds the state and decides, with neither clock nor I/O; [`PeerNode`] drives it over
+//! Cap'n Proto RPC on a thread of its own and hands out a [`PeerHandle`].
+
+mod bundle;
+mod config;
+mod error;
+mod gossip;
+mod handle;
+mod member;
+mod membership;
+mod message;
+mod news;
+mod node;
+mod rpc;
+mod transfer;
+mod wire;
+
+#[rustfmt::skip]
+#[allow(clippy::all, clippy::pedantic, missing_docs, unused)]
+#[path = "generated/peer_capnp.rs"]
+mod peer_capnp;
+
+pub use bundle::{
+    BundleHead, Chunk, ChunkHash, CompleteBundle, MAX_CHUNK_BYTES, MAX_CHUNKS, MAX_HEAD_BYTES,
+};
+pub use config::{PeerConfig, PeerHandler};
+pub use error::PeerError;
+pub use gossip::{Gossip, Target};
+pub use handle::{FleetView, PeerHandle};
+pub use member::{Addresses, Member, MemberRecord, NameHash, Progress, State};
+pub use membership::Membership;
+pub use message::{DigestEntry, Exchange, MemberDigest, NewsDigest, Pulse, RecordStamp, Summary};
+pub use news::{Fetch, FetchOutcome, MAX_KEY_BYTES, MAX_RECORD_BYTES, NamedRecord, News};
+pub use node::PeerNode;
+pub use rpc::Traffic;
+pub use transfer::{MAX_TRANSFER_BYTES, Transfer, TransferId, TransferLog, TransferOutcome};
+pub use wire::{decode_exchange, encode_exchange};
--- /dev/null
+++ b/crates/apricotlug-peer/src/membership/digest.rs
@@ -0,0 +1,146 @@
+//! Anti-entropy: a hash per data centre, digests where hashes differ, records where digests do.
+
+use apricotlug_model::MonoTime;
+
+use super::{Membership, entry::Entry};
+use crate::{DigestEntry, Exchange, MemberDigest, MemberRecord, NameHash, Pulse};
+
+/// Most records spread on change in one message.
+const MAX_HOT: usize = 16;
+/// Most records in one message.
+pub(crate) const MAX_MEMBERS_PER_MESSAGE: usize = 256;
+/// Most wants in one message.
+pub(crate) const MAX_WANTS: usize = 512;
+/// Most entries of one digest.
+pub(crate) const MAX_DIGEST_ENTRIES: usize = 512;
+
+impl From<Pulse> for DigestEntry {
+    fn from(pulse: Pulse) -> Self {
+        Self {
+            id: pulse.id,
+            run: pulse.run,
+            revision: pulse.revision,
+        }
+    }
+}
+
+impl Membership {
+    /// Fills a message that opens a conversation.
+    pub fn fill_request(&mut self, msg: &mut Exchange, is_local: bool, now: MonoTime) {
+        msg.sender = self.me;
+        msg.data_centre = self.home;
+        msg.summaries = self.summaries(is_local, now);
+        if is_local {
+            msg.pulses = self.pulses();
+        }
+        msg.members = self.take_hot(MAX_HOT);
+    }
+
+    /// Merges a message and fills the reply to it.
+    pub fn handle(&mut self, msg: &Exchange, reply: &mut Exchange, now: MonoTime) {
+        reply.sender = self.me;
+        reply.data_centre = self.home;
+        self.heard(now);
+        let is_rumour = msg.members.len() <= MAX_HOT;
+        for record in &msg.members {
+            if self.merge(record.clone(), is_rumour, now) {
+                reply.wants_back(self, NameHash::of(&record.id.name));
+            }
+        }
+        self.merge_summaries(msg, reply, now);
+        if msg.data_centre == self.home {
+            self.merge_pulses(msg, reply, now);
+        }
+        if msg.round == 0 {
+            reply.pulses = match msg.data_centre == self.home {
+                true => self.pulses_ahead(msg),
+                false => Vec::new(),
+            };
+            let hot = self.take_hot(MAX_HOT);
+            reply.members.extend(hot);
+        }
+        for digest in &msg.digests {
+            self.answer_digest(digest, reply, now);
+        }
+        for id in &msg.wants {
+            reply.wants_back(self, *id);
+        }
+        reply.trim();
+    }
+
+    /// Returns the hash over the records of a data centre, deaths of long ago left out.
+    pub(super) fn hash(&self, data_centre: NameHash, now: MonoTime) -> u64 {
+        let compared = self.compared(data_centre, now);
+        compared.fold(0, |hash, (_, entry)| hash ^ entry.hash)
+    }
+
+    pub(super) fn digest(&self, data_centre: NameHash, now: MonoTime) -> MemberDigest {
+        let all: Vec<DigestEntry> = self
+            .compared(data_centre, now)
+            .map(|(id, entry)| entry.digest(*id))
+            .collect();
+        let start = self.cursor * MAX_DIGEST_ENTRIES % all.len().max(1);
+        let turn = all.iter().copied().cycle().skip(start);
+        MemberDigest {
+            data_centre,
+            is_complete: all.len() <= MAX_DIGEST_ENTRIES,
+            entries: turn.take(all.len().min(MAX_DIGEST_ENTRIES)).collect(),
+        }
+    }
+
+    fn compared(
+        &self,
+        data_centre: NameHash,
+        now: MonoTime,
+    ) -> impl Iterator<Item = (&NameHash, &Entry)> {
+        let entries = self.entries.iter();
+        entries.filter(move |(_, entry)| entry.data_centre == data_centre && !entry.is_buried(now))
+    }
+
+    /// Adds to the reply the record, or the wish for it, where an entry differs.
+    pub(super) fn compare(&self, theirs: &DigestEntry, reply: &mut Exchange) {
+        let Some(ours) = self.entries.get(&theirs.id) else {
+            reply.wants.push(theirs.id);
+            return;
+        };
+        if ours.run != theirs.run || ours.revision > theirs.revision {
+            reply.wants_back(self, theirs.id);
+        } else if ours.revision < theirs.revision {
+            reply.wants.push(theirs.id);
+        }
+    }
+
+    fn answer_digest(&self, digest: &MemberDigest, reply: &mut Exchange, now: MonoTime) {
+        for entry in &digest.entries {
+            self.compare(entry, reply);
+        }
+        if !digest.is_complete {
+            return;
+        }
+        let is_listed = |id: NameHash| digest.entries.iter().any(|entry| entry.id == id);
+        for (id, _) in self.compared(digest.data_centre, now) {
+            if !is_listed(*id) {
+                reply.wants_back(self, *id);
+            }
+        }
+    }
+}
+
+impl Exchange {
+    /// Adds the record of a member to this message.
+    fn wants_back(&mut self, membership: &Membership, id: NameHash) {
+        if let Some(record) = membership.record(id) {
+            self.members.push(MemberRecord::clone(record));
+        }
+    }
+
+    /// Removes repeats and keeps to the limits of a message; the rest follows another time.
+    fn trim(&mut self) {
+        self.members.sort_by(|a, b| a.id.cmp(&b.id));
+        self.members.dedup_by(|a, b| a.id == b.id);
+        self.members.truncate(MAX_MEMBERS_PER_MESSAGE);
+        self.wants.sort_unstable();
+        self.wants.dedup();
+        self.wants.truncate(MAX_WANTS);
+    }
+}
--- /dev/null
+++ b/crates/apricotlug-peer/src/news/exchange.rs
@@ -0,0 +1,78 @@
+//! News within the exchange: digests first, then what the other side lacks.
+
+use apricotlug_model::MonoTime;
+
+use super::News;
+use crate::{Exchange, NewsDigest};
+
+impl News {
+    /// Returns what this instance holds, in short.
+    #[must_use]
+    pub fn digest(&self) -> NewsDigest {
+        NewsDigest {
+            progress: self.progress(),
+            records: self.records_hash,
+        }
+    }
+
+    /// Merges a message and fills the reply to it.
+    pub fn handle(&mut self, msg: &Exchange, reply: &mut Exchange, now: MonoTime) {
+        for key in &msg.withdrawn {
+            // A key beyond the limits is left out; its sender refused it as well.
+            let _ = self.withdraw(key);
+        }
+        for record in &msg.records {
+            let _ = self.put(record.clone());
+        }
+        if let Some(head) = &msg.head
+            && head.check().is_ok()
+        {
+            self.offer(head.clone(), msg.sender, now);
+        }
+        self.note_source(msg.sender, msg.news.progress.bundle, now);
+        reply.news = self.digest();
+        self.answer_bundle(msg, reply);
+        self.answer_withdrawn(msg, reply);
+        self.answer_records(msg, reply);
+    }
+
+    fn answer_bundle(&self, msg: &Exchange, reply: &mut Exchange) {
+        if msg.news.progress.bundle < self.version() {
+            reply.head = self.bundle.as_ref().map(|bundle| bundle.head.clone());
+        }
+    }
+
+    fn answer_withdrawn(&self, msg: &Exchange, reply: &mut Exchange) {
+        if msg.news.progress.withdrawn == self.withdrawn_hash {
+            return;
+        }
+        if !msg.withdrawn_digest.is_empty() {
+            let (lacking, is_ahead) = self.compare_withdrawn(&msg.withdrawn_digest);
+            reply.withdrawn = lacking;
+            if is_ahead {
+                reply.withdrawn_digest = self.withdrawn_hashes.iter().copied().collect();
+            }
+            return;
+        }
+        reply.withdrawn = self.recent_withdrawals();
+        if msg.round > 0 {
+            reply.withdrawn_digest = self.withdrawn_hashes.iter().copied().collect();
+        }
+    }
+
+    fn answer_records(&self, msg: &Exchange, reply: &mut Exchange) {
+        if msg.news.records == self.records_hash {
+            return;
+        }
+        let (lacking, is_ahead) = self.compare_records(&msg.record_digest);
+        let is_empty = msg.news.records == 0;
+        if msg.record_digest.is_empty() && !is_empty {
+            reply.record_digest = self.record_digest();
+            return;
+        }
+        reply.records = lacking;
+        if is_ahead && msg.round < 2 {
+            reply.record_digest = self.record_digest();
+        }
+    }
+}
--- /dev/null
+++ b/crates/apricotlug-peer/src/node/mod.rs
@@ -0,0 +1,283 @@
+//! Peer node: drives the gossip on a thread of its own.
+
+mod converse;
+mod service;
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Arc, RwLock},
+    thread,
+    time::{Duration, Instant},
+};
+
+use apricotlug_model::{InstanceId, MonoTime};
+use async_channel::{Receiver, Sender};
+use async_std::net::TcpListener;
+use futures::{
+    FutureExt,
+    executor::{LocalPool, LocalSpawner},
+    future::select,
+    select_biased,
+    task::LocalSpawnExt,
+};
+use rand::{SeedableRng, rngs::StdRng};
+
+use crate::{
+    CompleteBundle, FleetView, Gossip, Member, MemberRecord, PeerConfig, PeerError, PeerHandle,
+    PeerHandler, State, TransferLog,
+    handle::{Command, Reply},
+    rpc::{Meter, Pool, serve},
+};
+
+/// Commands that may wait for the node.
+const MAX_COMMANDS: usize = 1024;
+/// Bundles that may wait for their reader.
+const MAX_BUNDLES: usize = 4;
+/// Time that the farewell of a stopping node may take.
+const FAREWELL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Starts peer nodes.
+#[derive(Debug)]
+pub struct PeerNode;
+
+impl PeerNode {
+    /// Binds the listening socket and starts the node on a thread of its own.
+    ///
+    /// # Errors
+    /// Where the socket cannot be bound or the thread cannot be started.
+    pub fn start(cfg: PeerConfig, handler: Arc<dyn PeerHandler>) -> Result<PeerHandle, PeerError> {
+        let fail = |e: std::io::Error| PeerError::Start(e.to_string());
+        let listener = std::net::TcpListener::bind(cfg.listen).map_err(fail)?;
+        listener.set_nonblocking(true).map_err(fail)?;
+        let addr = listener.local_addr().map_err(fail)?;
+        let (tx, rx) = async_channel::bounded(MAX_COMMANDS);
+        let (bundles_tx, bundles_rx) = async_channel::bounded(MAX_BUNDLES);
+        let view = Arc::new(RwLock::new(Arc::new(FleetView::default())));
+        let meter = Arc::new(Meter::default());
+        let handle = PeerHandle {
+            id: cfg.id.clone(),
+            addr,
+            commands: tx,
+            view: Arc::clone(&view),
+            bundles: bundles_rx,
+            meter: Arc::clone(&meter),
+        };
+        let run = move || {
+            let mut pool = LocalPool::new();
+            let spawner = pool.spawner();
+            let node = Rc::new(Node::new(
+                cfg, addr, handler, bundles_tx, view, meter, spawner,
+            ));
+            let main = node.run(TcpListener::from(listener), rx);
+            pool.run_until(main);
+        };
+        let builder = thread::Builder::new().name("peer".to_owned());
+        builder.spawn(run).map_err(fail)?;
+        Ok(handle)
+    }
+}
+
+/// State of a running node, shared by the tasks of its thread.
+struct Node {
+    id: InstanceId,
+    started: Instant,
+    gossip: RefCell<Gossip>,
+    rng: RefCell<StdRng>,
+    transfers: RefCell<TransferLog>,
+    talking: RefCell<BTreeSet<SocketAddr>>,
+    handler: Arc<dyn PeerHandler>,
+    pool: Pool,
+    meter: Arc<Meter>,
+    spawner: LocalSpawner,
+    wake: (Sender<()>, Receiver<()>),
+    bundles: Sender<Arc<CompleteBundle>>,
+    view: Arc<RwLock<Arc<FleetView>>>,
+}
+
+impl Node {
+    fn new(
+        cfg: PeerConfig,
+        addr: SocketAddr,
+        handler: Arc<dyn PeerHandler>,
+        bundles: Sender<Arc<CompleteBundle>>,
+        view: Arc<RwLock<Arc<FleetView>>>,
+        meter: Arc<Meter>,
+        spawner: LocalSpawner,
+    ) -> Self {
+        let mut addresses = cfg.addresses;
+        if addresses.peer.port() == 0 {
+            addresses.peer.set_port(addr.port());
+        }
+        let record = MemberRecord {
+            id: cfg.id.clone(),
+            generation: cfg.started.0,
+            version: 0,
+            state: State::Ready,
+            data_centre: cfg.data_centre,
+            addresses,
+        };
+        let seeds = cfg.seeds.into_iter().filter(|seed| *seed != addresses.peer);
+        Self {
+            gossip: RefCell::new(Gossip::new(record, seeds.collect(), MonoTime::default())),
+            rng: RefCell::new(StdRng::seed_from_u64(cfg.id.incarnation)),
+            id: cfg.id,
+            started: Instant::now(),
+            transfers: RefCell::default(),
+            talking: RefCell::default(),
+            handler,
+            pool: Pool::new(Arc::clone(&meter), spawner.clone()),
+            meter,
+            spawner,
+            wake: async_channel::bounded(1),
+            bundles,
+            view,
+        }
+    }
+
+    fn now(&self) -> MonoTime {
+        MonoTime::default().after(self.started.elapsed())
+    }
+
+    async fn run(self: Rc<Self>, listener: TcpListener, commands: Receiver<Command>) {
+        let meter = Arc::clone(&self.meter);
+        let server = serve(listener, Rc::clone(&self), meter, self.spawner.clone());
+        let main = self.main_loop(commands);
+        select(Box::pin(server), Box::pin(main)).await;
+    }
+
+    async fn main_loop(self: &Rc<Self>, commands: Receiver<Command>) {
+        loop {
+            self.poll();
+            let due = self.gossip.borrow().poll_at().since(self.now());
+            let due = async_std::task::sleep(due);
+            let command = select_biased! {
+                command = commands.recv().fuse() => command.ok(),
+                _ = self.wake.1.recv().fuse() => continue,
+                () = due.fuse() => continue,
+            };
+            match command {
+                Some(Command::Stop(done)) => {
+                    self.farewell().await;
+                    // A failure means that nobody waits for the stop.
+                    let _ = done.send(());
+                    return;
+                }
+                Some(command) => self.obey(command),
+                None => return,
+            }
+        }
+    }
+
+    /// Does what is due, and publishes what it brought about.
+    fn poll(self: &Rc<Self>) {
+        let now = self.now();
+        let targets = self
+            .gossip
+            .borrow_mut()
+            .poll(now, &mut *self.rng.borrow_mut());
+        if !targets.is_empty() {
+            self.pool.close_idle();
+        }
+        for target in targets {
+            self.spawn(Rc::clone(self).converse(target));
+        }
+        self.start_fetch();
+        let completed = self.gossip.borrow_mut().news.take_completed();
+        self.publish_view(now);
+        for bundle in completed {
+            // A failure means that all handles are gone.
+            let _ = self.bundles.force_send(bundle);
+        }
+    }
+
+    fn obey(self: &Rc<Self>, command: Command) {
+        let now = self.now();
+        let mut gossip = self.gossip.borrow_mut();
+        match command {
+            Command::PublishBundle(bundle, reply) => {
+                gossip.news.publish(bundle);
+                answer(reply, Ok(()));
+            }
+            Command::Withdraw(key, reply) => answer(reply, gossip.news.withdraw(&key)),
+            Command::PublishRecord(record, reply) => answer(reply, gossip.news.put(record)),
+            Command::Transfer(to, transfer, reply) => {
+                let node = Rc::clone(self);
+                self.spawn(async move { answer(reply, node.transfer_to(to, transfer).await) });
+            }
+            Command::ForwardOrder(to, order, reply) => {
+                let node = Rc::clone(self);
+                self.spawn(async move { answer(reply, node.forward_to(to, order).await) });
+            }
+            Command::SetLoad(load) => gossip.membership.set_load(load),
+            Command::SetListed(addrs) => gossip.membership.set_listed(addrs),
+            Command::AnnounceLeaving => gossip.membership.announce(State::Leaving, now),
+            Command::Stop(_) => {}
+        }
+    }
+
+    /// Announces that this instance is gone to some peers, within a bounded time.
+    async fn farewell(self: &Rc<Self>) {
+        let now = self.now();
+        let targets = {
+            let mut gossip = self.gossip.borrow_mut();
+            gossip.membership.announce(State::Dead, now);
+            gossip
+                .membership
+                .push_targets(now, &mut *self.rng.borrow_mut())
+        };
+        let talks = targets
+            .into_iter()
+            .map(|target| Rc::clone(self).converse(target));
+        let talks = futures::future::join_all(talks);
+        // Where the time runs out, the others find the silence.
+        let _ = async_std::future::timeout(FAREWELL_TIMEOUT, talks).await;
+    }
+
+    fn publish_view(&self, now: MonoTime) {
+        let gossip = self.gossip.borrow();
+        let members: Arc<[Member]> = gossip.membership.view(now).into();
+        let view = FleetView {
+            unconfirmed: Arc::new(unconfirmed(&gossip, &members)),
+            members,
+            withdrawn: Arc::clone(gossip.news.withdrawn()),
+            records: Arc::clone(gossip.news.records()),
+            bundle: gossip.news.bundle().cloned(),
+            is_superseded: gossip.membership.is_superseded(),
+            is_isolated: gossip.membership.is_isolated(now),
+        };
+        drop(gossip);
+        if let Ok(mut slot) = self.view.write() {
+            *slot = Arc::new(view);
+        }
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        // A failure means that the node is shutting down.
+        let _ = self.spawner.spawn_local(task);
+    }
+
+    /// Has the main loop look again at what is due.
+    fn wake(&self) {
+        // A full channel means that it will do so anyway.
+        let _ = self.wake.0.try_send(());
+    }
+}
+
+fn unconfirmed(gossip: &Gossip, members: &[Member]) -> BTreeMap<String, Vec<String>> {
+    let mut unconfirmed: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for member in members.iter().filter(|member| member.state != State::Dead) {
+        for key in gossip.news.unconfirmed_by(member.progress.withdrawn) {
+            let names = unconfirmed.entry(key.to_owned()).or_default();
+            names.push(member.record.id.name.clone());
+        }
+    }
+    unconfirmed
+}
+
+fn answer<T>(reply: Reply<T>, outcome: Result<T, PeerError>) {
+    // A failure means that the caller no longer waits.
+    let _ = reply.send(outcome);
+}
--- /dev/null
+++ b/crates/apricotlug-peer/src/rpc/mod.rs
@@ -0,0 +1,13 @@
+//! Cap'n Proto RPC between instances. All of it runs on one thread, as its types are not `Send`.
+
+mod client;
+mod pool;
+mod server;
+mod traffic;
+
+pub use traffic::Traffic;
+pub(crate) use {
+    pool::Pool,
+    server::{PeerService, serve},
+    traffic::Meter,
+};
--- /dev/null
+++ b/crates/apricotlug-peer/src/rpc/pool.rs
@@ -0,0 +1,84 @@
+//! Open connections by address.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+
+use apricotlug_model::HashMap;
+use futures::executor::LocalSpawner;
+
+use super::{client::Connection, traffic::Meter};
+use crate::PeerError;
+
+/// Most connections kept open.
+const MAX_CONNECTIONS: usize = 64;
+/// Idle time after which a connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Pool of connections, each replaced after its first failed call.
+pub(crate) struct Pool {
+    connections: RefCell<HashMap<SocketAddr, Rc<Connection>>>,
+    meter: Arc<Meter>,
+    spawner: LocalSpawner,
+}
+
+impl Pool {
+    pub fn new(meter: Arc<Meter>, spawner: LocalSpawner) -> Self {
+        Self {
+            connections: RefCell::default(),
+            meter,
+            spawner,
+        }
+    }
+
+    /// Returns an open connection, and whether it was open before.
+    ///
+    /// # Errors
+    /// Where no connection can be opened; nothing was sent then.
+    pub async fn get(&self, addr: SocketAddr) -> Result<(Rc<Connection>, bool), PeerError> {
+        if let Some(connection) = self.cached(addr) {
+            return Ok((connection, true));
+        }
+        Ok((self.open(addr).await?, false))
+    }
+
+    /// Opens a new connection in place of the one that may be there.
+    ///
+    /// # Errors
+    /// Where no connection can be opened; nothing was sent then.
+    pub async fn open(&self, addr: SocketAddr) -> Result<Rc<Connection>, PeerError> {
+        let meter = Arc::clone(&self.meter);
+        let opened = Connection::open(addr, meter, &self.spawner).await;
+        let opened = opened.inspect_err(|_| Meter::count(&self.meter.calls_failed, 1))?;
+        self.connections
+            .borrow_mut()
+            .insert(addr, Rc::clone(&opened));
+        self.close_surplus();
+        Ok(opened)
+    }
+
+    /// Closes connections that are broken or idle.
+    pub fn close_idle(&self) {
+        let mut connections = self.connections.borrow_mut();
+        connections.retain(|_, c| !c.is_broken() && c.idle_time() < IDLE_TIMEOUT);
+    }
+
+    fn cached(&self, addr: SocketAddr) -> Option<Rc<Connection>> {
+        let mut connections = self.connections.borrow_mut();
+        let connection = connections.get(&addr).cloned()?;
+        if connection.is_broken() {
+            connections.remove(&addr);
+            return None;
+        }
+        Some(connection)
+    }
+
+    fn close_surplus(&self) {
+        let mut connections = self.connections.borrow_mut();
+        while connections.len() > MAX_CONNECTIONS {
+            let longest = connections.iter().max_by_key(|(_, c)| c.idle_time());
+            let Some(addr) = longest.map(|(addr, _)| *addr) else {
+                return;
+            };
+            connections.remove(&addr);
+        }
+    }
+}
--- /dev/null
+++ b/crates/apricotlug-peer/src/rpc/server.rs
@@ -0,0 +1,247 @@
+//! Calls from other instances.
+
+use std::{
+    cell::Cell,
+    net::Shutdown,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use apricotlug_model::{InstanceId, UnixTime};
+use async_std::net::{TcpListener, TcpStream};
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
+use futures::{
+    FutureExt,
+    executor::LocalSpawner,
+    future::{LocalBoxFuture, select},
+    io::BufReader,
+    task::LocalSpawnExt,
+};
+
+use super::traffic::{Meter, Metered};
+use crate::{
+    ChunkHash, Exchange, MAX_TRANSFER_BYTES, PeerError, Transfer, TransferId, TransferOutcome,
+    peer_capnp::{peer, target, transfer},
+    wire::{fill_exchange, read_chunk_hashes, reader_options},
+};
+
+/// Most connections from other instances.
+const MAX_CONNECTIONS: usize = 512;
+/// Most calls of one connection that wait for an answer.
+const MAX_CALLS: usize = 32;
+/// Silence after which a connection without calls is closed.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(120);
+/// Time between checks for silence.
+const SILENCE_CHECK: Duration = Duration::from_secs(10);
+/// Largest forwarded order, in bytes.
+const MAX_ORDER_BYTES: usize = 1024 * 1024;
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a node does with calls from others.
+pub(crate) trait PeerService: 'static {
+    fn exchange(&self, msg: &Exchange) -> Exchange;
+    fn chunks(&self, hashes: &[ChunkHash]) -> Vec<Vec<u8>>;
+    fn transfer(&self, to: &InstanceId, transfer: Transfer) -> TransferOutcome;
+    fn order(&self, to: &InstanceId, order: Vec<u8>) -> Option<LocalBoxFuture<'static, Vec<u8>>>;
+}
+
+/// Accepts connections for as long as the returned future is polled.
+pub(crate) async fn serve<S: PeerService>(
+    listener: TcpListener,
+    service: Rc<S>,
+    meter: Arc<Meter>,
+    spawner: LocalSpawner,
+) {
+    let open = Rc::new(Cell::new(0));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            async_std::task::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if open.get() >= MAX_CONNECTIONS {
+            continue;
+        }
+        let guard = Slot::take(&open);
+        let served = serve_connection(stream, Rc::clone(&service), Arc::clone(&meter));
+        // A failure means that the node is shutting down.
+        let _ = spawner.spawn_local(served.map(move |()| drop(guard)));
+    }
+}
+
+async fn serve_connection<S: PeerService>(stream: TcpStream, service: Rc<S>, meter: Arc<Meter>) {
+    // Without it small answers are delayed, which does no harm.
+    let _ = stream.set_nodelay(true);
+    let metered = || Metered {
+        stream: stream.clone(),
+        meter: Arc::clone(&meter),
+    };
+    let reader = BufReader::new(metered());
+    let network = VatNetwork::new(reader, metered(), Side::Server, reader_options());
+    let activity = Rc::new(Activity::default());
+    let server = Server {
+        service,
+        meter: Arc::clone(&meter),
+        activity: Rc::clone(&activity),
+    };
+    let client: peer::Client = capnp_rpc::new_client(server);
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    select(system, Box::pin(activity.silence())).await;
+    // A failure means that the other side closed it first.
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+/// One of a bounded number of slots; given back on drop.
+struct Slot(Rc<Cell<usize>>);
+
+impl Slot {
+    fn take(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Calls of one connection.
+struct Activity {
+    calls: Rc<Cell<usize>>,
+    called_at: Cell<Instant>,
+}
+
+impl Default for Activity {
+    fn default() -> Self {
+        Self {
+            calls: Rc::default(),
+            called_at: Cell::new(Instant::now()),
+        }
+    }
+}
+
+impl Activity {
+    fn begin(&self) -> Result<Slot, capnp::Error> {
+        self.called_at.set(Instant::now());
+        if self.calls.get() >= MAX_CALLS {
+            return Err(capnp::Error::overloaded("too many calls in flight".into()));
+        }
+        Ok(Slot::take(&self.calls))
+    }
+
+    async fn silence(&self) {
+        while self.calls.get() > 0 || self.called_at.get().elapsed() < SILENCE_TIMEOUT {
+            async_std::task::sleep(SILENCE_CHECK).await;
+        }
+    }
+}
+
+struct Server<S> {
+    service: Rc<S>,
+    meter: Arc<Meter>,
+    activity: Rc<Activity>,
+}
+
+impl<S: PeerService> Server<S> {
+    fn begin(&self) -> Result<Slot, capnp::Error> {
+        Meter::count(&self.meter.calls_in, 1);
+        self.activity.begin()
+    }
+}
+
+impl<S: PeerService> peer::Server for Server<S> {
+    async fn exchange(
+        self: Rc<Self>,
+        params: peer::ExchangeParams,
+        mut results: peer::ExchangeResults,
+    ) -> Result<(), capnp::Error> {
+        let _slot = self.begin()?;
+        let msg = Exchange::try_from(params.get()?.get_message()?).map_err(refuse)?;
+        let reply = self.service.exchange(&msg);
+        fill_exchange(&reply, results.get().init_reply());
+        Ok(())
+    }
+
+    async fn fetch_chunks(
+        self: Rc<Self>,
+        params: peer::FetchChunksParams,
+        mut results: peer::FetchChunksResults,
+    ) -> Result<(), capnp::Error> {
+        let _slot = self.begin()?;
+        let hashes = read_chunk_hashes(params.get()?.get_hashes()?).map_err(refuse)?;
+        let chunks = self.service.chunks(&hashes);
+        let mut list = results.get().init_chunks(chunks.len() as u32);
+        for (i, chunk) in (0..).zip(&chunks) {
+            list.set(i, chunk);
+        }
+        Ok(())
+    }
+
+    async fn transfer(
+        self: Rc<Self>,
+        params: peer::TransferParams,
+        mut results: peer::TransferResults,
+    ) -> Result<(), capnp::Error> {
+        let _slot = self.begin()?;
+        let params = params.get()?;
+        let to = InstanceId::try_from(params.get_to()?).map_err(refuse)?;
+        let transfer = Transfer::try_from(params.get_transfer()?).map_err(refuse)?;
+        let outcome = self.service.transfer(&to, transfer);
+        results.get().set_outcome(outcome.into());
+        Ok(())
+    }
+
+    async fn forward_order(
+        self: Rc<Self>,
+        params: peer::ForwardOrderParams,
+        mut results: peer::ForwardOrderResults,
+    ) -> Result<(), capnp::Error> {
+        let _slot = self.begin()?;
+        let params = params.get()?;
+        let to = InstanceId::try_from(params.get_to()?).map_err(refuse)?;
+        let order = params.get_order()?;
+        if order.len() > MAX_ORDER_BYTES {
+            return Err(refuse(PeerError::Malformed("length of an order")));
+        }
+        match self.service.order(&to, order.to_vec()) {
+            Some(answer) => results.get().set_answer(&answer.await),
+            None => results.get().set_is_gone(true),
+        }
+        Ok(())
+    }
+}
+
+impl TryFrom<target::Reader<'_>> for InstanceId {
+    type Error = PeerError;
+
+    fn try_from(reader: target::Reader) -> Result<Self, PeerError> {
+        Ok(Self {
+            name: reader.get_name()?.to_str()?.to_owned(),
+            incarnation: reader.get_incarnation(),
+        })
+    }
+}
+
+impl TryFrom<transfer::Reader<'_>> for Transfer {
+    type Error = PeerError;
+
+    fn try_from(reader: transfer::Reader) -> Result<Self, PeerError> {
+        let payload = reader.get_payload()?;
+        if payload.len() > MAX_TRANSFER_BYTES {
+            return Err(PeerError::Malformed("length of a transfer"));
+        }
+        let id = u128::from(reader.get_id_high()) << 64 | u128::from(reader.get_id_low());
+        Ok(Self {
+            id: TransferId(id),
+            expires: UnixTime(reader.get_expires_unix_micros()),
+            payload: payload.to_vec(),
+        })
+    }
+}
+
+fn refuse(e: PeerError) -> capnp::Error {
+    capnp::Error::failed(e.to_string())
+}
--- /dev/null
+++ b/crates/apricotlug-peer/src/wire/mod.rs
@@ -0,0 +1,62 @@
+//! Conversion between plain messages and their Cap'n Proto form. What breaks a limit is refused
+//! as a whole.
+
+mod decode;
+mod encode;
+mod member;
+
+use capnp::{message::ReaderOptions, serialize};
+
+use crate::{Exchange, PeerError, peer_capnp::exchange};
+
+pub(crate) use {decode::read_chunk_hashes, encode::fill as fill_exchange};
+
+/// Largest message, in words of 8 bytes: a fetch of four chunks fits.
+const MAX_MESSAGE_WORDS: usize = 1024 * 1024;
+/// Deepest nesting of a message.
+const MAX_NESTING: i32 = 24;
+
+/// Returns the limits under which messages are read.
+pub(crate) fn reader_options() -> ReaderOptions {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
+    options.nesting_limit(MAX_NESTING);
+    options
+}
+
+/// Serialises a message.
+#[must_use]
+pub fn encode_exchange(msg: &Exchange) -> Vec<u8> {
+    let mut message = capnp::message::Builder::new_default();
+    encode::fill(msg, message.init_root::<exchange::Builder>());
+    serialize::write_message_to_words(&message)
+}
+
+/// Parses a message.
+///
+/// # Errors
+/// Where the bytes are malformed or break a limit.
+pub fn decode_exchange(mut bytes: &[u8]) -> Result<Exchange, PeerError> {
+    let message = serialize::read_message_from_flat_slice(&mut bytes, reader_options());
+    let message = message.map_err(|_| PeerError::Malformed("framing"))?;
+    let reader = message.get_root::<exchange::Reader>();
+    Exchange::try_from(reader.map_err(|_| PeerError::Malformed("root"))?)
+}
+
+impl From<capnp::Error> for PeerError {
+    fn from(_: capnp::Error) -> Self {
+        Self::Malformed("structure")
+    }
+}
+
+impl From<capnp::NotInSchema> for PeerError {
+    fn from(_: capnp::NotInSchema) -> Self {
+        Self::Malformed("unknown enum value")
+    }
+}
+
+impl From<std::str::Utf8Error> for PeerError {
+    fn from(_: std::str::Utf8Error) -> Self {
+        Self::Malformed("text")
+    }
+}
