--- a/crates/apricotlug-config/src/settings.rs
+++ b/crates/apricotlug-config/src/settings.rs
@@ -69,6 +69,15 @@
         ("trace", Self::Trace),
     ];
 
+    /// Returns the level that a word of the settings stands for.
+    #[must_use]
+    pub fn from_word(word: &str) -> Option<Self> {
+        Self::WORDS
+            .into_iter()
+            .find(|(known, _)| *known == word)
+            .map(|(_, level)| level)
+    }
+
     /// Returns the word that settings use.
     #[must_use]
     pub fn as_str(self) -> &'static str {
--- a/crates/apricotlug-edge/src/caller.rs
+++ b/crates/apricotlug-edge/src/caller.rs
@@ -199,14 +199,14 @@
 
 fn unidentified(why: Unidentified) -> Refusal {
     match why {
-        Unidentified::NoKey => {
+        Unidentified::Missing => {
             Refusal::not_run(401, "no_key", "send `authorization: Bearer ID.SECRET`")
         }
-        Unidentified::UnknownKey => Refusal::not_run(401, "unknown_key", "check the key"),
-        Unidentified::WithdrawnKey => {
+        Unidentified::Unknown => Refusal::not_run(401, "unknown_key", "check the key"),
+        Unidentified::Withdrawn => {
             Refusal::not_run(401, "withdrawn_key", "ask the operators for a new key")
         }
-        Unidentified::RepeatedKey => {
+        Unidentified::Repeated => {
             Refusal::not_run(400, "repeated_key", "send the key in `authorization` only")
         }
     }
--- a/crates/apricotlug-edge/src/exchange.rs
+++ b/crates/apricotlug-edge/src/exchange.rs
@@ -73,7 +73,9 @@
 
 /// Writes the line that is logged when a request ends.
 pub fn log_end(ex: &Exchange, bundle: &Bundle, end: &End, latency: Duration) {
-    let account = ex.account.map_or("-", |key| bundle.accounts[key].id.as_str());
+    let account = ex
+        .account
+        .map_or("-", |key| bundle.accounts[key].id.as_str());
     tracing::info!(
         kind = "request",
         request = ex.id,
--- a/crates/apricotlug-edge/src/gate.rs
+++ b/crates/apricotlug-edge/src/gate.rs
@@ -2,7 +2,9 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use apricotlug_model::{AccountKey, Bundle, BundleVersion, DataCentreKey, InstanceId, MonoTime, Repeat};
+use apricotlug_model::{
+    AccountKey, Bundle, BundleVersion, DataCentreKey, InstanceId, MonoTime, Repeat,
+};
 use apricotlug_policy::{
     budget::{Admission, Budgets},
     order::{AttemptState, OrderLimits, Orders},
@@ -177,7 +179,9 @@
         attempt_state: AttemptState,
     ) -> bool {
         let retries = &mut lock(&self.state).retries;
-        retries.may_retry(now, deadline, attempt, repeat, attempt_state).is_retry()
+        retries
+            .may_retry(now, deadline, attempt, repeat, attempt_state)
+            .is_retry()
     }
 
     /// Returns the table of orders.
--- a/crates/apricotlug-edge/src/identify.rs
+++ b/crates/apricotlug-edge/src/identify.rs
@@ -13,13 +13,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unidentified {
     /// No key came with it, or not in the expected form.
-    NoKey,
+    Missing,
     /// The key is unknown or its secret is wrong.
-    UnknownKey,
+    Unknown,
     /// The key is withdrawn.
-    WithdrawnKey,
+    Withdrawn,
     /// The secret also stands elsewhere in the head, and would reach a backend server.
-    RepeatedKey,
+    Repeated,
 }
 
 /// Returns the client account that the request's key belongs to; none on a route open to all.
@@ -35,12 +35,12 @@
     if let Some((_, secret)) = &key
         && is_repeated(head, secret)
     {
-        return Err(Unidentified::RepeatedKey);
+        return Err(Unidentified::Repeated);
     }
     match route.access {
         Access::Open => Ok(None),
         Access::Keyed => {
-            let (id, secret) = key.ok_or(Unidentified::NoKey)?;
+            let (id, secret) = key.ok_or(Unidentified::Missing)?;
             account(view, &id, &secret).map(Some)
         }
     }
@@ -57,13 +57,13 @@
 }
 
 fn account(view: &View, id: &str, secret: &str) -> Result<AccountKey, Unidentified> {
-    let bundle = view.bundle.as_ref().ok_or(Unidentified::UnknownKey)?;
-    let credential = bundle.credentials.get(id).ok_or(Unidentified::UnknownKey)?;
+    let bundle = view.bundle.as_ref().ok_or(Unidentified::Unknown)?;
+    let credential = bundle.credentials.get(id).ok_or(Unidentified::Unknown)?;
     if !credential::verify(&credential.hash, secret) {
-        return Err(Unidentified::UnknownKey);
+        return Err(Unidentified::Unknown);
     }
     if credential.is_withdrawn || view.withdrawn.contains(id) {
-        return Err(Unidentified::WithdrawnKey);
+        return Err(Unidentified::Withdrawn);
     }
     Ok(credential.account)
 }
--- a/crates/apricotlug-edge/src/remote.rs
+++ b/crates/apricotlug-edge/src/remote.rs
@@ -65,8 +65,14 @@
 /// Answer to it.
 #[derive(Debug, Serialize, Deserialize)]
 enum AnswerWire {
-    Answered { status: u16, headers: Vec<(String, Vec<u8>)>, body: Vec<u8> },
-    NotRun { code: String },
+    Answered {
+        status: u16,
+        headers: Vec<(String, Vec<u8>)>,
+        body: Vec<u8>,
+    },
+    NotRun {
+        code: String,
+    },
     Ran,
     Unknown,
 }
@@ -80,7 +86,9 @@
     caller: &mut Conn,
     holder: &InstanceId,
 ) -> Claimed {
-    let Some(fleet) = shared.fleet() else { return Claimed::Refuse(unknown()) };
+    let Some(fleet) = shared.fleet() else {
+        return Claimed::Refuse(unknown());
+    };
     if let Err(refusal) = read_whole(body, caller).await {
         return Claimed::Refuse(refusal);
     }
@@ -89,10 +97,17 @@
         account: ex.account.map(|key| bundle.accounts[key].id.clone()),
         method: ex.head.method.clone(),
         target: ex.head.target.clone(),
-        headers: ex.head.headers.iter().map(|(n, v)| (n.to_owned(), v.to_owned())).collect(),
+        headers: ex
+            .head
+            .headers
+            .iter()
+            .map(|(n, v)| (n.to_owned(), v.to_owned()))
+            .collect(),
         body: std::mem::take(&mut body.kept),
     };
-    let Ok(order) = serde_json::to_vec(&wire) else { return Claimed::Refuse(unknown()) };
+    let Ok(order) = serde_json::to_vec(&wire) else {
+        return Claimed::Refuse(unknown());
+    };
     let forwarded = fleet.forward(holder.clone(), order).await;
     tracing::info!(
         kind = "order_forwarded",
@@ -108,9 +123,15 @@
 
 fn claimed_from(bytes: &[u8]) -> Claimed {
     match serde_json::from_slice(bytes) {
-        Ok(AnswerWire::Answered { status, headers, body }) => {
-            Claimed::Repeat(Arc::new(KeptAnswer { status, headers, body }))
-        }
+        Ok(AnswerWire::Answered {
+            status,
+            headers,
+            body,
+        }) => Claimed::Repeat(Arc::new(KeptAnswer {
+            status,
+            headers,
+            body,
+        })),
         Ok(AnswerWire::NotRun { .. }) => Claimed::Refuse(Refusal::not_run(
             503,
             "holder_refused",
@@ -158,8 +179,12 @@
         "claim_unavailable",
         "send an order token, which needs no claim",
     );
-    let Some(fleet) = shared.fleet() else { return Claimed::Refuse(unavailable) };
-    let account = ex.account.map_or("", |key| bundle.accounts[key].id.as_str());
+    let Some(fleet) = shared.fleet() else {
+        return Claimed::Refuse(unavailable);
+    };
+    let account = ex
+        .account
+        .map_or("", |key| bundle.accounts[key].id.as_str());
     match fleet.claim(account.to_owned(), order.id.key.clone()).await {
         KeyClaim::New => {
             let life = shared.gate.orders().limits().token_life;
@@ -178,16 +203,26 @@
 pub async fn answer(shared: &Shared, order: &[u8]) -> Vec<u8> {
     let answer = match serde_json::from_slice::<OrderWire>(order) {
         Ok(wire) => run_forwarded(shared, wire).await,
-        Err(_) => AnswerWire::NotRun { code: "malformed".to_owned() },
+        Err(_) => AnswerWire::NotRun {
+            code: "malformed".to_owned(),
+        },
     };
     serde_json::to_vec(&answer).unwrap_or_default()
 }
 
 async fn run_forwarded(shared: &Shared, wire: OrderWire) -> AnswerWire {
-    let not_run = |code: &str| AnswerWire::NotRun { code: code.to_owned() };
-    let Some(bundle) = shared.view.load().bundle.clone() else { return not_run("no_bundle") };
-    let Some((ex, body)) = exchange(shared, &bundle, wire) else { return not_run("no_route") };
-    let Some(order) = &ex.order else { return not_run("no_order") };
+    let not_run = |code: &str| AnswerWire::NotRun {
+        code: code.to_owned(),
+    };
+    let Some(bundle) = shared.view.load().bundle.clone() else {
+        return not_run("no_bundle");
+    };
+    let Some((ex, body)) = exchange(shared, &bundle, wire) else {
+        return not_run("no_route");
+    };
+    let Some(order) = &ex.order else {
+        return not_run("no_order");
+    };
     let claimed = match &order.name {
         OrderName::Token(token) if token.holder != shared.identity => return AnswerWire::Unknown,
         OrderName::Token(token) => begin(shared, order, token.expires_at),
@@ -232,17 +267,18 @@
     }
 }
 
-fn exchange(
-    shared: &Shared,
-    bundle: &Bundle,
-    wire: OrderWire,
-) -> Option<(Exchange, RequestBody)> {
+fn exchange(shared: &Shared, bundle: &Bundle, wire: OrderWire) -> Option<(Exchange, RequestBody)> {
     let mut headers = Headers::default();
     for (name, value) in wire.headers {
         headers.push(&name, value);
     }
     headers.remove(OUTCOME_HEADER);
-    let head = RequestHead { method: wire.method, target: wire.target, minor: 1, headers };
+    let head = RequestHead {
+        method: wire.method,
+        target: wire.target,
+        minor: 1,
+        headers,
+    };
     let route = bundle.route(head.path())?;
     let account = match wire.account {
         Some(id) => Some(bundle.accounts.find(|account| account.id == id)?),
--- a/crates/apricotlug-edge/src/run.rs
+++ b/crates/apricotlug-edge/src/run.rs
@@ -37,7 +37,9 @@
 
 impl Drop for Permit<'_> {
     fn drop(&mut self) {
-        self.shared.gate.settle(&self.choice, self.outcome, self.shared.clock.now());
+        self.shared
+            .gate
+            .settle(&self.choice, self.outcome, self.shared.clock.now());
     }
 }
 
@@ -72,7 +74,11 @@
 
 impl Tried {
     fn give_up(&self, refusal: Refusal) -> Unanswered {
-        Unanswered { refusal, state: self.state, attempts: self.attempts }
+        Unanswered {
+            refusal,
+            state: self.state,
+            attempts: self.attempts,
+        }
     }
 }
 
@@ -88,7 +94,11 @@
     body: &mut RequestBody,
     mut caller: Option<&mut Conn>,
 ) -> Result<Obtained<'a>, Unanswered> {
-    let mut tried = Tried { state: AttemptState::NotSent, attempts: 0, used: Vec::new() };
+    let mut tried = Tried {
+        state: AttemptState::NotSent,
+        attempts: 0,
+        used: Vec::new(),
+    };
     let mut bundle = Arc::clone(bundle);
     let mut route = ex.route;
     let repeat = bundle.routes[route].repeat;
@@ -116,8 +126,15 @@
                 shared.metrics.on_attempt("answered");
                 let latency = shared.clock.now().since(sent_at);
                 let server_error = answer.head.status >= 500;
-                permit.outcome = Outcome::Answered { latency, server_error };
-                return Ok(Obtained { answer, permit, attempts: tried.attempts });
+                permit.outcome = Outcome::Answered {
+                    latency,
+                    server_error,
+                };
+                return Ok(Obtained {
+                    answer,
+                    permit,
+                    attempts: tried.attempts,
+                });
             }
             Err(failure) => {
                 shared.metrics.on_attempt(failure.why);
@@ -148,8 +165,17 @@
     ex: &Exchange,
     tried: &Tried,
 ) -> Result<Permit<'a>, NoPlace> {
-    let want = Want { service: route.service, version: None, exclude: &tried.used };
-    let choice = shared.gate.place(bundle, &want, shared.clock.now())?;
+    let want = Want {
+        service: route.service,
+        version: None,
+        exclude: &tried.used,
+    };
+    let choice = shared
+        .gate
+        .place(bundle, &want, shared.clock.now())
+        .inspect_err(|no_place| {
+            tracing::info!(kind = "no_place", request = ex.id, reason = ?no_place.reason);
+        })?;
     let endpoint = &bundle.endpoints[choice.endpoint];
     tracing::info!(
         kind = "placement",
@@ -159,7 +185,11 @@
         candidates = choice.candidates,
         reason = ?choice.reason,
     );
-    Ok(Permit { shared, choice, outcome: Outcome::Cancelled })
+    Ok(Permit {
+        shared,
+        choice,
+        outcome: Outcome::Cancelled,
+    })
 }
 
 fn target(
@@ -172,7 +202,11 @@
 ) -> Target {
     let may_repeat = repeat == Repeat::Idempotent;
     let left = shared.clock.left(ex.deadline);
-    let deadline = if may_repeat { now.after(left / FIRST_ATTEMPT_PART) } else { ex.deadline };
+    let deadline = if may_repeat {
+        now.after(left / FIRST_ATTEMPT_PART)
+    } else {
+        ex.deadline
+    };
     Target {
         addr: bundle.endpoints[permit.choice.endpoint].addr,
         deadline,
@@ -193,13 +227,18 @@
     if let Some(e) = &failure.caller {
         let cut = Refusal::unknown(400, "request_cut", "send the whole request");
         let refusal = answer::malformed(e).unwrap_or(cut);
-        return Some(Refusal { outcome: answer::Outcome::Unknown, ..refusal });
+        return Some(Refusal {
+            outcome: answer::Outcome::Unknown,
+            ..refusal
+        });
     }
     let now = shared.clock.now();
     let is_allowed = failure.state.disposition(repeat) == Disposition::MayRetry
         && body.is_replayable
         && ex.deadline.since(now) > MIN_LEFT
-        && shared.gate.may_retry(now, ex.deadline, tried.attempts, repeat, failure.state);
+        && shared
+            .gate
+            .may_retry(now, ex.deadline, tried.attempts, repeat, failure.state);
     if is_allowed {
         return None;
     }
@@ -223,7 +262,10 @@
 }
 
 fn log_failure(bundle: &Bundle, ex: &Exchange, tried: &Tried, failure: &Failure) {
-    let endpoint = tried.used.last().map_or("-", |key| bundle.endpoints[*key].id.as_str());
+    let endpoint = tried
+        .used
+        .last()
+        .map_or("-", |key| bundle.endpoints[*key].id.as_str());
     tracing::info!(
         kind = "attempt_failed",
         request = ex.id,
--- a/crates/apricotlug-edge/src/settle.rs
+++ b/crates/apricotlug-edge/src/settle.rs
@@ -42,7 +42,13 @@
 
 impl End {
     fn closing(status: u16, result: &'static str, attempts: u32) -> Self {
-        Self { status, result, attempts, bytes: 0, next: Next::Close }
+        Self {
+            status,
+            result,
+            attempts,
+            bytes: 0,
+            next: Next::Close,
+        }
     }
 }
 
@@ -53,10 +59,18 @@
     ex: &Exchange,
     obtained: Obtained<'_>,
 ) -> End {
-    let Obtained { mut answer, mut permit, attempts } = obtained;
+    let Obtained {
+        mut answer,
+        mut permit,
+        attempts,
+    } = obtained;
     let status = answer.head.status;
     let is_closing = !answer.is_request_whole || ex.is_closing || shared.drain.is_leaving();
-    let keep_bytes = if ex.order.is_some() { shared.gate.kept_answer_bytes() } else { 0 };
+    let keep_bytes = if ex.order.is_some() {
+        shared.gate.kept_answer_bytes()
+    } else {
+        0
+    };
     let Ok(delivered) = deliver(ex, &mut answer, conn, is_closing, keep_bytes).await else {
         order::settle_unanswered(shared, ex, AttemptState::PerhapsRun);
         return End::closing(status, "caller_gone", attempts);
@@ -72,8 +86,18 @@
     if !delivered.may_go_on {
         conn.linger().await;
     }
-    let next = if delivered.may_go_on { Next::KeepAlive } else { Next::Close };
-    End { status, result: "answered", attempts, bytes: delivered.bytes, next }
+    let next = if delivered.may_go_on {
+        Next::KeepAlive
+    } else {
+        Next::Close
+    };
+    End {
+        status,
+        result: "answered",
+        attempts,
+        bytes: delivered.bytes,
+        next,
+    }
 }
 
 /// Reads the whole answer to a request that another instance passed on.
@@ -86,7 +110,11 @@
     obtained: Obtained<'_>,
     most: usize,
 ) -> Result<KeptAnswer, Refusal> {
-    let Obtained { mut answer, mut permit, .. } = obtained;
+    let Obtained {
+        mut answer,
+        mut permit,
+        ..
+    } = obtained;
     let Ok(kept) = collect(ex, &mut answer, most).await else {
         permit.outcome = Outcome::Broken;
         order::settle_unanswered(shared, ex, AttemptState::PerhapsRun);
@@ -148,7 +176,13 @@
 ) -> End {
     let is_closing = is_closing(shared, ex, body);
     let bytes = order::encode_repeat(ex, answer, is_closing);
-    reply(conn, &bytes, is_closing, End::closing(answer.status, "repeated", 0)).await
+    reply(
+        conn,
+        &bytes,
+        is_closing,
+        End::closing(answer.status, "repeated", 0),
+    )
+    .await
 }
 
 fn is_closing(shared: &Shared, ex: &Exchange, body: &RequestBody) -> bool {
@@ -157,7 +191,10 @@
 
 async fn reply(conn: &mut Conn, bytes: &[u8], is_closing: bool, end: End) -> End {
     match answer::send(conn, bytes, is_closing).await {
-        Ok(()) if !is_closing => End { next: Next::KeepAlive, ..end },
+        Ok(()) if !is_closing => End {
+            next: Next::KeepAlive,
+            ..end
+        },
         _ => end,
     }
 }
--- a/crates/apricotlug-edge/src/shared.rs
+++ b/crates/apricotlug-edge/src/shared.rs
@@ -13,7 +13,10 @@
 use apricotlug_model::{Bundle, InstanceId};
 use rand::{SeedableRng, rngs::SmallRng};
 
-use crate::{clock::Clock, drain::Drain, gate::Gate, metrics::Metrics, pool::Pool, remote::Fleet, view::ViewCell};
+use crate::{
+    clock::Clock, drain::Drain, gate::Gate, metrics::Metrics, pool::Pool, remote::Fleet,
+    view::ViewCell,
+};
 
 /// State shared by all tasks of one entry instance.
 pub struct Shared {
@@ -122,6 +125,8 @@
 
 impl fmt::Debug for Shared {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Shared").field("identity", &self.identity).finish_non_exhaustive()
+        f.debug_struct("Shared")
+            .field("identity", &self.identity)
+            .finish_non_exhaustive()
     }
 }
--- a/crates/apricotlug-node/src/lookups.rs
+++ b/crates/apricotlug-node/src/lookups.rs
@@ -145,10 +145,17 @@
     let named = req.url().query_pairs().find(|(name, _)| name == "client");
     let client = match named {
         Some((_, text)) => text.parse().ok(),
-        None => req.remote().and_then(|addr| addr.parse::<SocketAddr>().ok()).map(|addr| addr.ip()),
+        None => req
+            .remote()
+            .and_then(|addr| addr.parse::<SocketAddr>().ok())
+            .map(|addr| addr.ip()),
     };
     let Some(client) = client else {
-        return Ok(problem(StatusCode::BadRequest, "bad_client", "send client=IP-ADDRESS"));
+        return Ok(problem(
+            StatusCode::BadRequest,
+            "bad_client",
+            "send client=IP-ADDRESS",
+        ));
     };
     pages.shared.metrics.on_lookup();
     let found = pages.lookups.lookup(client, pages.shared.clock.unix());
@@ -167,7 +174,10 @@
         let help = "no region has room; ask again shortly";
         return Ok(problem(StatusCode::ServiceUnavailable, "no_room", help));
     }
-    Ok(json_response(StatusCode::Ok, &pages.lookups.describe(version, &answer)))
+    Ok(json_response(
+        StatusCode::Ok,
+        &pages.lookups.describe(version, &answer),
+    ))
 }
 
 async fn order_tokens(req: Request<LookupPages>) -> tide::Result {
@@ -179,20 +189,33 @@
     let named = req.url().query_pairs().find(|(name, _)| name == "count");
     let count = named.map_or(Some(1), |(_, text)| text.parse().ok());
     match count {
-        Some(count) if (1..=MAX_TOKENS).contains(&count) => {
-            Ok(json_response(StatusCode::Ok, &pages.lookups.issue(&pages.shared, count)))
-        }
-        _ => Ok(problem(StatusCode::BadRequest, "bad_count", "send count=1 to count=100")),
+        Some(count) if (1..=MAX_TOKENS).contains(&count) => Ok(json_response(
+            StatusCode::Ok,
+            &pages.lookups.issue(&pages.shared, count),
+        )),
+        _ => Ok(problem(
+            StatusCode::BadRequest,
+            "bad_count",
+            "send count=1 to count=100",
+        )),
     }
 }
 
 async fn ready(req: Request<LookupPages>) -> tide::Result {
     let shared = &req.state().shared;
     if shared.drain.is_leaving() {
-        return Ok(problem(StatusCode::ServiceUnavailable, "leaving", "the instance is leaving"));
+        return Ok(problem(
+            StatusCode::ServiceUnavailable,
+            "leaving",
+            "the instance is leaving",
+        ));
     }
     if shared.view.load().bundle.is_none() {
-        return Ok(problem(StatusCode::ServiceUnavailable, "no_bundle", "no bundle received yet"));
+        return Ok(problem(
+            StatusCode::ServiceUnavailable,
+            "no_bundle",
+            "no bundle received yet",
+        ));
     }
     Ok(json_response(StatusCode::Ok, &json!({ "ready": true })))
 }
--- a/crates/apricotlug-node/src/node.rs
+++ b/crates/apricotlug-node/src/node.rs
@@ -71,9 +71,15 @@
         let caller = bind(settings.listen.caller).await?;
         let lookup = bind(settings.listen.lookup).await?;
         let admin = bind(settings.listen.admin).await?;
-        let addrs = Addrs { caller: caller.1, lookup: lookup.1, admin: admin.1 };
-        let identity =
-            InstanceId { name: settings.instance.clone(), incarnation: cfg.incarnation };
+        let addrs = Addrs {
+            caller: caller.1,
+            lookup: lookup.1,
+            admin: admin.1,
+        };
+        let identity = InstanceId {
+            name: settings.instance.clone(),
+            incarnation: cfg.incarnation,
+        };
         let seed = cfg.incarnation;
         let shared = Arc::new(Shared::new(identity, settings.data_centre.clone(), seed));
         let lookups = Arc::new(Lookups::new(seed.rotate_left(1)));
@@ -82,13 +88,21 @@
             seed: seed.rotate_left(2),
             ..ClientConfig::default()
         });
-        let pages = LookupPages { shared: Arc::clone(&shared), lookups: Arc::clone(&lookups) };
+        let pages = LookupPages {
+            shared: Arc::clone(&shared),
+            lookups: Arc::clone(&lookups),
+        };
         let lookup_app = Arc::new(lookups::app(pages));
-        let admin_app = Arc::new(pages::app(AdminPages { shared: Arc::clone(&shared) }));
+        let admin_app = Arc::new(pages::app(AdminPages {
+            shared: Arc::clone(&shared),
+        }));
         let tasks = vec![
             task::spawn(async move { log_end(serve_app(lookup.0, lookup_app).await) }),
             task::spawn(async move { log_end(serve_app(admin.0, admin_app).await) }),
-            task::spawn(sync::follow(BundleStore::new(client.clone()), Arc::clone(&shared))),
+            task::spawn(sync::follow(
+                BundleStore::new(client.clone()),
+                Arc::clone(&shared),
+            )),
             task::spawn(keep_seats(Arc::clone(&shared), client)),
             task::spawn(follow_fleet(Arc::clone(&shared), lookups, addrs)),
         ];
@@ -101,7 +115,13 @@
             admin = %addrs.admin,
         );
         let drain = Duration::from_millis(settings.drain_ms.into());
-        Ok(Self { shared, addrs, accept, tasks, drain })
+        Ok(Self {
+            shared,
+            addrs,
+            accept,
+            tasks,
+            drain,
+        })
     }
 
     /// Returns the addresses that it listens on.
@@ -116,6 +136,16 @@
         &self.shared
     }
 
+    /// Tells whether the instance has a bundle and its part of the budgets.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let generation = self
+            .shared
+            .gate
+            .with_budgets(|budgets| budgets.generation());
+        generation.flatten().is_some()
+    }
+
     /// Leaves: look-ups stop naming the instance, requests in flight end, then it stops. Returns
     /// the number of requests that were still in flight at the end of the time allowed.
     pub async fn leave(self) -> usize {
@@ -178,9 +208,15 @@
                 addr: addrs.caller,
                 data_centre: own,
                 state,
-                load: InstanceLoad { outstanding: 0, slots: 1 },
+                load: InstanceLoad {
+                    outstanding: 0,
+                    slots: 1,
+                },
+            };
+            let named = Named {
+                name: shared.identity.name.clone(),
+                lookup: addrs.lookup,
             };
-            let named = Named { name: shared.identity.name.clone(), lookup: addrs.lookup };
             let names = BTreeMap::from([(addrs.caller, named)]);
             lookups.update(&bundle, own, &[entry], names, shared.clock.unix());
         }
--- a/crates/apricotlug-node/src/pages.rs
+++ b/crates/apricotlug-node/src/pages.rs
@@ -26,11 +26,17 @@
 
 async fn metrics(req: Request<AdminPages>) -> tide::Result {
     let page = req.state().shared.metrics.page();
-    Ok(Response::builder(StatusCode::Ok).content_type("text/plain").body(page).build())
+    Ok(Response::builder(StatusCode::Ok)
+        .content_type("text/plain")
+        .body(page)
+        .build())
 }
 
 async fn status(req: Request<AdminPages>) -> tide::Result {
-    Ok(json_response(StatusCode::Ok, &describe(&req.state().shared)))
+    Ok(json_response(
+        StatusCode::Ok,
+        &describe(&req.state().shared),
+    ))
 }
 
 fn describe(shared: &Shared) -> Value {
--- a/crates/apricotlug-node/src/seats.rs
+++ b/crates/apricotlug-node/src/seats.rs
@@ -71,7 +71,12 @@
     /// Creates the driver.
     #[must_use]
     pub fn new(shared: Arc<Shared>, client: Client, reports: Arc<Reports>) -> Self {
-        Self { shared, client, reports, known: Known::default() }
+        Self {
+            shared,
+            client,
+            reports,
+            known: Known::default(),
+        }
     }
 
     /// Takes one step on both plans. Returns the allotments of the instances.
@@ -79,7 +84,9 @@
     /// # Errors
     /// Returns an error where the platform cannot be asked or a record is malformed.
     pub async fn step(&mut self) -> Result<Vec<Allotments>, StepError> {
-        let Some(bundle) = self.shared.view.load().bundle.clone() else { return Ok(Vec::new()) };
+        let Some(bundle) = self.shared.view.load().bundle.clone() else {
+            return Ok(Vec::new());
+        };
         let own = self.shared.data_centre.as_str();
         let seats_key = format!("seats/{own}");
         self.known.shares = self.client.get(SHARES_KEY).await?;
@@ -100,18 +107,24 @@
             now,
         );
         if let Some(plan) = next {
-            let is_written = self.write(SHARES_KEY, self.known.shares.as_ref(), &plan).await?;
+            let is_written = self
+                .write(SHARES_KEY, self.known.shares.as_ref(), &plan)
+                .await?;
             if !is_written {
                 return Ok(Vec::new());
             }
             shares = Some(plan);
         }
-        let Some(shares) = shares else { return Ok(Vec::new()) };
+        let Some(shares) = shares else {
+            return Ok(Vec::new());
+        };
         let next = step_seats(seats.as_ref(), &shares, own, &reports, Terms::DEFAULT, now);
         let plan = match next {
             None => seats,
             Some(plan) => {
-                let is_written = self.write(&seats_key, self.known.seats.as_ref(), &plan).await?;
+                let is_written = self
+                    .write(&seats_key, self.known.seats.as_ref(), &plan)
+                    .await?;
                 self.known.seats = None;
                 if !is_written {
                     return Ok(Vec::new());
@@ -119,8 +132,14 @@
                 Some(plan)
             }
         };
-        let Some(plan) = plan else { return Ok(Vec::new()) };
-        Ok(plan.seats.iter().filter_map(|seat| plan.allotments(&seat.holder)).collect())
+        let Some(plan) = plan else {
+            return Ok(Vec::new());
+        };
+        Ok(plan
+            .seats
+            .iter()
+            .filter_map(|seat| plan.allotments(&seat.holder))
+            .collect())
     }
 
     async fn write<H: Clone + Serialize>(
@@ -132,7 +151,13 @@
         let bytes = serde_json::to_vec(&PlanWire::from(plan))
             .map_err(|e| StepError::Malformed(e.to_string()))?;
         let swap = self.client.compare_and_swap(key, expected, &bytes).await?;
-        Ok(matches!(swap, Swap::Written { is_superseded: false, .. }))
+        Ok(matches!(
+            swap,
+            Swap::Written {
+                is_superseded: false,
+                ..
+            }
+        ))
     }
 }
 
@@ -152,6 +177,11 @@
 /// Installs allotments, if they are meant for this run and newer than those installed.
 pub fn install(shared: &Shared, allotments: &Allotments) {
     // The monotonic clock is read first: a pause in between only shortens the deadlines.
-    let now = Now { mono: shared.clock.now(), unix: shared.clock.unix() };
-    shared.gate.with_budgets(|budgets| budgets.install(allotments, now));
+    let now = Now {
+        mono: shared.clock.now(),
+        unix: shared.clock.unix(),
+    };
+    shared
+        .gate
+        .with_budgets(|budgets| budgets.install(allotments, now));
 }
--- a/crates/apricotlug-node/src/sync.rs
+++ b/crates/apricotlug-node/src/sync.rs
@@ -56,14 +56,12 @@
 
 fn is_newer(shared: &Shared, head: &Head) -> bool {
     let view = shared.view.load();
-    view.bundle.as_ref().is_none_or(|bundle| bundle.version < head.version)
+    view.bundle
+        .as_ref()
+        .is_none_or(|bundle| bundle.version < head.version)
 }
 
-async fn fetch(
-    store: &BundleStore,
-    head: &Head,
-    chunks: &mut Chunks,
-) -> Result<Bundle, NodeError> {
+async fn fetch(store: &BundleStore, head: &Head, chunks: &mut Chunks) -> Result<Bundle, NodeError> {
     let manifest: Manifest = serde_json::from_slice(&head.manifest)?;
     for hash in manifest.missing(|hash| chunks.contains_key(&hash)) {
         if let Some(bytes) = store.read_chunk(StoredHash(hash.0)).await? {
--- a/crates/apricotlug-policy/src/budget/mod.rs
+++ b/crates/apricotlug-policy/src/budget/mod.rs
@@ -27,7 +27,7 @@
 pub use plan::{Grant, Plan, Row, Seat, SeatPlan, SharePlan, Terms};
 pub use step::{step_seats, step_shares};
 pub use transfer::{Receipt, Transfer, TransferId};
-pub use wire::{PlanError, SeatPlanWire, SharePlanWire};
+pub use wire::{PlanError, PlanWire, SeatPlanWire, SharePlanWire};
 
 /// Largest difference between the wall clocks of two machines, drift over a lease included.
 ///
--- a/crates/apricotlug-policy/tests/budget_safety.rs
+++ b/crates/apricotlug-policy/tests/budget_safety.rs
@@ -129,7 +129,7 @@
     disturb(fleet, chaos);
     fleet.deliver();
     gifts(fleet, chaos);
-    if fleet.time / TICK_US % 5 == 0 {
+    if (fleet.time / TICK_US).is_multiple_of(5) {
         fleet.report();
     }
     let running = fleet.running();
--- a/src/commands/bundle.rs
+++ b/src/commands/bundle.rs
@@ -125,7 +125,9 @@
                 Ok(ExitCode::SUCCESS)
             }
             SignOff::Conflict { winner } => {
-                let winner = winner.as_deref().map_or("another bundle".to_owned(), describe);
+                let winner = winner
+                    .as_deref()
+                    .map_or("another bundle".to_owned(), describe);
                 eprintln!("conflict: {winner} is in force; compare, raise the version, try again");
                 Ok(ExitCode::from(CONFLICT))
             }
@@ -154,13 +156,19 @@
         signed_at: UnixTime::now(),
         chunks: hashes,
     };
-    let chunks: Vec<_> =
-        chunks.into_iter().map(|chunk| (ChunkHash(chunk.hash.0), chunk.text.into_bytes())).collect();
+    let chunks: Vec<_> = chunks
+        .into_iter()
+        .map(|chunk| (ChunkHash(chunk.hash.0), chunk.text.into_bytes()))
+        .collect();
     let manifest = serde_json::to_vec(&manifest)?;
     if base.as_ref().is_some_and(|head| head.version >= version) {
-        return Ok(SignOff::Conflict { winner: base.map(Box::new) });
+        return Ok(SignOff::Conflict {
+            winner: base.map(Box::new),
+        });
     }
-    Ok(store.sign_off(base.as_ref(), version, &manifest, &chunks).await?)
+    Ok(store
+        .sign_off(base.as_ref(), version, &manifest, &chunks)
+        .await?)
 }
 
 impl Show {
--- a/src/commands/entry.rs
+++ b/src/commands/entry.rs
@@ -44,9 +44,17 @@
         }
         let _logs = logs::start(settings.log_level);
         let ends = signals::ends().context("cannot watch signals")?;
-        let node = Node::start(NodeConfig { settings, incarnation: rand::random() }).await?;
+        let node = Node::start(NodeConfig {
+            settings,
+            incarnation: rand::random(),
+        })
+        .await?;
         ends.recv().await?;
         let left = node.leave().await;
-        Ok(if left == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        Ok(if left == 0 {
+            ExitCode::SUCCESS
+        } else {
+            ExitCode::FAILURE
+        })
     }
 }
--- a/src/commands/status.rs
+++ b/src/commands/status.rs
@@ -34,7 +34,15 @@
     /// # Errors
     /// Returns an error where the instance cannot be asked.
     pub async fn run(self) -> anyhow::Result<ExitCode> {
-        get(self.addr, if self.metrics { "/metrics" } else { "/v1/status" }).await
+        get(
+            self.addr,
+            if self.metrics {
+                "/metrics"
+            } else {
+                "/v1/status"
+            },
+        )
+        .await
     }
 }
 
@@ -55,5 +63,9 @@
         .await
         .with_context(|| format!("cannot ask {addr}"))?;
     print!("{}", String::from_utf8_lossy(&reply.body));
-    Ok(if reply.head.status == 200 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(if reply.head.status == 200 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
 }
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -23,7 +23,10 @@
         .flatten_event(true)
         .with_current_span(false)
         .with_span_list(false)
-        .with_env_filter(EnvFilter::new(format!("off,apricotlug={0}", level.as_str())))
+        .with_env_filter(EnvFilter::new(format!(
+            "off,apricotlug={0}",
+            level.as_str()
+        )))
         .with_writer(writer);
     // A second start in one process has no effect.
     let _ = subscriber.try_init();
