--- /dev/null
+++ b/crates/apricotlug-peer/tests/support/mod.rs
@@ -0,0 +1,5 @@
+//! Support for the tests of this crate.
+#![allow(dead_code, missing_docs)]
+
+pub mod fleet;
+pub mod relay;
