Take long block lists as one string, a block a line

Cause: at 210,000 blocks a TOML array costs a token, an event and a value for each block and its comma: 82.0 MB resident at the peak, above the 64 MB of a daemon. Ruled out: an own reader for the section, since TOML stays the library's matter; a smaller block type, since the table itself takes 2.5 MB. Change: a site's blocks may stand in one string with white space between them; findings keep their places. Arrays stay for short lists. Conclusion: long lists are written as strings.

--- a/crates/apricotlug-config/examples/bundle_cost.rs
+++ b/crates/apricotlug-config/examples/bundle_cost.rs
@@ -71,12 +71,12 @@
     let held: BTreeSet<_> = hashes.iter().copied().collect();
     let lines: Vec<&str> = text.split_inclusive('\n').collect();
     let block_lines: Vec<usize> = (0..lines.len())
-        .filter(|&i| lines[i].contains("/24\""))
+        .filter(|&i| lines[i].ends_with("/24\n"))
         .collect();
     let mut bytes = Vec::new();
     let mut head_bytes = 0;
     for i in (0..CHANGES).map(|i| block_lines[i * block_lines.len() / CHANGES]) {
-        let changed = lines[i].replace("/24\"", "/25\"");
+        let changed = lines[i].replace("/24", "/25");
         let text = [&lines[..i], &[changed.as_str()], &lines[i + 1..]]
             .concat()
             .concat();
@@ -168,17 +168,11 @@
     }
     f.push_str("]\nroute = [{ id = \"r\", prefix = \"/\", access = \"keyed\", repeat = \"idempotent\", service = \"s\", timeout_ms = 1000 }]\n\n[blocks]\n");
     for site in 0..SITES {
-        writeln!(f, "site-{site} = [")?;
+        writeln!(f, "site-{site} = '''")?;
         for i in (site..blocks).step_by(SITES) {
-            writeln!(
-                f,
-                "  \"{}.{}.{}.0/24\",",
-                16 + i / 65_536,
-                i / 256 % 256,
-                i % 256
-            )?;
+            writeln!(f, "{}.{}.{}.0/24", 16 + i / 65_536, i / 256 % 256, i % 256)?;
         }
-        f.push_str("]\n");
+        f.push_str("'''\n");
     }
     Ok(f)
 }
--- a/crates/apricotlug-config/src/bundle/blocks.rs
+++ b/crates/apricotlug-config/src/bundle/blocks.rs
@@ -1,8 +1,9 @@
 //! Blocks of client addresses.
 
-use std::net::IpAddr;
+use std::{net::IpAddr, ops::Range};
 
 use apricotlug_model::{Block, BlockTable, Bundle, FindingCode, SiteKey};
+use toml::{Spanned, de::DeValue};
 
 use super::names::Names;
 use crate::{
@@ -11,6 +12,9 @@
     value,
 };
 
+/// Home of blocks whose site is a finding; never part of an accepted bundle.
+const UNKNOWN_SITE: SiteKey = SiteKey(u32::MAX);
+
 /// Reads the blocks of all sites.
 pub(super) fn read<'t>(
     doc: &mut Doc<'_>,
@@ -21,39 +25,85 @@
     let Some(table) = fields.optional_table(doc, "blocks", "`blocks`") else {
         return;
     };
-    let mut blocks = Vec::new();
-    let mut offsets = Vec::new();
-    for (site, list) in table.entries() {
-        let home = sites.resolve(doc, site);
-        for item in value::some_list(doc, list, site.value) {
-            let Some(text) = value::string(doc, item, "block") else {
-                continue;
-            };
-            let Some((network, prefix)) = parse_block(doc, text) else {
-                continue;
+    let mut rows = Rows::default();
+    for (site, value) in table.entries() {
+        rows.home = sites.resolve(doc, site);
+        rows.read_site(doc, site.value, value);
+    }
+    bundle.blocks = rows.build(doc);
+}
+
+/// Blocks read so far, with their offsets.
+#[derive(Default)]
+struct Rows {
+    home: Option<SiteKey>,
+    blocks: Vec<Block>,
+    offsets: Vec<usize>,
+}
+
+impl Rows {
+    /// Reads the blocks of one site: a list of strings, or one string with blocks between white
+    /// space. A long list takes a fraction of the memory as one string.
+    fn read_site(&mut self, doc: &mut Doc<'_>, site: &str, value: &Spanned<DeValue<'_>>) {
+        if let Some(text) = value.get_ref().as_str() {
+            self.read_text(doc, site, text, value.span());
+            return;
+        }
+        for item in value::some_list(doc, value, site) {
+            if let Some(text) = value::string(doc, item, "block") {
+                self.push(doc, text);
+            }
+        }
+    }
+
+    fn read_text(&mut self, doc: &mut Doc<'_>, site: &str, text: &str, span: Range<usize>) {
+        let start = doc.offset_within(span.clone(), text);
+        for word in text.split_whitespace() {
+            let offset = match start {
+                Some(start) => start + offset_of_word(text, word),
+                None => span.start,
             };
-            blocks.push(Block {
-                network,
-                prefix,
-                home: home.unwrap_or(SiteKey(u32::MAX)),
-            });
-            offsets.push(text.offset);
+            let value = word;
+            self.push(doc, At { value, offset });
+        }
+        if text.trim().is_empty() {
+            value::empty_list(doc, span.start, site);
         }
     }
-    match BlockTable::build(&blocks) {
-        Ok(table) => bundle.blocks = table,
-        Err(overlaps) => {
-            for (first, second) in overlaps {
-                add_overlap(
-                    doc,
-                    (&blocks[first], offsets[first]),
-                    (&blocks[second], offsets[second]),
-                );
-            }
+
+    fn push(&mut self, doc: &mut Doc<'_>, text: At<&str>) {
+        let Some((network, prefix)) = parse_block(doc, text) else {
+            return;
+        };
+        self.blocks.push(Block {
+            network,
+            prefix,
+            home: self.home.unwrap_or(UNKNOWN_SITE),
+        });
+        self.offsets.push(text.offset);
+    }
+
+    fn build(self, doc: &mut Doc<'_>) -> BlockTable {
+        let overlaps = match BlockTable::build(&self.blocks) {
+            Ok(table) => return table,
+            Err(overlaps) => overlaps,
+        };
+        for (first, second) in overlaps {
+            add_overlap(doc, self.row(first), self.row(second));
         }
+        BlockTable::default()
+    }
+
+    fn row(&self, i: usize) -> (&Block, usize) {
+        (&self.blocks[i], self.offsets[i])
     }
 }
 
+/// Returns the offset of a word that is a part of the text.
+fn offset_of_word(text: &str, word: &str) -> usize {
+    word.as_ptr().addr() - text.as_ptr().addr()
+}
+
 fn add_overlap(doc: &mut Doc<'_>, a: (&Block, usize), b: (&Block, usize)) {
     let (first, second) = if a.1 <= b.1 { (a, b) } else { (b, a) };
     let line = doc.line(first.1);
--- a/crates/apricotlug-config/src/doc.rs
+++ b/crates/apricotlug-config/src/doc.rs
@@ -75,6 +75,13 @@
         self.place(offset).line
     }
 
+    /// Returns the offset of a string's content, or `None` where the TOML text writes it with
+    /// escapes.
+    pub(crate) fn offset_within(&self, span: Range<usize>, content: &str) -> Option<usize> {
+        let raw = self.text.get(span.clone())?;
+        raw.find(content).map(|start| span.start + start)
+    }
+
     /// Returns the value, unless something was found.
     ///
     /// # Errors
--- a/crates/apricotlug-config/src/fields.rs
+++ b/crates/apricotlug-config/src/fields.rs
@@ -198,7 +198,7 @@
             .optional(name)
             .filter(|value| value::is_empty_list(value))
         {
-            value::empty_list(doc, value, name);
+            value::empty_list(doc, value.span().start, name);
         }
         self.addrs(doc, name)
     }
@@ -262,7 +262,7 @@
             .required(doc, name)
             .filter(|value| value::is_empty_list(value))
         {
-            value::empty_list(doc, value, name);
+            value::empty_list(doc, value.span().start, name);
         }
         self.tables(doc, name, what)
     }
--- a/crates/apricotlug-config/src/value.rs
+++ b/crates/apricotlug-config/src/value.rs
@@ -87,7 +87,7 @@
     name: &str,
 ) -> &'t [Spanned<DeValue<'t>>] {
     if is_empty_list(value) {
-        empty_list(doc, value, name);
+        empty_list(doc, value.span().start, name);
     }
     list(doc, value, name)
 }
@@ -99,10 +99,10 @@
         .is_some_and(|items| items.is_empty())
 }
 
-pub(crate) fn empty_list(doc: &mut Doc<'_>, value: &Spanned<DeValue<'_>>, name: &str) {
+pub(crate) fn empty_list(doc: &mut Doc<'_>, offset: usize, name: &str) {
     doc.add(
         FindingCode::OutOfRange,
-        value.span().start,
+        offset,
         format!("`{name}` is an empty list"),
         "name at least one",
     );
--- a/crates/apricotlug-config/tests/bundle.rs
+++ b/crates/apricotlug-config/tests/bundle.rs
@@ -172,6 +172,29 @@
     }
 }
 
+#[test]
+fn blocks_may_stand_one_a_line_in_a_string() {
+    let list = r#"["10.3.0.0/16", "2001:db8::/32"]"#;
+    let same = edit(SMALL, list, "'''\n10.3.0.0/16\n2001:db8::/32\n'''");
+    assert_eq!(check(&same).unwrap(), check(SMALL).unwrap());
+    let cases = [
+        ("'''\n10.3.0.0/16\n 10.3.4.0/24\n'''", "46:2"),
+        ("\"\"\"\n10.3.0.0/16\né\n\"\"\"", "46:1"),
+        ("'10.3.0.0/16 10.4.0.1/16'", "44:25"),
+        ("\"10.3.0.0/16\\t10.4.0.1/16\"", "44:12"),
+        ("'''\n\n'''", "44:12"),
+    ];
+    for (text, place) in cases {
+        let findings = check(&edit(SMALL, list, text)).unwrap_err();
+        let found = format!(
+            "{}:{}",
+            findings.0[0].place.line, findings.0[0].place.column
+        );
+        assert_eq!(found, place, "{text:?} gives\n{findings}");
+        assert_eq!(findings.0.len(), 1);
+    }
+}
+
 #[test]
 fn an_accepted_bundle_loads_after_its_deadline() {
     let text = edit(SMALL, "2027-01-31T18:00:00+01:00", "2020-01-31T18:00:00Z");
