Instances form a fleet: peers, delegate, bundle and withdrawals both ways, orders passed on

Cause: each instance stood alone; three instances split the slots as if each were the only one. Change: peer node wired in; the delegate of a data centre (first by name) acts towards the platform, others get bundle, withdrawn keys and allotments from peers; slots are split among live instances; peers take the chunk sizes of the bundle (2,048 chunks of at most 256 KiB; the test's literals became the constants, as strict as before). Ruled out: a platform lease for the delegate: compare-and-swap already decides between two writers, and a lease would cost a call per instance every few seconds.

--- a/crates/apricotlug-edge/src/gate.rs
+++ b/crates/apricotlug-edge/src/gate.rs
@@ -78,7 +78,7 @@
         new: &Bundle,
         home: DataCentreKey,
         now: MonoTime,
-        publish: impl FnOnce(),
+        publish: impl FnOnce(&mut Placement),
     ) {
         let mut state = lock(&self.state);
         match (&mut state.decisions, old) {
@@ -94,7 +94,9 @@
             }
         }
         state.bundle = new.version;
-        publish();
+        if let Some(decisions) = &mut state.decisions {
+            publish(&mut decisions.placement);
+        }
     }
 
     /// Changes the budgets or reads them; returns `None` before the first bundle.
--- a/crates/apricotlug-edge/src/shared.rs
+++ b/crates/apricotlug-edge/src/shared.rs
@@ -1,10 +1,11 @@
 //! What all tasks of one entry instance share.
 
 use std::{
+    collections::BTreeSet,
     fmt,
     net::SocketAddr,
     sync::{
-        Arc, OnceLock,
+        Arc, Mutex, OnceLock, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
 };
@@ -14,8 +15,8 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
-    clock::Clock, drain::Drain, gate::Gate, metrics::Metrics, pool::Pool, remote::Fleet,
-    view::ViewCell,
+    clock::Clock, drain::Drain, gate::Gate, holders::Holders, metrics::Metrics, pool::Pool,
+    remote::Fleet, view::ViewCell,
 };
 
 /// State shared by all tasks of one entry instance.
@@ -30,6 +31,8 @@
     pub view: ViewCell,
     /// Decision state.
     pub gate: Gate,
+    /// Live instances among which slots are split.
+    pub holders: Holders,
     /// Idle connections to backend servers.
     pub pool: Pool,
     /// Drain of this instance.
@@ -39,6 +42,7 @@
     /// Limits of callers' connections.
     pub limits: Limits,
     fleet: OnceLock<Arc<dyn Fleet>>,
+    installing: Mutex<()>,
     requests: AtomicU64,
 }
 
@@ -63,11 +67,13 @@
             clock,
             view: ViewCell::default(),
             gate,
+            holders: Holders::default(),
             pool: Pool::default(),
             drain: Drain::default(),
             metrics: Metrics::default(),
             limits: Limits::default(),
             fleet: OnceLock::new(),
+            installing: Mutex::default(),
             requests: AtomicU64::new(0),
         }
     }
@@ -77,6 +83,10 @@
     /// # Errors
     /// Returns why it was not put in force; the one before stays.
     pub fn install(&self, bundle: Arc<Bundle>) -> Result<(), NotInstalled> {
+        let _one_at_a_time = self
+            .installing
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         let home = bundle.data_centres.find(|dc| dc.id == self.data_centre);
         let home = home.ok_or(NotInstalled::UnknownDataCentre)?;
         let old = self.view.load().bundle.clone();
@@ -88,7 +98,8 @@
         }
         let now = self.clock.now();
         self.gate
-            .set_bundle(old.as_deref(), &bundle, home, now, || {
+            .set_bundle(old.as_deref(), &bundle, home, now, |placement| {
+                self.holders.apply(&self.identity, &bundle, placement, now);
                 self.view.install(Arc::clone(&bundle));
             });
         let wanted = |addr: SocketAddr| bundle.endpoints.values().any(|e| e.addr == addr);
@@ -101,6 +112,28 @@
         Ok(())
     }
 
+    /// Splits the slots of backend servers among the live instances anew.
+    pub fn split_slots(&self, bundle: &Bundle) {
+        let now = self.clock.now();
+        self.gate.with_placement(|placement| {
+            self.holders.apply(&self.identity, bundle, placement, now);
+        });
+    }
+
+    /// Adds withdrawn keys that are not known yet.
+    pub fn withdraw_new(&self, ids: &BTreeSet<String>) {
+        let view = self.view.load();
+        let new: Vec<String> = ids
+            .iter()
+            .filter(|id| !view.withdrawn.contains(*id))
+            .cloned()
+            .collect();
+        if !new.is_empty() {
+            tracing::info!(kind = "withdrawal", keys = ?new, "keys withdrawn");
+            self.view.withdraw(new);
+        }
+    }
+
     /// Connects the request path with the rest of the fleet; done once, before the first request.
     pub fn set_fleet(&self, fleet: Arc<dyn Fleet>) {
         // A second call has no effect.
--- a/crates/apricotlug-node/src/error.rs
+++ b/crates/apricotlug-node/src/error.rs
@@ -24,6 +24,12 @@
     /// A bundle could not be put together.
     #[error(transparent)]
     Chunk(#[from] apricotlug_config::chunk::ChunkError),
+    /// The peer node failed.
+    #[error(transparent)]
+    Peer(#[from] apricotlug_peer::PeerError),
+    /// The versions of the head, the manifest and the text differ.
+    #[error("the versions of a bundle's head, manifest and text differ")]
+    VersionMismatch,
     /// A bundle was refused.
     #[error("bundle refused: {0}")]
     Bundle(apricotlug_model::Findings),
--- a/crates/apricotlug-node/src/lib.rs
+++ b/crates/apricotlug-node/src/lib.rs
@@ -1,9 +1,13 @@
 //! One entry instance: its listeners, its part in the fleet, its start and its drain.
 
 mod error;
+mod fleet;
+mod keeper;
 mod lookups;
+mod messages;
 mod node;
 mod pages;
+mod peers;
 mod seats;
 mod sync;
 
--- a/crates/apricotlug-node/src/node.rs
+++ b/crates/apricotlug-node/src/node.rs
@@ -1,13 +1,13 @@
 //! Start and drain of an entry instance.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use apricotlug_config::Settings;
 use apricotlug_edge::{Shared, accept};
 use apricotlug_http::serve_app;
 use apricotlug_model::InstanceId;
-use apricotlug_platform::{BundleStore, Client, ClientConfig};
-use apricotlug_policy::lookup::{InstanceEntry, InstanceLoad, InstanceState};
+use apricotlug_peer::{Addresses, PeerConfig, PeerHandle, PeerNode};
+use apricotlug_platform::{BundleStore, Client, ClientConfig, Withdrawals};
 use async_std::{
     net::TcpListener,
     task::{self, JoinHandle},
@@ -15,22 +15,19 @@
 
 use crate::{
     error::NodeError,
-    lookups::{self, LookupPages, Lookups, Named},
+    fleet,
+    keeper::SeatKeeper,
+    lookups::{self, LookupPages, Lookups},
     pages::{self, AdminPages},
-    seats::{self, Reports, Seats},
-    sync,
+    peers::{Inbound, Outbound},
+    seats::Reports,
+    sync::{self, Links},
 };
 
 /// Time for which an instance that leaves still takes new connections: callers hold look-up
 /// answers that name it.
 const LINGER: Duration = Duration::from_secs(5);
 
-/// Pause between two steps on the budgets.
-const SEATS_PERIOD: Duration = Duration::from_millis(500);
-
-/// Pause between two looks at the fleet.
-const FLEET_PERIOD: Duration = Duration::from_millis(200);
-
 /// What an entry instance is started with.
 #[derive(Clone, Debug)]
 pub struct NodeConfig {
@@ -49,6 +46,8 @@
     pub lookup: SocketAddr,
     /// Operators' pages.
     pub admin: SocketAddr,
+    /// Other instances.
+    pub peer: SocketAddr,
 }
 
 /// Running entry instance.
@@ -58,6 +57,8 @@
     addrs: Addrs,
     accept: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
+    peers: PeerHandle,
+    seats: SeatKeeper,
     drain: Duration,
 }
 
@@ -75,6 +76,7 @@
             caller: caller.1,
             lookup: lookup.1,
             admin: admin.1,
+            peer: settings.listen.peer,
         };
         let identity = InstanceId {
             name: settings.instance.clone(),
@@ -83,11 +85,34 @@
         let seed = cfg.incarnation;
         let shared = Arc::new(Shared::new(identity, settings.data_centre.clone(), seed));
         let lookups = Arc::new(Lookups::new(seed.rotate_left(1)));
+        let reports = Arc::new(Reports::default());
         let client = Client::new(ClientConfig {
             addrs: settings.platform.clone(),
             seed: seed.rotate_left(2),
             ..ClientConfig::default()
         });
+        let peers = start_peers(&settings, &shared, &reports, addrs)?;
+        let addrs = Addrs {
+            peer: peers.addr(),
+            ..addrs
+        };
+        shared.set_fleet(Arc::new(Outbound {
+            identity: shared.identity.clone(),
+            peers: peers.clone(),
+            client: client.clone(),
+        }));
+        let links = Links {
+            shared: Arc::clone(&shared),
+            peers: peers.clone(),
+            store: BundleStore::new(client.clone()),
+            withdrawals: Withdrawals::new(client.clone()),
+        };
+        let seats = SeatKeeper {
+            shared: Arc::clone(&shared),
+            peers: peers.clone(),
+            reports,
+            client,
+        };
         let pages = LookupPages {
             shared: Arc::clone(&shared),
             lookups: Arc::clone(&lookups),
@@ -95,16 +120,17 @@
         let lookup_app = Arc::new(lookups::app(pages));
         let admin_app = Arc::new(pages::app(AdminPages {
             shared: Arc::clone(&shared),
+            peers: peers.clone(),
         }));
+        let has_seeds = !settings.peers.is_empty();
         let tasks = vec![
             task::spawn(async move { log_end(serve_app(lookup.0, lookup_app).await) }),
             task::spawn(async move { log_end(serve_app(admin.0, admin_app).await) }),
-            task::spawn(sync::follow(
-                BundleStore::new(client.clone()),
-                Arc::clone(&shared),
-            )),
-            task::spawn(keep_seats(Arc::clone(&shared), client)),
-            task::spawn(follow_fleet(Arc::clone(&shared), lookups, addrs)),
+            task::spawn(sync::follow_peers(links.clone())),
+            task::spawn(sync::follow_bundle(links.clone(), has_seeds)),
+            task::spawn(sync::follow_withdrawals(links)),
+            task::spawn(seats.clone().keep()),
+            task::spawn(fleet::follow(Arc::clone(&shared), lookups, peers.clone())),
         ];
         let accept = task::spawn(accept(caller.0, Arc::clone(&shared)));
         tracing::info!(
@@ -113,6 +139,7 @@
             caller = %addrs.caller,
             lookup = %addrs.lookup,
             admin = %addrs.admin,
+            peer = %addrs.peer,
         );
         let drain = Duration::from_millis(settings.drain_ms.into());
         Ok(Self {
@@ -120,6 +147,8 @@
             addrs,
             accept,
             tasks,
+            peers,
+            seats,
             drain,
         })
     }
@@ -152,6 +181,7 @@
         let clock = self.shared.clock;
         let deadline = clock.now().after(self.drain);
         self.shared.drain.leave();
+        self.peers.announce_leaving();
         tracing::info!(kind = "leave", in_flight = self.shared.drain.in_flight());
         task::sleep(LINGER.min(self.drain)).await;
         self.accept.cancel().await;
@@ -159,6 +189,8 @@
         for running in self.tasks {
             running.cancel().await;
         }
+        self.seats.hand_back().await;
+        self.peers.stop().await;
         tracing::info!(kind = "stop", in_flight = left);
         left
     }
@@ -177,49 +209,27 @@
     }
 }
 
-async fn keep_seats(shared: Arc<Shared>, client: Client) {
-    let reports = Arc::new(Reports::default());
-    let mut seats = Seats::new(Arc::clone(&shared), client, Arc::clone(&reports));
-    loop {
-        if let Some(report) = seats::report(&shared) {
-            reports.put(report, shared.clock.now());
-            match seats.step().await {
-                Ok(allotments) => allotments.iter().for_each(|a| seats::install(&shared, a)),
-                Err(e) => tracing::warn!(error = %e, "budgets not renewed"),
-            }
-        }
-        task::sleep(SEATS_PERIOD).await;
-    }
-}
-
-async fn follow_fleet(shared: Arc<Shared>, lookups: Arc<Lookups>, addrs: Addrs) {
-    loop {
-        let bundle = shared.view.load().bundle.clone();
-        let own = bundle
-            .as_ref()
-            .and_then(|bundle| bundle.data_centres.find(|dc| dc.id == shared.data_centre));
-        if let (Some(bundle), Some(own)) = (bundle, own) {
-            let state = match shared.drain.is_leaving() {
-                true => InstanceState::Leaving,
-                false => InstanceState::Ready,
-            };
-            let entry = InstanceEntry {
-                id: shared.identity.clone(),
-                addr: addrs.caller,
-                data_centre: own,
-                state,
-                load: InstanceLoad {
-                    outstanding: 0,
-                    slots: 1,
-                },
-            };
-            let named = Named {
-                name: shared.identity.name.clone(),
-                lookup: addrs.lookup,
-            };
-            let names = BTreeMap::from([(addrs.caller, named)]);
-            lookups.update(&bundle, own, &[entry], names, shared.clock.unix());
-        }
-        task::sleep(FLEET_PERIOD).await;
-    }
+fn start_peers(
+    settings: &Settings,
+    shared: &Arc<Shared>,
+    reports: &Arc<Reports>,
+    addrs: Addrs,
+) -> Result<PeerHandle, NodeError> {
+    let cfg = PeerConfig {
+        id: shared.identity.clone(),
+        data_centre: settings.data_centre.clone(),
+        addresses: Addresses {
+            caller: addrs.caller,
+            lookup: addrs.lookup,
+            peer: addrs.peer,
+        },
+        listen: settings.listen.peer,
+        seeds: settings.peers.clone(),
+        started: shared.clock.unix(),
+    };
+    let inbound = Inbound {
+        shared: Arc::clone(shared),
+        reports: Arc::clone(reports),
+    };
+    Ok(PeerNode::start(cfg, Arc::new(inbound))?)
 }
--- a/crates/apricotlug-node/src/pages.rs
+++ b/crates/apricotlug-node/src/pages.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use apricotlug_edge::Shared;
+use apricotlug_peer::PeerHandle;
 use serde_json::{Value, json};
 use tide::{Request, Response, StatusCode};
 
@@ -13,6 +14,8 @@
 pub struct AdminPages {
     /// State of the instance.
     pub shared: Arc<Shared>,
+    /// Peer node.
+    pub peers: PeerHandle,
 }
 
 /// Creates the application that serves operators.
--- /dev/null
+++ b/crates/apricotlug-node/src/peers.rs
@@ -0,0 +1,100 @@
+//! Connects the request path with the other instances and with claims in the platform.
+
+use std::{future::Future, pin::Pin, sync::Arc};
+
+use apricotlug_edge::{Fleet, FleetFuture, Forwarded, KeyClaim, Shared, answer_order};
+use apricotlug_model::InstanceId;
+use apricotlug_peer::{PeerHandle, PeerHandler, Transfer};
+use apricotlug_platform::{Client, Swap};
+
+use crate::{
+    messages::SeatMessage,
+    seats::{self, Reports},
+};
+
+/// Prefix of the keys under which callers' own idempotency keys are claimed.
+const CLAIM_PREFIX: &str = "orders/";
+
+/// Calls that come in from other instances.
+#[derive(Debug)]
+pub struct Inbound {
+    /// State of the instance.
+    pub shared: Arc<Shared>,
+    /// Reports that this instance collects as a delegate.
+    pub reports: Arc<Reports>,
+}
+
+impl PeerHandler for Inbound {
+    fn apply_transfer(&self, transfer: Transfer) {
+        match SeatMessage::decode(&transfer.payload) {
+            Some(SeatMessage::Report(report)) => {
+                self.reports.put(report, self.shared.clock.now());
+            }
+            Some(SeatMessage::Allotments(granted)) => seats::install(&self.shared, &granted),
+            None => tracing::warn!("a peer sent a malformed budget message"),
+        }
+    }
+
+    fn answer_order(
+        &self,
+        order: Vec<u8>,
+    ) -> Pin<Box<dyn Future<Output = Vec<u8>> + Send + 'static>> {
+        let shared = Arc::clone(&self.shared);
+        Box::pin(async move { answer_order(&shared, &order).await })
+    }
+}
+
+/// Calls that go out to other instances and to the platform.
+#[derive(Debug)]
+pub struct Outbound {
+    /// Identity of this run.
+    pub identity: InstanceId,
+    /// Peer node.
+    pub peers: PeerHandle,
+    /// Client of the platform.
+    pub client: Client,
+}
+
+impl Fleet for Outbound {
+    fn forward(&self, to: InstanceId, order: Vec<u8>) -> FleetFuture<'_, Forwarded> {
+        Box::pin(async move {
+            match self.peers.forward_order(&to, order).await {
+                Ok(Some(answer)) => Forwarded::Answered(answer),
+                Ok(None) => Forwarded::NoAnswer,
+                Err(e) => {
+                    tracing::info!(holder = %to, error = %e, "an order was not passed on");
+                    Forwarded::NoAnswer
+                }
+            }
+        })
+    }
+
+    fn claim(&self, account: String, key: String) -> FleetFuture<'_, KeyClaim> {
+        Box::pin(async move {
+            let key = claim_key(&account, &key);
+            let Ok(holder) = serde_json::to_vec(&self.identity) else {
+                return KeyClaim::Unavailable;
+            };
+            match self.client.compare_and_swap(&key, None, &holder).await {
+                Ok(Swap::Written { .. }) => KeyClaim::New,
+                Ok(Swap::Conflict {
+                    current: Some(entry),
+                }) => {
+                    let holder = serde_json::from_slice(&entry.value);
+                    holder.map_or(KeyClaim::Unavailable, KeyClaim::HeldBy)
+                }
+                Ok(_) => KeyClaim::Unavailable,
+                Err(e) => {
+                    tracing::info!(error = %e, "an idempotency key was not claimed");
+                    KeyClaim::Unavailable
+                }
+            }
+        })
+    }
+}
+
+/// Returns the key of a claim. Names from callers are encoded, so that they form one segment.
+fn claim_key(account: &str, key: &str) -> String {
+    let segment = |text: &str| -> String { text.bytes().map(|b| format!("{b:02x}")).collect() };
+    format!("{CLAIM_PREFIX}{}/{}", segment(account), segment(key))
+}
--- a/crates/apricotlug-node/src/seats.rs
+++ b/crates/apricotlug-node/src/seats.rs
@@ -33,6 +33,12 @@
         reports.insert(report.instance.clone(), (report, now.after(REPORT_LIFE)));
     }
 
+    /// Returns the generation that an instance has confirmed.
+    pub fn confirmed(&self, id: &InstanceId) -> Option<u64> {
+        let reports = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        reports.get(id).and_then(|(report, _)| report.confirmed)
+    }
+
     fn recent(&self, now: MonoTime) -> Vec<Report> {
         let mut reports = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         reports.retain(|_, (_, forget_at)| !forget_at.is_past(now));
--- a/crates/apricotlug-peer/src/bundle.rs
+++ b/crates/apricotlug-peer/src/bundle.rs
@@ -7,11 +7,11 @@
 use crate::PeerError;
 
 /// Largest head, in bytes.
-pub const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub const MAX_HEAD_BYTES: usize = 256 * 1024;
 /// Most chunks of a bundle.
-pub const MAX_CHUNKS: usize = 16;
+pub const MAX_CHUNKS: usize = 2048;
 /// Largest chunk, in bytes.
-pub const MAX_CHUNK_BYTES: usize = 1024 * 1024;
+pub const MAX_CHUNK_BYTES: usize = 256 * 1024;
 
 /// SHA-256 of a chunk.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/apricotlug-peer/src/news/fetch.rs
+++ b/crates/apricotlug-peer/src/news/fetch.rs
@@ -8,7 +8,7 @@
 use crate::{BundleHead, Chunk, ChunkHash, MAX_CHUNK_BYTES, NameHash};
 
 /// Most chunks asked for in one call.
-pub(crate) const MAX_CHUNKS_PER_FETCH: usize = 4;
+pub(crate) const MAX_CHUNKS_PER_FETCH: usize = 16;
 /// Most peers remembered as sources of one bundle.
 const MAX_SOURCES: usize = 16;
 /// Time for which a peer that sent a corrupt chunk is not asked again.
--- a/crates/apricotlug-peer/src/wire/mod.rs
+++ b/crates/apricotlug-peer/src/wire/mod.rs
@@ -11,7 +11,7 @@
 
 pub(crate) use {decode::read_chunk_hashes, encode::fill as fill_exchange};
 
-/// Largest message, in words of 8 bytes: a fetch of four chunks fits.
+/// Largest message, in words of 8 bytes: a fetch of sixteen chunks fits.
 const MAX_MESSAGE_WORDS: usize = 1024 * 1024;
 /// Deepest nesting of a message.
 const MAX_NESTING: i32 = 24;
--- a/src/commands/dev.rs
+++ b/src/commands/dev.rs
@@ -68,7 +68,8 @@
         }
         let mut nodes = Vec::new();
         for i in 0..self.entries {
-            nodes.push(start_entry(&bundle, i, platform.addr()).await?);
+            let seeds = nodes.first().map(|node: &Node| node.addrs().peer);
+            nodes.push(start_entry(&bundle, i, platform.addr(), seeds).await?);
         }
         wait_ready(&nodes).await?;
         describe(&nodes, platform.addr());
@@ -114,7 +115,12 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-async fn start_entry(bundle: &Bundle, i: usize, platform: SocketAddr) -> anyhow::Result<Node> {
+async fn start_entry(
+    bundle: &Bundle,
+    i: usize,
+    platform: SocketAddr,
+    seed: Option<SocketAddr>,
+) -> anyhow::Result<Node> {
     let names: Vec<&str> = bundle
         .data_centres
         .values()
@@ -134,7 +140,7 @@
             peer: any_port(),
         },
         platform: vec![platform],
-        peers: Vec::new(),
+        peers: seed.into_iter().collect(),
         drain_ms: 10_000,
     };
     Ok(Node::start(NodeConfig {
