--- /dev/null
+++ b/crates/apricotlug-admin/src/operation.rs
@@ -0,0 +1,246 @@
+//! Operations of the API: method, path, role needed. The closed set that servers and clients
+//! share.
+
+use std::fmt;
+
+use apricotlug_model::Role;
+
+/// HTTP method.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Method {
+    /// Reads.
+    Get,
+    /// Acts.
+    Post,
+    /// Sets; again does no harm.
+    Put,
+    /// Removes; again does no harm.
+    Delete,
+}
+
+impl Method {
+    /// Returns the word of the request line.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Get => "GET",
+            Self::Post => "POST",
+            Self::Put => "PUT",
+            Self::Delete => "DELETE",
+        }
+    }
+}
+
+/// Operation of the API.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Operation {
+    /// Returns this description as OpenAPI.
+    OpenApi,
+    /// Returns the status of one instance.
+    Status,
+    /// Returns the status of the fleet.
+    Fleet,
+    /// Returns the bundle in force.
+    Bundle,
+    /// Returns the signed-off versions.
+    History,
+    /// Checks a bundle.
+    Check,
+    /// Compares a bundle with the one in force.
+    Diff,
+    /// Puts a bundle in force.
+    SignOff,
+    /// Lists the keys of client accounts.
+    Keys,
+    /// Withdraws a key.
+    Withdraw,
+    /// Lists drains.
+    Drains,
+    /// Starts a drain.
+    StartDrain,
+    /// Stops a drain.
+    StopDrain,
+    /// Lists moves.
+    Moves,
+    /// Holds a move at its stage.
+    PauseMove,
+    /// Lets a paused move go on.
+    ResumeMove,
+    /// Takes a move back.
+    TakeBackMove,
+    /// Explains what a look-up would answer.
+    Explain,
+}
+
+impl Operation {
+    /// All operations, in the order of the description.
+    pub const ALL: [Self; 18] = [
+        Self::OpenApi,
+        Self::Status,
+        Self::Fleet,
+        Self::Bundle,
+        Self::History,
+        Self::Check,
+        Self::Diff,
+        Self::SignOff,
+        Self::Keys,
+        Self::Withdraw,
+        Self::Drains,
+        Self::StartDrain,
+        Self::StopDrain,
+        Self::Moves,
+        Self::PauseMove,
+        Self::ResumeMove,
+        Self::TakeBackMove,
+        Self::Explain,
+    ];
+
+    /// Returns the method.
+    #[must_use]
+    pub fn method(self) -> Method {
+        match self {
+            Self::OpenApi | Self::Status | Self::Fleet | Self::Bundle | Self::History => {
+                Method::Get
+            }
+            Self::Keys | Self::Drains | Self::Moves | Self::Explain => Method::Get,
+            Self::Check | Self::Diff | Self::SignOff | Self::Withdraw => Method::Post,
+            Self::PauseMove | Self::ResumeMove | Self::TakeBackMove => Method::Post,
+            Self::StartDrain => Method::Put,
+            Self::StopDrain => Method::Delete,
+        }
+    }
+
+    /// Returns the path, with parameters in braces.
+    #[must_use]
+    pub fn path(self) -> &'static str {
+        match self {
+            Self::OpenApi => "/v1/openapi.json",
+            Self::Status => "/v1/status",
+            Self::Fleet => "/v1/fleet",
+            Self::Bundle => "/v1/bundle",
+            Self::History => "/v1/bundle/history",
+            Self::Check => "/v1/bundle/check",
+            Self::Diff => "/v1/bundle/diff",
+            Self::SignOff => "/v1/bundle/sign-off",
+            Self::Keys => "/v1/keys",
+            Self::Withdraw => "/v1/keys/{key}/withdraw",
+            Self::Drains => "/v1/drains",
+            Self::StartDrain | Self::StopDrain => "/v1/drains/{scope}/{id}",
+            Self::Moves => "/v1/moves",
+            Self::PauseMove => "/v1/moves/{service}/pause",
+            Self::ResumeMove => "/v1/moves/{service}/resume",
+            Self::TakeBackMove => "/v1/moves/{service}/take-back",
+            Self::Explain => "/v1/explain",
+        }
+    }
+
+    /// Returns the role that a caller needs; `None` where anybody may call.
+    #[must_use]
+    pub fn role(self) -> Option<Role> {
+        match self {
+            Self::OpenApi => None,
+            Self::Status | Self::Fleet | Self::Bundle | Self::History => Some(Role::Viewer),
+            Self::Check | Self::Diff | Self::Explain => Some(Role::Viewer),
+            Self::Keys | Self::Drains | Self::Moves => Some(Role::Viewer),
+            Self::Withdraw | Self::StartDrain | Self::StopDrain => Some(Role::Responder),
+            Self::PauseMove | Self::ResumeMove | Self::TakeBackMove => Some(Role::Responder),
+            Self::SignOff => Some(Role::Signer),
+        }
+    }
+
+    /// Returns the name in the description, as programs generate calls from it.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::OpenApi => "openApi",
+            Self::Status => "status",
+            Self::Fleet => "fleet",
+            Self::Bundle => "bundle",
+            Self::History => "history",
+            Self::Check => "checkBundle",
+            Self::Diff => "diffBundle",
+            Self::SignOff => "signOffBundle",
+            Self::Keys => "keys",
+            Self::Withdraw => "withdrawKey",
+            Self::Drains => "drains",
+            Self::StartDrain => "startDrain",
+            Self::StopDrain => "stopDrain",
+            Self::Moves => "moves",
+            Self::PauseMove => "pauseMove",
+            Self::ResumeMove => "resumeMove",
+            Self::TakeBackMove => "takeBackMove",
+            Self::Explain => "explain",
+        }
+    }
+
+    /// Returns the path with its parameters filled in, in their order.
+    #[must_use]
+    pub fn target(self, params: &[&str]) -> String {
+        let mut params = params.iter();
+        let segments = self
+            .path()
+            .split('/')
+            .map(|segment| match is_param(segment) {
+                true => params.next().copied().unwrap_or_default(),
+                false => segment,
+            });
+        segments.collect::<Vec<_>>().join("/")
+    }
+}
+
+impl fmt::Display for Operation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.method().as_str(), self.path())
+    }
+}
+
+/// Parameters of a path, in their order.
+pub type Params<'p> = Vec<&'p str>;
+
+/// Why no operation answers to a method and path.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RouteError {
+    /// No operation has the path.
+    NotFound,
+    /// The path has operations with these methods only.
+    MethodNotAllowed(Vec<Method>),
+}
+
+/// Returns the operation of a method and path, and the path's parameters.
+///
+/// # Errors
+/// Returns whether the path or only the method is unknown.
+pub fn resolve<'p>(method: &str, path: &'p str) -> Result<(Operation, Params<'p>), RouteError> {
+    let mut allowed = Vec::new();
+    for operation in Operation::ALL {
+        let Some(params) = match_path(operation.path(), path) else {
+            continue;
+        };
+        if operation.method().as_str() == method {
+            return Ok((operation, params));
+        }
+        allowed.push(operation.method());
+    }
+    match allowed.is_empty() {
+        true => Err(RouteError::NotFound),
+        false => Err(RouteError::MethodNotAllowed(allowed)),
+    }
+}
+
+fn match_path<'p>(pattern: &str, path: &'p str) -> Option<Params<'p>> {
+    let mut params = Vec::new();
+    let mut segments = path.split('/');
+    for expected in pattern.split('/') {
+        let segment = segments.next()?;
+        match is_param(expected) {
+            true if !segment.is_empty() => params.push(segment),
+            false if segment == expected => {}
+            _ => return None,
+        }
+    }
+    segments.next().is_none().then_some(params)
+}
+
+fn is_param(segment: &str) -> bool {
+    segment.starts_with('{')
+}
