--- a/crates/apricotlug-config/src/credential.rs
+++ b/crates/apricotlug-config/src/credential.rs
@@ -5,6 +5,8 @@
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
+use crate::value;
+
 const SECRET_BYTES: usize = 32;
 
 /// New key: the text for its holder and the row for the bundle.
@@ -16,6 +18,12 @@
     pub row: String,
 }
 
+/// Tells whether a text may be the public id of a key: a name without `.`, which ends the id.
+#[must_use]
+pub fn is_id(text: &str) -> bool {
+    value::is_name(text) && !text.contains('.')
+}
+
 /// Draws a key with the given public id.
 pub fn generate(id: &str, rng: &mut impl Rng) -> NewKey {
     let mut secret = [0; SECRET_BYTES];
--- a/crates/apricotlug-config/src/fields.rs
+++ b/crates/apricotlug-config/src/fields.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::{
+    credential,
     doc::{At, Doc},
     value::{self, Port},
 };
@@ -91,7 +92,7 @@
     /// Reads the public id of a key: a name without `.`, which ends the id in `id.secret`.
     pub(crate) fn key_id(&mut self, doc: &mut Doc<'_>, name: &'static str) -> Option<At<&'t str>> {
         let id = self.id(doc, name)?;
-        if id.value.contains('.') {
+        if !credential::is_id(id.value) {
             doc.add(
                 FindingCode::OutOfRange,
                 id.offset,
--- a/crates/apricotlug-config/src/value.rs
+++ b/crates/apricotlug-config/src/value.rs
@@ -161,10 +161,14 @@
     }
 }
 
-pub(crate) fn check_id<'t>(doc: &mut Doc<'_>, id: At<&'t str>) -> Option<At<&'t str>> {
+/// Tells whether a text may name an entry.
+pub(crate) fn is_name(text: &str) -> bool {
     let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    let is_id =
-        !id.value.is_empty() && id.value.len() <= MAX_ID_BYTES && id.value.chars().all(is_allowed);
+    (1..=MAX_ID_BYTES).contains(&text.len()) && text.chars().all(is_allowed)
+}
+
+pub(crate) fn check_id<'t>(doc: &mut Doc<'_>, id: At<&'t str>) -> Option<At<&'t str>> {
+    let is_id = is_name(id.value);
     if !is_id {
         doc.add(
             FindingCode::OutOfRange,
--- a/crates/apricotlug-config/tests/credential.rs
+++ b/crates/apricotlug-config/tests/credential.rs
@@ -37,6 +37,18 @@
     assert_eq!(credential::split("id.a.b"), Some(("id", "a.b")));
 }
 
+#[test]
+fn ids_of_keys_are_names_without_a_dot() {
+    for (id, expected) in [
+        ("depots-2", true),
+        ("a.b", false),
+        ("", false),
+        ("a b", false),
+    ] {
+        assert_eq!(credential::is_id(id), expected, "{id:?}");
+    }
+}
+
 #[test]
 fn demo_keys_of_the_examples_verify() {
     let bundle = check(ARMOR).unwrap();
--- a/src/commands/bundle.rs
+++ b/src/commands/bundle.rs
@@ -11,13 +11,15 @@
 use apricotlug_platform::{BundleStore, ChunkHash, Client, ClientConfig, Head, SignOff};
 use argh::FromArgs;
 
+use super::bundle_diff::Diff;
+
 /// Exit code of a command that refused its input.
 pub const REFUSED: u8 = 2;
 
 /// Exit code of a command that lost a race.
 const CONFLICT: u8 = 3;
 
-/// Check, sign off or show a bundle.
+/// Check, compare, sign off or show a bundle.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "bundle")]
 pub struct Bundle {
@@ -29,6 +31,7 @@
 #[argh(subcommand)]
 enum Verb {
     Check(Check),
+    Diff(Diff),
     SignOff(Sign),
     Show(Show),
 }
@@ -92,6 +95,7 @@
     pub async fn run(self) -> anyhow::Result<ExitCode> {
         match self.verb {
             Verb::Check(check) => check.run(),
+            Verb::Diff(diff) => diff.run(),
             Verb::SignOff(sign) => sign.run().await,
             Verb::Show(show) => show.run().await,
         }
@@ -197,7 +201,11 @@
     format!("version {} signed off by {signer}", head.version)
 }
 
-fn read(file: &str) -> anyhow::Result<String> {
+/// Reads a file.
+///
+/// # Errors
+/// Returns an error that names the file.
+pub fn read(file: &str) -> anyhow::Result<String> {
     fs::read_to_string(file).with_context(|| format!("cannot read {file}"))
 }
 
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,8 +1,10 @@
 //! Subcommands, one a file.
 
 mod bundle;
+mod bundle_diff;
 mod dev;
 mod entry;
+mod key;
 mod lookup;
 mod status;
 
@@ -23,6 +25,7 @@
     Bundle(bundle::Bundle),
     Dev(dev::Dev),
     Entry(entry::Entry),
+    Key(key::Key),
     Lookup(lookup::Lookup),
     Status(status::Status),
 }
@@ -37,6 +40,7 @@
             Command::Bundle(command) => command.run().await,
             Command::Dev(command) => command.run().await,
             Command::Entry(command) => command.run().await,
+            Command::Key(command) => command.run(),
             Command::Lookup(command) => command.run().await,
             Command::Status(command) => command.run().await,
         }
