Placement: waiting before shifts, event-driven comparison in virtual time

Cause: a full home region sent requests across 55 ms links where a slot would come free in a few milliseconds. Change: waiting requests are shifted only after half a round trip; a wait queue; look-up answers and their charges drive the callers of the comparison. Endpoints known at start count as warm.

--- /dev/null
+++ b/crates/apricotlug-policy/examples/placement_compare.rs
@@ -0,0 +1,72 @@
+//! Compares placement policies under faults, in virtual time with fixed seeds.
+//!
+//! `cargo run --release -p apricotlug-policy --example placement_compare [POLICY]`
+
+mod support;
+
+use std::{env, thread};
+
+use support::{
+    fleet::{CAISSES, Fleet, NOVAK},
+    policy::PolicyKind,
+    scenario::{Fault, Scenario},
+    sim,
+};
+
+/// Mean busy part of all slots.
+const LOAD: f64 = 0.5;
+/// Seed of every run.
+const SEED: u64 = 7;
+
+/// Runs at once.
+const THREADS: usize = 3;
+
+fn main() {
+    for fleet in [CAISSES, NOVAK] {
+        println!("\n### {}, load {LOAD}, seed {SEED}\n", fleet.name);
+        println!(
+            "| fault | policy | headroom % | p50 ms | p99 ms | refused | in rate | failed | overloads | cap excess | requests | attempts |"
+        );
+        println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
+        for faults in Fault::ALL.chunks(THREADS) {
+            thread::scope(|scope| {
+                let runs: Vec<_> = faults
+                    .iter()
+                    .map(|fault| scope.spawn(move || rows(fleet, *fault)))
+                    .collect();
+                for run in runs {
+                    print!("{}", run.join().expect("a run ends"));
+                }
+            });
+        }
+    }
+}
+
+/// Returns a fault's rows, one a policy.
+fn rows(fleet: Fleet, fault: Fault) -> String {
+    let row = |kind: PolicyKind| {
+        let stats = sim::run(Scenario::new(fleet, fault, LOAD, SEED), kind);
+        format!(
+            "| {} | {} | {:.0} | {:.1} | {:.1} | {} | {} | {} | {} | {} | {} | {} |\n",
+            fault.name(),
+            kind.name(),
+            stats.headroom * 100.0,
+            stats.latency_ms(50.0),
+            stats.latency_ms(99.0),
+            stats.refused,
+            stats.refused_in_rate,
+            stats.failed,
+            stats.overloads,
+            stats.cap_excess,
+            stats.requests,
+            stats.attempts,
+        )
+    };
+    let only = env::args().nth(1);
+    let is_wanted = |kind: &PolicyKind| only.as_deref().is_none_or(|name| name == kind.name());
+    PolicyKind::ALL
+        .into_iter()
+        .filter(is_wanted)
+        .map(row)
+        .collect()
+}
--- /dev/null
+++ b/crates/apricotlug-policy/examples/support/policy.rs
@@ -0,0 +1,166 @@
+//! The policy under test and those that it is compared with.
+
+use apricotlug_model::{Bundle, DataCentreKey, EndpointKey, MonoTime, ServiceKey};
+use apricotlug_policy::{
+    lookup::InstanceLoad,
+    placement::{
+        Choice, LoadReport, NoPlace, Outcome, Placement, Refusal, ShareHolder, Ticket, Want,
+    },
+};
+use rand::rngs::StdRng;
+
+/// Kind of policy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PolicyKind {
+    /// In turn over the region's endpoints.
+    RoundRobin,
+    /// Fewest requests, own or reported, among the region's endpoints.
+    LeastOutstanding,
+    /// Fewest own requests in the own data centre.
+    NearestOnly,
+    /// Better of two within the slot share.
+    Apricotlug,
+}
+
+impl PolicyKind {
+    pub const ALL: [Self; 4] = [
+        Self::RoundRobin,
+        Self::LeastOutstanding,
+        Self::NearestOnly,
+        Self::Apricotlug,
+    ];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::RoundRobin => "round robin",
+            Self::LeastOutstanding => "least outstanding",
+            Self::NearestOnly => "nearest only",
+            Self::Apricotlug => "apricotlug",
+        }
+    }
+}
+
+/// Policy state of one instance.
+pub struct Policy {
+    pub kind: PolicyKind,
+    pub home: DataCentreKey,
+    pub placement: Placement,
+    turn: usize,
+    own: Vec<u32>,
+    reported: Vec<u32>,
+}
+
+impl Policy {
+    pub fn new(kind: PolicyKind, bundle: &Bundle, holders: &[ShareHolder], own: usize) -> Self {
+        let start = MonoTime::default();
+        let home = holders[own].data_centre;
+        let mut placement = Placement::new(bundle, home, start);
+        placement.set_slot_share(bundle, holders, &holders[own].id, start, start);
+        Self {
+            kind,
+            home,
+            placement,
+            turn: own,
+            own: vec![0; bundle.endpoints.len()],
+            reported: vec![0; bundle.endpoints.len()],
+        }
+    }
+
+    pub fn place(
+        &mut self,
+        bundle: &Bundle,
+        want: &Want<'_>,
+        is_shifted_in: bool,
+        arrived_at: MonoTime,
+        now: MonoTime,
+        rng: &mut StdRng,
+    ) -> Result<(EndpointKey, Option<Ticket>), NoPlace> {
+        if self.kind == PolicyKind::Apricotlug {
+            let placed = match is_shifted_in {
+                true => self
+                    .placement
+                    .place_shifted_in(bundle, want, arrived_at, now, rng),
+                false => self
+                    .placement
+                    .place_or_wait(bundle, want, arrived_at, now, rng),
+            };
+            return placed.map(
+                |Choice {
+                     endpoint, ticket, ..
+                 }| (endpoint, Some(ticket)),
+            );
+        }
+        let endpoint = self.choose(bundle, want).ok_or(NoPlace {
+            reason: Refusal::NoEndpoint,
+            retry_at: now,
+        })?;
+        self.own[usize::from(endpoint)] += 1;
+        Ok((endpoint, None))
+    }
+
+    pub fn settle(
+        &mut self,
+        endpoint: EndpointKey,
+        ticket: Option<Ticket>,
+        outcome: Outcome,
+        now: MonoTime,
+    ) {
+        match ticket {
+            Some(ticket) => self.placement.settle(ticket, outcome, now),
+            None => self.own[usize::from(endpoint)] -= 1,
+        }
+    }
+
+    /// Returns the load that the instance tells the look-up.
+    pub fn load(&self, bundle: &Bundle, instances: usize, now: MonoTime) -> InstanceLoad {
+        let (outstanding, slots) = match self.kind {
+            PolicyKind::Apricotlug => self.placement.load(now),
+            _ => {
+                let slots: u32 = bundle.endpoints.values().map(|e| u32::from(e.slots)).sum();
+                (self.own.iter().sum(), slots / instances as u32)
+            }
+        };
+        InstanceLoad { outstanding, slots }
+    }
+
+    pub fn report(&mut self, endpoint: EndpointKey, report: LoadReport, now: MonoTime) {
+        self.placement.report(endpoint, report, now);
+        self.reported[usize::from(endpoint)] = report.outstanding;
+    }
+
+    fn choose(&mut self, bundle: &Bundle, want: &Want<'_>) -> Option<EndpointKey> {
+        let candidates = self.candidates(bundle, want.service, want.exclude);
+        self.turn += 1;
+        let turn = self.turn % candidates.len().max(1);
+        let key = |i: &usize| {
+            let endpoint = usize::from(candidates[*i]);
+            match self.kind {
+                PolicyKind::LeastOutstanding => self.own[endpoint].max(self.reported[endpoint]),
+                PolicyKind::NearestOnly => self.own[endpoint],
+                PolicyKind::RoundRobin | PolicyKind::Apricotlug => 0,
+            }
+        };
+        let order = (0..candidates.len()).map(|i| (i + turn) % candidates.len());
+        order.min_by_key(key).map(|i| candidates[i])
+    }
+
+    fn candidates(
+        &self,
+        bundle: &Bundle,
+        service: ServiceKey,
+        exclude: &[EndpointKey],
+    ) -> Vec<EndpointKey> {
+        let region = bundle.data_centres[self.home].region;
+        let is_near = |key: EndpointKey| match self.kind {
+            PolicyKind::NearestOnly => bundle.data_centre_of(key) == self.home,
+            _ => bundle.region_of(key) == region,
+        };
+        let endpoints = bundle.endpoints.iter();
+        endpoints
+            .filter(|(_, endpoint)| bundle.versions[endpoint.version].service == service)
+            .filter(|(key, endpoint)| is_near(*key) && !endpoint.is_draining)
+            .map(|(key, _)| key)
+            .filter(|key| !exclude.contains(key))
+            .collect()
+    }
+}
--- a/crates/apricotlug-policy/src/lookup/overflow.rs
+++ b/crates/apricotlug-policy/src/lookup/overflow.rs
@@ -33,7 +33,7 @@
 
     /// Takes in the region's load: one step at most in each interval.
     pub(super) fn observe(&mut self, outstanding: u64, slots: u64, now: UnixTime) {
-        if now < self.next_step_at || slots == 0 {
+        if now < self.next_step_at {
             return;
         }
         let load = outstanding * 100;
--- a/crates/apricotlug-policy/src/placement/decide.rs
+++ b/crates/apricotlug-policy/src/placement/decide.rs
@@ -18,9 +18,23 @@
 const SLOW_FACTOR: f32 = 2.0;
 /// Time after which to try again where nothing tells a better one.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time for which a request waits for a slot of the home region before it is shifted, in
+/// hundredths of the delay to the nearest other region and back.
+const SHIFT_PATIENCE_PERCENT: u32 = 50;
 /// Shortest time after which to try again for a slot.
 const MIN_SLOT_WAIT: Duration = Duration::from_millis(1);
 
+/// Where a request may go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Locality {
+    /// To the home region, while that has a healthy endpoint.
+    Home,
+    /// To the home region, then to others.
+    Anywhere,
+    /// To other regions only.
+    Elsewhere,
+}
+
 /// Endpoint found, with what the decision is reported by.
 struct Found {
     state: StateIndex,
@@ -40,12 +54,31 @@
         now: MonoTime,
         rng: &mut impl Rng,
     ) -> Result<Choice, NoPlace> {
-        let found = self.find(bundle, want, now, rng)?;
+        let found = self.find(bundle, want, Locality::Anywhere, now, rng)?;
+        Ok(self.occupy(&found, false, now))
+    }
+
+    /// Places a request that may wait for a slot, and arrived at `arrived_at`. It is shifted to
+    /// another region only after it has waited for about as long as a shift would cost; until
+    /// then it is refused as `Full` where no slot of the home region is free.
+    ///
+    /// # Errors
+    /// Returns why there is no place and when to try again. Nothing was occupied.
+    pub fn place_or_wait(
+        &mut self,
+        bundle: &Bundle,
+        want: &Want<'_>,
+        arrived_at: MonoTime,
+        now: MonoTime,
+        rng: &mut impl Rng,
+    ) -> Result<Choice, NoPlace> {
+        let locality = self.locality(arrived_at, now);
+        let found = self.find(bundle, want, locality, now, rng)?;
         Ok(self.occupy(&found, false, now))
     }
 
     /// Places a request of a client whose home is another region. It counts against the home
-    /// region's shift cap.
+    /// region's shift cap, and waits as in [`Placement::place_or_wait`].
     ///
     /// # Errors
     /// Returns why there is no place and when to try again. Nothing was occupied.
@@ -53,23 +86,32 @@
         &mut self,
         bundle: &Bundle,
         want: &Want<'_>,
+        arrived_at: MonoTime,
         now: MonoTime,
         rng: &mut impl Rng,
     ) -> Result<Choice, NoPlace> {
-        if self.shifted_in >= self.shifted_in_limit.at(now) {
-            return Err(NoPlace {
-                reason: Refusal::ShiftCap,
-                retry_at: now.after(RETRY_AFTER),
-            });
-        }
-        let found = self.find(bundle, want, now, rng)?;
+        let locality = match self.shifted_in < self.shifted_in_limit.at(now) {
+            true => self.locality(arrived_at, now),
+            false => Locality::Elsewhere,
+        };
+        let found = self.find(bundle, want, locality, now, rng)?;
         Ok(self.occupy(&found, true, now))
     }
 
+    fn locality(&self, arrived_at: MonoTime, now: MonoTime) -> Locality {
+        let round_trip = self.nearest_delay * 2;
+        let patience = round_trip * SHIFT_PATIENCE_PERCENT / 100;
+        match arrived_at.after(patience) > now {
+            true => Locality::Home,
+            false => Locality::Anywhere,
+        }
+    }
+
     fn find(
         &mut self,
         bundle: &Bundle,
         want: &Want<'_>,
+        locality: Locality,
         now: MonoTime,
         rng: &mut impl Rng,
     ) -> Result<Found, NoPlace> {
@@ -86,9 +128,16 @@
             exclude: want.exclude,
             now,
         };
-        let local = find_local(group, &picker, rng);
-        if local.is_none() && !has_well_endpoint(group, &picker) {
-            group.home_return.note_unusable();
+        let local = match locality {
+            Locality::Elsewhere => None,
+            Locality::Home | Locality::Anywhere => find_local(group, &picker, rng),
+        };
+        if local.is_none() && locality != Locality::Elsewhere {
+            if !has_well_endpoint(group, &picker) {
+                group.home_return.note_unusable();
+            } else if locality == Locality::Home {
+                return Err(no_place(group, &picker, None));
+            }
         }
         let is_shift_preferred = match &local {
             Some(found) if found.reason == PlaceReason::Probe => false,
--- a/crates/apricotlug-policy/src/placement/engine.rs
+++ b/crates/apricotlug-policy/src/placement/engine.rs
@@ -36,6 +36,8 @@
     pub(super) typical_us: Vec<f32>,
     pub(super) shifts: Vec<RegionShift>,
     pub(super) home_region: RegionKey,
+    /// One-way delay to the nearest other region.
+    pub(super) nearest_delay: Duration,
     pub(super) shifted_in_limit: DelayedLimit<u16, MonoTime>,
     pub(super) shifted_in: u16,
     home: DataCentreKey,
@@ -46,7 +48,8 @@
 }
 
 impl Placement {
-    /// Returns the state of an instance in the data centre `home`, with all endpoints cold.
+    /// Returns the state of an instance in the data centre `home`. The bundle's endpoints are
+    /// taken as warm: they serve other instances already.
     ///
     /// It splits the slots as if no other instance were alive: `set_slot_share` comes before the
     /// first request wherever others are.
@@ -67,6 +70,7 @@
             typical_us: Vec::new(),
             shifts: Vec::new(),
             home_region: bundle.data_centres[home].region,
+            nearest_delay: Duration::ZERO,
             shifted_in_limit: DelayedLimit::default(),
             shifted_in: 0,
             home,
@@ -76,6 +80,9 @@
             state_by_id: HashMap::default(),
         };
         placement.bring_in_endpoints(None, bundle, now);
+        for state in &mut placement.states {
+            state.skip_slow_start();
+        }
         placement.apply_shares(bundle, now, now);
         placement
     }
@@ -148,6 +155,17 @@
         }
     }
 
+    /// Returns the requests that this instance has placed, and the slots that it may occupy at
+    /// healthy endpoints of its region. Look-ups weigh instances by them.
+    #[must_use]
+    pub fn load(&self, now: MonoTime) -> (u32, u32) {
+        let local = self.states.iter().filter(|s| s.region == self.home_region);
+        let usable = local.filter(|state| state.fault().is_none() && !state.is_leaving());
+        let slots = usable.map(|state| u32::from(state.limit.at(now))).sum();
+        let outstanding = self.states.iter().map(|s| u32::from(s.outstanding)).sum();
+        (outstanding, slots)
+    }
+
     /// Returns the requests that this instance has at an endpoint.
     #[must_use]
     pub fn outstanding(&self, endpoint: EndpointKey) -> u16 {
@@ -257,6 +275,12 @@
     }
 
     fn apply_region_shares(&mut self, bundle: &Bundle, shares: &SlotShares, now: MonoTime) {
+        let delays = bundle
+            .links
+            .iter()
+            .filter(|((from, _), _)| *from == self.home_region);
+        let nearest_us = delays.map(|(_, link)| link.delay_us).min().unwrap_or(0);
+        self.nearest_delay = Duration::from_micros(nearest_us.into());
         self.shifts
             .resize_with(bundle.regions.len(), RegionShift::default);
         for (region, shift) in bundle.regions.keys().zip(&mut self.shifts) {
--- a/crates/apricotlug-policy/src/placement/health.rs
+++ b/crates/apricotlug-policy/src/placement/health.rs
@@ -62,7 +62,7 @@
     failure_rate: f32,
     sampled_at: MonoTime,
     failures_in_row: u8,
-    cold_since: MonoTime,
+    cold_since: Option<MonoTime>,
     ejected_until: MonoTime,
     ejections: u8,
     fault: Option<Fault>,
@@ -84,7 +84,7 @@
             failure_rate: 0.0,
             sampled_at: now,
             failures_in_row: 0,
-            cold_since: now,
+            cold_since: Some(now),
             ejected_until: MonoTime::default(),
             ejections: 0,
             fault: None,
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Ends the slow start of an endpoint that serves other instances already.
+    pub(super) fn skip_slow_start(&mut self) {
+        self.cold_since = None;
+    }
+
     /// Forgets what was learned, for an endpoint that came back under another address.
     pub(super) fn reset(&mut self, now: MonoTime) {
         *self = Self {
@@ -188,7 +193,10 @@
 
     fn open_slots(&self, now: MonoTime) -> u16 {
         let slots = self.limit.at(now);
-        let warmth = now.since(self.cold_since).as_secs_f32() / SLOW_START.as_secs_f32();
+        let Some(cold_since) = self.cold_since else {
+            return slots;
+        };
+        let warmth = now.since(cold_since).as_secs_f32() / SLOW_START.as_secs_f32();
         if warmth >= 1.0 || slots == 0 {
             return slots;
         }
@@ -211,7 +219,7 @@
         self.sampled_at = now;
         if self.fault.take().is_some() {
             self.failure_rate = 0.0;
-            self.cold_since = now;
+            self.cold_since = Some(now);
         }
     }
 
--- a/crates/apricotlug-policy/src/placement/index.rs
+++ b/crates/apricotlug-policy/src/placement/index.rs
@@ -56,7 +56,7 @@
         let mut rows = vec![Vec::new(); versions + serving.len()];
         for (key, endpoint) in bundle.endpoints.iter() {
             let state = state_of[usize::from(key)];
-            if !states[state as usize].limit.target() > 0 {
+            if states[state as usize].limit.target() == 0 {
                 continue;
             }
             rows[usize::from(endpoint.version)].push((key, state));
--- a/crates/apricotlug-policy/src/placement/mod.rs
+++ b/crates/apricotlug-policy/src/placement/mod.rs
@@ -12,8 +12,10 @@
 mod request;
 mod share;
 mod shift;
+mod wait;
 
 pub use engine::Placement;
 pub use link::Traffic;
 pub use request::{Choice, LoadReport, NoPlace, Outcome, PlaceReason, Refusal, Ticket, Want};
 pub use share::{ShareHolder, SlotShares};
+pub use wait::{WaitQueue, Waiting};
--- a/crates/apricotlug-policy/src/placement/share.rs
+++ b/crates/apricotlug-policy/src/placement/share.rs
@@ -9,6 +9,8 @@
 /// Part of a region's shift cap that is set aside for instances of other regions, in hundredths.
 /// The rest is for clients of other regions that reach the region's own instances.
 const FOREIGN_PART_PERCENT: u32 = 50;
+/// Slots of a service by which a holder in the endpoint's data centre may lead the others.
+const HOME_LEAD_SLOTS: u32 = 2;
 
 /// Live instance that holds a share of the slots.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -50,9 +52,9 @@
 
     /// Returns the share of the instance `own`, which is nothing where it is not a holder.
     ///
-    /// Instances of a region share its endpoints evenly. What doesn't divide, and endpoints with
-    /// fewer slots than instances, go to the holder with the smallest share so far, preferring
-    /// the endpoint's data centre, then by rendezvous hashing.
+    /// Each slot goes to the holder with the smallest share of the service so far, where holders
+    /// in the endpoint's data centre may lead by some slots; equal shares are told apart by
+    /// rendezvous hashing.
     #[must_use]
     pub fn split(bundle: &Bundle, holders: &[ShareHolder], own: &InstanceId) -> Self {
         let mut shares = Self {
@@ -130,12 +132,12 @@
     }
 }
 
-/// Holder with the slots beyond the even split that were dealt to it, by service.
+/// Holder with the slots that were dealt to it, by service.
 struct Dealt {
     region: RegionKey,
     data_centre: DataCentreKey,
     seed: u64,
-    extra: HashMap<ServiceKey, u32>,
+    dealt: HashMap<ServiceKey, u32>,
 }
 
 impl Dealt {
@@ -144,7 +146,7 @@
             region: bundle.data_centres[holder.data_centre].region,
             data_centre: holder.data_centre,
             seed: fnv1a(holder.id.name.as_bytes()) ^ holder.id.incarnation,
-            extra: HashMap::default(),
+            dealt: HashMap::default(),
         }
     }
 }
@@ -158,31 +160,29 @@
 }
 
 impl Deal<'_> {
-    /// Deals slots among the holders with the given indices and returns what `own` got.
+    /// Deals slots one by one among the holders with the given indices and returns what `own`
+    /// got.
     fn run(&mut self, slots: u16, among: &[usize], own: usize) -> u16 {
-        let Ok(count @ 1..) = u16::try_from(among.len()) else {
-            return 0;
-        };
-        let mut own_slots = if among.contains(&own) {
-            slots / count
-        } else {
-            0
-        };
-        let mut order: Vec<_> = among.iter().map(|&i| (self.rank(i), i)).collect();
-        order.sort_unstable();
-        for &(_, i) in order.iter().take(usize::from(slots % count)) {
-            *self.holders[i].extra.entry(self.service).or_default() += 1;
-            own_slots += u16::from(i == own);
+        let mut own_slots = 0;
+        for _ in 0..slots {
+            let Some(&next) = among.iter().min_by_key(|i| self.rank(**i)) else {
+                break;
+            };
+            *self.holders[next].dealt.entry(self.service).or_default() += 1;
+            own_slots += u16::from(next == own);
         }
         own_slots
     }
 
     fn rank(&self, i: usize) -> (u32, Reverse<u64>) {
         let holder = &self.holders[i];
-        let extra = holder.extra.get(&self.service).copied().unwrap_or(0);
-        let is_elsewhere = holder.data_centre != self.data_centre;
+        let dealt = holder.dealt.get(&self.service).copied().unwrap_or(0);
+        let lead = match holder.data_centre == self.data_centre {
+            true => HOME_LEAD_SLOTS,
+            false => 0,
+        };
         let hash = splitmix64(holder.seed ^ self.seed);
-        (extra + u32::from(is_elsewhere), Reverse(hash))
+        (dealt + HOME_LEAD_SLOTS - lead, Reverse(hash))
     }
 }
 
