--- a/crates/apricotlug-peer/src/node/mod.rs
+++ b/crates/apricotlug-peer/src/node/mod.rs
@@ -4,7 +4,7 @@
 mod service;
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
@@ -29,13 +29,15 @@
     CompleteBundle, FleetView, Gossip, Member, MemberRecord, PeerConfig, PeerError, PeerHandle,
     PeerHandler, State, TransferLog,
     handle::{Command, Reply},
-    rpc::{Meter, Pool, serve},
+    rpc::{Meter, Pool, Slot, serve},
 };
 
 /// Commands that may wait for the node.
 const MAX_COMMANDS: usize = 1024;
 /// Bundles that may wait for their reader.
 const MAX_BUNDLES: usize = 4;
+/// Most transfers and orders that wait for their answer.
+const MAX_CALLS: usize = 256;
 /// Time that the farewell of a stopping node may take.
 const FAREWELL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -88,6 +90,7 @@
     rng: RefCell<StdRng>,
     transfers: RefCell<TransferLog>,
     talking: RefCell<BTreeSet<SocketAddr>>,
+    calls: Rc<Cell<usize>>,
     handler: Arc<dyn PeerHandler>,
     pool: Pool,
     meter: Arc<Meter>,
@@ -127,6 +130,7 @@
             started: Instant::now(),
             transfers: RefCell::default(),
             talking: RefCell::default(),
+            calls: Rc::default(),
             handler,
             pool: Pool::new(Arc::clone(&meter), spawner.clone()),
             meter,
@@ -205,11 +209,11 @@
             Command::PublishRecord(record, reply) => answer(reply, gossip.news.put(record)),
             Command::Transfer(to, transfer, reply) => {
                 let node = Rc::clone(self);
-                self.spawn(async move { answer(reply, node.transfer_to(to, transfer).await) });
+                self.spawn_call(reply, async move { node.transfer_to(to, transfer).await });
             }
             Command::ForwardOrder(to, order, reply) => {
                 let node = Rc::clone(self);
-                self.spawn(async move { answer(reply, node.forward_to(to, order).await) });
+                self.spawn_call(reply, async move { node.forward_to(to, order).await });
             }
             Command::SetLoad(load) => gossip.membership.set_load(load),
             Command::SetListed(addrs) => gossip.membership.set_listed(addrs),
@@ -259,6 +263,22 @@
         let _ = self.spawner.spawn_local(task);
     }
 
+    /// Spawns a call whose outcome goes to a waiting handle; refuses it where too many wait.
+    fn spawn_call<T: 'static>(
+        &self,
+        reply: Reply<T>,
+        call: impl Future<Output = Result<T, PeerError>> + 'static,
+    ) {
+        let Some(slot) = Slot::take(&self.calls, MAX_CALLS) else {
+            answer(reply, Err(PeerError::Overloaded));
+            return;
+        };
+        self.spawn(async move {
+            answer(reply, call.await);
+            drop(slot);
+        });
+    }
+
     /// Has the main loop look again at what is due.
     fn wake(&self) {
         // A full channel means that it will do so anyway.
--- a/crates/apricotlug-peer/src/rpc/client.rs
+++ b/crates/apricotlug-peer/src/rpc/client.rs
@@ -195,8 +195,11 @@
 
     async fn heartbeat(&self) -> Result<(), PeerError> {
         let request = self.client.fetch_chunks_request();
-        self.call(SHORT_TIMEOUT, request.send().promise).await?;
-        Ok(())
+        match self.call(SHORT_TIMEOUT, request.send().promise).await {
+            // A peer that refuses is there.
+            Ok(_) | Err(PeerError::Overloaded) => Ok(()),
+            Err(e) => Err(e),
+        }
     }
 
     /// Waits for a call while heartbeats show that the connection is alive.
@@ -234,9 +237,10 @@
             }),
             Err(_) => Err(PeerError::Timeout(self.addr)),
         };
-        if outcome.is_err() {
+        if let Err(e) = &outcome {
             Meter::count(&self.meter.calls_failed, 1);
-            self.is_broken.set(true);
+            let is_broken = *e != PeerError::Overloaded;
+            self.is_broken.set(self.is_broken.get() || is_broken);
         }
         self.used_at.set(Instant::now());
         outcome
--- a/crates/apricotlug-peer/src/rpc/mod.rs
+++ b/crates/apricotlug-peer/src/rpc/mod.rs
@@ -3,11 +3,13 @@
 mod client;
 mod pool;
 mod server;
+mod slot;
 mod traffic;
 
 pub use traffic::Traffic;
 pub(crate) use {
     pool::Pool,
     server::{PeerService, serve},
+    slot::Slot,
     traffic::Meter,
 };
--- a/crates/apricotlug-peer/src/rpc/server.rs
+++ b/crates/apricotlug-peer/src/rpc/server.rs
@@ -19,7 +19,10 @@
     task::LocalSpawnExt,
 };
 
-use super::traffic::{Meter, Metered};
+use super::{
+    slot::Slot,
+    traffic::{Meter, Metered},
+};
 use crate::{
     ChunkHash, Exchange, MAX_TRANSFER_BYTES, PeerError, Transfer, TransferId, TransferOutcome,
     peer_capnp::{peer, target, transfer},
@@ -60,13 +63,12 @@
             async_std::task::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if open.get() >= MAX_CONNECTIONS {
+        let Some(slot) = Slot::take(&open, MAX_CONNECTIONS) else {
             continue;
-        }
-        let guard = Slot::take(&open);
+        };
         let served = serve_connection(stream, Rc::clone(&service), Arc::clone(&meter));
         // A failure means that the node is shutting down.
-        let _ = spawner.spawn_local(served.map(move |()| drop(guard)));
+        let _ = spawner.spawn_local(served.map(move |()| drop(slot)));
     }
 }
 
@@ -92,22 +94,6 @@
     let _ = stream.shutdown(Shutdown::Both);
 }
 
-/// One of a bounded number of slots; given back on drop.
-struct Slot(Rc<Cell<usize>>);
-
-impl Slot {
-    fn take(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(Rc::clone(count))
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// Calls of one connection.
 struct Activity {
     calls: Rc<Cell<usize>>,
@@ -126,10 +112,8 @@
 impl Activity {
     fn begin(&self) -> Result<Slot, capnp::Error> {
         self.called_at.set(Instant::now());
-        if self.calls.get() >= MAX_CALLS {
-            return Err(capnp::Error::overloaded("too many calls in flight".into()));
-        }
-        Ok(Slot::take(&self.calls))
+        let slot = Slot::take(&self.calls, MAX_CALLS);
+        slot.ok_or_else(|| capnp::Error::overloaded("too many calls in flight".into()))
     }
 
     async fn silence(&self) {
--- a/crates/apricotlug-peer/tests/support/mod.rs
+++ b/crates/apricotlug-peer/tests/support/mod.rs
@@ -2,4 +2,5 @@
 #![allow(dead_code, missing_docs)]
 
 pub mod fleet;
+pub mod node;
 pub mod relay;
--- /dev/null
+++ b/crates/apricotlug-peer/tests/tcp.rs
@@ -0,0 +1,316 @@
+//! Peer nodes over real TCP on loopback. Tests wait for conditions and assert on no times.
+
+mod support;
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use apricotlug_model::{InstanceId, UnixTime};
+use apricotlug_peer::{
+    NamedRecord, PeerError, PeerHandle, State, Transfer, TransferId, TransferOutcome,
+};
+use async_std::{io::WriteExt, net::TcpStream, task::block_on};
+use futures::{channel::oneshot, future::join_all};
+use support::{
+    fleet::bundle,
+    node::{Handler, start, start_nine, state, until, until_all_ready},
+    relay::Relay,
+};
+
+const MINUTE: Duration = Duration::from_secs(60);
+
+fn handles(nodes: &[(PeerHandle, Arc<Handler>)]) -> Vec<PeerHandle> {
+    nodes.iter().map(|(handle, _)| handle.clone()).collect()
+}
+
+async fn publish(node: &PeerHandle, version: u64) {
+    let bundle = bundle(version);
+    node.publish_bundle(bundle.head, bundle.chunks)
+        .await
+        .unwrap();
+}
+
+fn version(node: &PeerHandle) -> u64 {
+    node.bundle().map_or(0, |bundle| bundle.head.version)
+}
+
+fn transfer(id: u128) -> Transfer {
+    Transfer {
+        id: TransferId(id),
+        expires: UnixTime::now().after(MINUTE),
+        payload: vec![1, 2, 3],
+    }
+}
+
+#[test]
+fn nine_nodes_share_bundles_withdrawals_and_records() {
+    block_on(async {
+        let nodes = handles(&start_nine());
+        until_all_ready(&nodes).await;
+        publish(&nodes[4], 2).await;
+        publish(&nodes[7], 3).await;
+        publish(&nodes[2], 1).await;
+        nodes[5].withdraw("key-1").await.unwrap();
+        let record = NamedRecord {
+            name: "move".to_owned(),
+            version: 1,
+            bytes: b"stage 2".as_slice().into(),
+        };
+        nodes[8].publish_record(record).await.unwrap();
+        until("news is everywhere", || {
+            nodes.iter().all(|node| {
+                let has_key = node.withdrawn().contains("key-1");
+                version(node) == 3 && has_key && node.records().contains_key("move")
+            })
+        })
+        .await;
+        until("everybody's confirmation is known everywhere", || {
+            nodes.iter().all(|node| {
+                let has_all = node.members().iter().all(|m| m.progress.bundle == 3);
+                has_all && node.view().unconfirmed.is_empty()
+            })
+        })
+        .await;
+        let mut updates = Vec::new();
+        while let Ok(update) = nodes[0].bundle_updates().try_recv() {
+            updates.push(update.head.version);
+        }
+        assert!(
+            updates.is_sorted() && updates.last() == Some(&3),
+            "{updates:?}"
+        );
+    });
+}
+
+#[test]
+fn an_abrupt_end_is_found_and_a_graceful_one_is_announced() {
+    block_on(async {
+        let mut nodes = handles(&start_nine());
+        until_all_ready(&nodes).await;
+        // A dropped handle ends its node with no word to the others.
+        drop(nodes.remove(3));
+        until("the lost node is named nowhere", || {
+            nodes
+                .iter()
+                .all(|node| state(node, "entry-3") != Some(State::Ready))
+        })
+        .await;
+        nodes[1].announce_leaving();
+        until("the leaving node is seen to leave", || {
+            nodes
+                .iter()
+                .all(|node| state(node, "entry-1") >= Some(State::Leaving))
+        })
+        .await;
+        nodes.remove(1).stop().await;
+        until("the stopped node is dead everywhere", || {
+            nodes
+                .iter()
+                .all(|node| state(node, "entry-1") == Some(State::Dead))
+        })
+        .await;
+        until_all_ready(&nodes).await;
+    });
+}
+
+#[test]
+fn a_restarted_node_with_the_same_name_replaces_the_earlier_one() {
+    block_on(async {
+        let (seed, _) = start("a", 1, "x", &[], None);
+        let (old, _) = start("b", 2, "x", &[seed.addr()], None);
+        until_all_ready(&[seed.clone(), old.clone()]).await;
+        let old_id = old.id().clone();
+        drop(old);
+        let (new, handler) = start("b", 3, "x", &[seed.addr()], None);
+        until("the new run is known", || {
+            seed.members()
+                .iter()
+                .any(|m| m.record.id == *new.id() && m.state == State::Ready)
+        })
+        .await;
+        let outcome = seed.send_transfer(&old_id, transfer(1)).await;
+        assert_eq!(outcome, Ok(TransferOutcome::Gone));
+        assert_eq!(
+            seed.forward_order(&old_id, Vec::from("order")).await,
+            Ok(None)
+        );
+        assert_eq!(handler.orders.load(Ordering::SeqCst), 0);
+        assert!(handler.transfers.lock().unwrap().is_empty());
+    });
+}
+
+#[test]
+fn transfers_are_applied_once_and_orders_answered_by_their_run_only() {
+    block_on(async {
+        let (a, _) = start("a", 1, "x", &[], None);
+        let (b, handler) = start("b", 2, "y", &[a.addr()], None);
+        until_all_ready(&[a.clone(), b.clone()]).await;
+        let first = transfer(7);
+        for expected in [TransferOutcome::Applied, TransferOutcome::Duplicate] {
+            assert_eq!(a.send_transfer(b.id(), first.clone()).await, Ok(expected));
+        }
+        let mut late = transfer(8);
+        late.expires = UnixTime(1);
+        assert_eq!(
+            a.send_transfer(b.id(), late).await,
+            Ok(TransferOutcome::Expired)
+        );
+        let mut large = transfer(9);
+        large.payload = vec![0; 16 * 1024 + 1];
+        let refused = a.send_transfer(b.id(), large).await;
+        assert!(
+            matches!(refused, Err(PeerError::TooLarge { .. })),
+            "{refused:?}"
+        );
+        assert_eq!(*handler.transfers.lock().unwrap(), [TransferId(7)]);
+        let answer = a.forward_order(b.id(), Vec::from("order")).await;
+        assert_eq!(answer, Ok(Some(Vec::from("answer to order"))));
+        let stranger = InstanceId {
+            name: "nobody".to_owned(),
+            incarnation: 1,
+        };
+        let unknown = a.forward_order(&stranger, Vec::new()).await;
+        assert!(
+            matches!(unknown, Err(PeerError::UnknownInstance(_))),
+            "{unknown:?}"
+        );
+    });
+}
+
+#[test]
+fn calls_beyond_the_limit_are_refused_and_the_others_answered() {
+    block_on(async {
+        let (a, _) = start("a", 1, "x", &[], None);
+        let (b, handler) = start("b", 2, "y", &[a.addr()], None);
+        until_all_ready(&[a.clone(), b.clone()]).await;
+        let (releases, holds): (Vec<_>, Vec<_>) = (0..64).map(|_| oneshot::channel()).unzip();
+        *handler.holds.lock().unwrap() = holds;
+        let calls = (0..64).map(|i| {
+            let (a, to) = (a.clone(), b.id().clone());
+            async_std::task::spawn(async move { a.forward_order(&to, vec![i]).await })
+        });
+        let calls: Vec<_> = calls.collect();
+        // Orders wait for long enough that heartbeats go out beside them.
+        let before = a.traffic();
+        until("calls wait for their answer and heartbeats go out", || {
+            let traffic = a.traffic();
+            let refused = traffic.calls_failed - before.calls_failed;
+            refused > 0 && traffic.calls_out - before.calls_out > 64 + 64
+        })
+        .await;
+        releases.into_iter().for_each(drop);
+        let mut refused = 0;
+        for (i, outcome) in join_all(calls).await.into_iter().enumerate() {
+            match outcome {
+                Ok(answer) => {
+                    let expected = [b"answer to ".as_slice(), &[i as u8]].concat();
+                    assert_eq!(answer, Some(expected));
+                }
+                Err(PeerError::Overloaded) => refused += 1,
+                Err(e) => panic!("order {i}: {e}"),
+            }
+        }
+        assert!(refused > 0, "64 orders at once were all taken");
+        let run = handler.orders.load(Ordering::SeqCst);
+        assert_eq!(run + refused, 64, "an order ran twice or was lost");
+    });
+}
+
+#[test]
+fn a_connection_that_went_silent_is_replaced() {
+    block_on(async {
+        let relay = Relay::start().await;
+        let (a, _) = start("a", 1, "x", &[], None);
+        let (b, handler) = start("b", 2, "y", &[a.addr()], Some(relay.addr));
+        relay.set_target(b.addr());
+        until_all_ready(&[a.clone(), b.clone()]).await;
+        let answer = a.forward_order(b.id(), Vec::from("1")).await;
+        assert_eq!(answer, Ok(Some(Vec::from("answer to 1"))));
+        relay.forget();
+        let outcome = a.send_transfer(b.id(), transfer(1)).await;
+        assert_eq!(
+            outcome,
+            Ok(TransferOutcome::Applied),
+            "the repeat goes over a new connection"
+        );
+        // An order that is out when its connection goes silent may have run: it is not repeated.
+        let (_release, hold) = oneshot::channel();
+        handler.holds.lock().unwrap().push(hold);
+        let (from, to) = (a.clone(), b.id().clone());
+        let call = async_std::task::spawn(async move { from.forward_order(&to, vec![2]).await });
+        until("the order runs", || {
+            handler.orders.load(Ordering::SeqCst) == 2
+        })
+        .await;
+        relay.forget();
+        let outcome = call.await;
+        assert!(
+            matches!(outcome, Err(PeerError::Timeout(_) | PeerError::Call { .. })),
+            "{outcome:?}"
+        );
+        assert_eq!(
+            handler.orders.load(Ordering::SeqCst),
+            2,
+            "the order ran again"
+        );
+        let answer = a.forward_order(b.id(), Vec::from("3")).await;
+        assert_eq!(answer, Ok(Some(Vec::from("answer to 3"))));
+    });
+}
+
+#[test]
+fn a_cut_node_is_suspected_and_comes_back_after_the_heal() {
+    for (name, is_in_cut, is_out_cut) in [
+        ("both ways", true, true),
+        ("inwards", true, false),
+        ("outwards", false, true),
+    ] {
+        block_on(async {
+            let relays = [Relay::start().await, Relay::start().await];
+            let (a, _) = start("a", 1, "x", &[], Some(relays[0].addr));
+            let (b, _) = start("b", 2, "x", &[relays[0].addr], Some(relays[1].addr));
+            relays[0].set_target(a.addr());
+            relays[1].set_target(b.addr());
+            let both = [a.clone(), b.clone()];
+            until_all_ready(&both).await;
+            // What goes to `b` passes the second relay, what comes from it the first.
+            relays[1].cut(is_in_cut, is_out_cut);
+            relays[0].cut(is_out_cut, is_in_cut);
+            let is_suspect = |node: &PeerHandle, name| state(node, name) >= Some(State::Suspect);
+            until(&format!("{name}: the cut is noticed"), || {
+                is_suspect(&a, "b") || is_suspect(&b, "a")
+            })
+            .await;
+            relays.iter().for_each(|relay| relay.cut(false, false));
+            until_all_ready(&both).await;
+        });
+    }
+}
+
+#[test]
+fn garbage_on_the_wire_does_no_harm() {
+    block_on(async {
+        let (a, _) = start("a", 1, "x", &[], None);
+        let (b, _) = start("b", 2, "x", &[a.addr()], None);
+        until_all_ready(&[a.clone(), b.clone()]).await;
+        let garbage: [&[u8]; 4] = [
+            b"GET / HTTP/1.1\r\n\r\n",
+            &[0xff; 64],
+            &[0; 64],
+            // One segment of 2 GiB announced, and nothing behind it.
+            &[0, 0, 0, 0, 0xff, 0xff, 0xff, 0x0f],
+        ];
+        for bytes in garbage {
+            let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, a.addr().port()));
+            let mut stream = TcpStream::connect(addr).await.unwrap();
+            stream.write_all(bytes).await.unwrap();
+        }
+        assert_eq!(
+            b.send_transfer(a.id(), transfer(1)).await,
+            Ok(TransferOutcome::Applied)
+        );
+    });
+}
