--- a/crates/apricotlug-peer/src/rpc/client.rs
+++ b/crates/apricotlug-peer/src/rpc/client.rs
@@ -66,7 +66,7 @@
     pub async fn open(
         addr: SocketAddr,
         meter: Arc<Meter>,
-        spawner: &LocalSpawner,
+        spawner: LocalSpawner,
     ) -> Result<Rc<Self>, PeerError> {
         let fail = |reason: String| PeerError::Connect { addr, reason };
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
--- a/crates/apricotlug-peer/src/rpc/pool.rs
+++ b/crates/apricotlug-peer/src/rpc/pool.rs
@@ -3,7 +3,11 @@
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use apricotlug_model::HashMap;
-use futures::executor::LocalSpawner;
+use futures::{
+    FutureExt,
+    executor::LocalSpawner,
+    future::{LocalBoxFuture, Shared},
+};
 
 use super::{client::Connection, traffic::Meter};
 use crate::PeerError;
@@ -13,9 +17,13 @@
 /// Idle time after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Connection that is being opened; all that wait for it share it.
+type Opening = Shared<LocalBoxFuture<'static, Result<Rc<Connection>, PeerError>>>;
+
 /// Pool of connections, each replaced after its first failed call.
 pub(crate) struct Pool {
     connections: RefCell<HashMap<SocketAddr, Rc<Connection>>>,
+    opening: RefCell<HashMap<SocketAddr, Opening>>,
     meter: Arc<Meter>,
     spawner: LocalSpawner,
 }
@@ -24,6 +32,7 @@
     pub fn new(meter: Arc<Meter>, spawner: LocalSpawner) -> Self {
         Self {
             connections: RefCell::default(),
+            opening: RefCell::default(),
             meter,
             spawner,
         }
@@ -45,8 +54,9 @@
     /// # Errors
     /// Where no connection can be opened; nothing was sent then.
     pub async fn open(&self, addr: SocketAddr) -> Result<Rc<Connection>, PeerError> {
-        let meter = Arc::clone(&self.meter);
-        let opened = Connection::open(addr, meter, &self.spawner).await;
+        let opening = self.opening(addr);
+        let opened = opening.await;
+        self.opening.borrow_mut().remove(&addr);
         let opened = opened.inspect_err(|_| Meter::count(&self.meter.calls_failed, 1))?;
         self.connections
             .borrow_mut()
@@ -61,6 +71,18 @@
         connections.retain(|_, c| !c.is_broken() && c.idle_time() < IDLE_TIMEOUT);
     }
 
+    /// Returns the connection that is being opened to an address; begins it where there is none.
+    fn opening(&self, addr: SocketAddr) -> Opening {
+        let mut opening = self.opening.borrow_mut();
+        let begin = || {
+            let meter = Arc::clone(&self.meter);
+            Connection::open(addr, meter, self.spawner.clone())
+                .boxed_local()
+                .shared()
+        };
+        opening.entry(addr).or_insert_with(begin).clone()
+    }
+
     fn cached(&self, addr: SocketAddr) -> Option<Rc<Connection>> {
         let mut connections = self.connections.borrow_mut();
         let connection = connections.get(&addr).cloned()?;
