--- a/crates/apricotlug-peer/src/membership/digest.rs
+++ b/crates/apricotlug-peer/src/membership/digest.rs
@@ -1,5 +1,7 @@
 //! Anti-entropy: a hash per data centre, digests where hashes differ, records where digests do.
 
+use std::collections::BTreeMap;
+
 use apricotlug_model::MonoTime;
 
 use super::{Membership, entry::Entry};
@@ -68,10 +70,14 @@
         reply.trim();
     }
 
-    /// Returns the hash over the records of a data centre, deaths of long ago left out.
-    pub(super) fn hash(&self, data_centre: NameHash, now: MonoTime) -> u64 {
-        let compared = self.compared(data_centre, now);
-        compared.fold(0, |hash, (_, entry)| hash ^ entry.hash)
+    /// Returns the hash over the records of each data centre, deaths of long ago left out.
+    pub(super) fn hashes(&self, now: MonoTime) -> BTreeMap<NameHash, u64> {
+        let mut hashes = BTreeMap::new();
+        let compared = self.entries.values().filter(|entry| !entry.is_buried(now));
+        for entry in compared {
+            *hashes.entry(entry.data_centre).or_insert(0) ^= entry.hash;
+        }
+        hashes
     }
 
     pub(super) fn digest(&self, data_centre: NameHash, now: MonoTime) -> MemberDigest {
--- a/crates/apricotlug-peer/src/membership/merge.rs
+++ b/crates/apricotlug-peer/src/membership/merge.rs
@@ -73,6 +73,7 @@
         entry.load = load;
         entry.progress = progress;
         self.entries.insert(self.me, entry);
+        self.changes += 1;
         self.spread(self.me);
     }
 
@@ -93,6 +94,7 @@
             beat.or_insert_with(|| Beat::new(now));
         }
         self.entries.insert(id, entry);
+        self.changes += 1;
         if is_rumour {
             self.spread(id);
         }
--- a/crates/apricotlug-peer/src/membership/mod.rs
+++ b/crates/apricotlug-peer/src/membership/mod.rs
@@ -75,6 +75,7 @@
     last_heard: MonoTime,
     cursor: usize,
     has_changed: bool,
+    changes: u64,
 }
 
 impl Membership {
@@ -98,6 +99,7 @@
             last_heard: now,
             cursor: 0,
             has_changed: true,
+            changes: 0,
         }
     }
 
@@ -172,6 +174,12 @@
         now.since(self.last_heard) > ISOLATED_AFTER
     }
 
+    /// Returns the number of changes of records so far.
+    #[must_use]
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Tells, once, whether a record has changed that others should hear of soon.
     pub fn take_change(&mut self) -> bool {
         std::mem::take(&mut self.has_changed)
--- a/crates/apricotlug-peer/src/membership/pulse.rs
+++ b/crates/apricotlug-peer/src/membership/pulse.rs
@@ -1,5 +1,7 @@
 //! Signs of life: pulses within a data centre, one counter for each data centre across.
 
+use std::collections::BTreeMap;
+
 use apricotlug_model::MonoTime;
 
 use super::{MAX_DATA_CENTRES, Membership, entry::Beat};
@@ -115,15 +117,22 @@
             .skip(start)
             .take(others.len().min(limit));
         let ids: Vec<NameHash> = [self.home].iter().chain(turn).copied().collect();
-        ids.into_iter().map(|id| self.summary(id, now)).collect()
+        let hashes = self.hashes(now);
+        let summary = |id| self.summary(id, &hashes, now);
+        ids.into_iter().map(summary).collect()
     }
 
-    fn summary(&self, data_centre: NameHash, now: MonoTime) -> Summary {
+    fn summary(
+        &self,
+        data_centre: NameHash,
+        hashes: &BTreeMap<NameHash, u64>,
+        now: MonoTime,
+    ) -> Summary {
         let beat = self.beats.get(&data_centre).copied();
         let beat = beat.unwrap_or_else(|| Beat::new(now));
         Summary {
             data_centre,
-            hash: self.hash(data_centre, now),
+            hash: hashes.get(&data_centre).copied().unwrap_or(0),
             beat: beat.value,
             floor: beat.floor,
         }
@@ -131,8 +140,9 @@
 
     /// Merges summaries, and adds to the reply those that are behind or differ.
     pub(super) fn merge_summaries(&mut self, msg: &Exchange, reply: &mut Exchange, now: MonoTime) {
+        let hashes = self.hashes(now);
         for theirs in &msg.summaries {
-            let ours = self.summary(theirs.data_centre, now);
+            let ours = self.summary(theirs.data_centre, &hashes, now);
             if theirs.beat > ours.beat {
                 self.advance_beat(theirs, now);
             }
--- a/crates/apricotlug-peer/src/node/mod.rs
+++ b/crates/apricotlug-peer/src/node/mod.rs
@@ -1,11 +1,13 @@
 //! Peer node: drives the gossip on a thread of its own.
 
+mod commands;
 mod converse;
 mod service;
+mod view;
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeSet,
     net::SocketAddr,
     rc::Rc,
     sync::{Arc, RwLock},
@@ -26,18 +28,16 @@
 use rand::{SeedableRng, rngs::StdRng};
 
 use crate::{
-    CompleteBundle, FleetView, Gossip, Member, MemberRecord, PeerConfig, PeerError, PeerHandle,
+    CompleteBundle, FleetView, Gossip, MemberRecord, NewsDigest, PeerConfig, PeerError, PeerHandle,
     PeerHandler, State, TransferLog,
-    handle::{Command, Reply},
-    rpc::{Meter, Pool, Slot, serve},
+    handle::Command,
+    rpc::{Meter, Pool, serve},
 };
 
 /// Commands that may wait for the node.
 const MAX_COMMANDS: usize = 1024;
 /// Bundles that may wait for their reader.
 const MAX_BUNDLES: usize = 4;
-/// Most transfers and orders that wait for their answer.
-const MAX_CALLS: usize = 256;
 /// Time that the farewell of a stopping node may take.
 const FAREWELL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -91,6 +91,8 @@
     transfers: RefCell<TransferLog>,
     talking: RefCell<BTreeSet<SocketAddr>>,
     calls: Rc<Cell<usize>>,
+    shown: Cell<(NewsDigest, u64)>,
+    view_expires: Cell<MonoTime>,
     handler: Arc<dyn PeerHandler>,
     pool: Pool,
     meter: Arc<Meter>,
@@ -131,6 +133,8 @@
             transfers: RefCell::default(),
             talking: RefCell::default(),
             calls: Rc::default(),
+            shown: Cell::default(),
+            view_expires: Cell::default(),
             handler,
             pool: Pool::new(Arc::clone(&meter), spawner.clone()),
             meter,
@@ -190,38 +194,13 @@
         }
         self.start_fetch();
         let completed = self.gossip.borrow_mut().news.take_completed();
-        self.publish_view(now);
+        self.refresh_view(now);
         for bundle in completed {
             // A failure means that all handles are gone.
             let _ = self.bundles.force_send(bundle);
         }
     }
 
-    fn obey(self: &Rc<Self>, command: Command) {
-        let now = self.now();
-        let mut gossip = self.gossip.borrow_mut();
-        match command {
-            Command::PublishBundle(bundle, reply) => {
-                gossip.news.publish(bundle);
-                answer(reply, Ok(()));
-            }
-            Command::Withdraw(key, reply) => answer(reply, gossip.news.withdraw(&key)),
-            Command::PublishRecord(record, reply) => answer(reply, gossip.news.put(record)),
-            Command::Transfer(to, transfer, reply) => {
-                let node = Rc::clone(self);
-                self.spawn_call(reply, async move { node.transfer_to(to, transfer).await });
-            }
-            Command::ForwardOrder(to, order, reply) => {
-                let node = Rc::clone(self);
-                self.spawn_call(reply, async move { node.forward_to(to, order).await });
-            }
-            Command::SetLoad(load) => gossip.membership.set_load(load),
-            Command::SetListed(addrs) => gossip.membership.set_listed(addrs),
-            Command::AnnounceLeaving => gossip.membership.announce(State::Leaving, now),
-            Command::Stop(_) => {}
-        }
-    }
-
     /// Announces that this instance is gone to some peers, within a bounded time.
     async fn farewell(self: &Rc<Self>) {
         let now = self.now();
@@ -240,64 +219,14 @@
         let _ = async_std::future::timeout(FAREWELL_TIMEOUT, talks).await;
     }
 
-    fn publish_view(&self, now: MonoTime) {
-        let gossip = self.gossip.borrow();
-        let members: Arc<[Member]> = gossip.membership.view(now).into();
-        let view = FleetView {
-            unconfirmed: Arc::new(unconfirmed(&gossip, &members)),
-            members,
-            withdrawn: Arc::clone(gossip.news.withdrawn()),
-            records: Arc::clone(gossip.news.records()),
-            bundle: gossip.news.bundle().cloned(),
-            is_superseded: gossip.membership.is_superseded(),
-            is_isolated: gossip.membership.is_isolated(now),
-        };
-        drop(gossip);
-        if let Ok(mut slot) = self.view.write() {
-            *slot = Arc::new(view);
-        }
-    }
-
     fn spawn(&self, task: impl Future<Output = ()> + 'static) {
         // A failure means that the node is shutting down.
         let _ = self.spawner.spawn_local(task);
     }
 
-    /// Spawns a call whose outcome goes to a waiting handle; refuses it where too many wait.
-    fn spawn_call<T: 'static>(
-        &self,
-        reply: Reply<T>,
-        call: impl Future<Output = Result<T, PeerError>> + 'static,
-    ) {
-        let Some(slot) = Slot::take(&self.calls, MAX_CALLS) else {
-            answer(reply, Err(PeerError::Overloaded));
-            return;
-        };
-        self.spawn(async move {
-            answer(reply, call.await);
-            drop(slot);
-        });
-    }
-
     /// Has the main loop look again at what is due.
     fn wake(&self) {
         // A full channel means that it will do so anyway.
         let _ = self.wake.0.try_send(());
     }
 }
-
-fn unconfirmed(gossip: &Gossip, members: &[Member]) -> BTreeMap<String, Vec<String>> {
-    let mut unconfirmed: BTreeMap<String, Vec<String>> = BTreeMap::new();
-    for member in members.iter().filter(|member| member.state != State::Dead) {
-        for key in gossip.news.unconfirmed_by(member.progress.withdrawn) {
-            let names = unconfirmed.entry(key.to_owned()).or_default();
-            names.push(member.record.id.name.clone());
-        }
-    }
-    unconfirmed
-}
-
-fn answer<T>(reply: Reply<T>, outcome: Result<T, PeerError>) {
-    // A failure means that the caller no longer waits.
-    let _ = reply.send(outcome);
-}
--- a/crates/apricotlug-peer/tests/tcp.rs
+++ b/crates/apricotlug-peer/tests/tcp.rs
@@ -54,6 +54,10 @@
         publish(&nodes[7], 3).await;
         publish(&nodes[2], 1).await;
         nodes[5].withdraw("key-1").await.unwrap();
+        assert!(
+            nodes[5].withdrawn().contains("key-1"),
+            "in force before the answer"
+        );
         let record = NamedRecord {
             name: "move".to_owned(),
             version: 1,
