--- a/crates/apricotlug-edge/src/caller.rs
+++ b/crates/apricotlug-edge/src/caller.rs
@@ -7,7 +7,7 @@
 };
 
 use apricotlug_http::{BodyReader, Conn, Framing, HttpError, RequestHead, request_framing};
-use apricotlug_model::{AccountKey, Bundle, MonoTime};
+use apricotlug_model::{Bundle, MonoTime};
 use async_std::{
     net::{TcpListener, TcpStream},
     task,
@@ -22,6 +22,7 @@
     run,
     settle::{self, End, Next},
     shared::Shared,
+    wait::MAX_WAIT,
 };
 
 /// Largest request body, in bytes.
@@ -81,7 +82,7 @@
         arrived_at,
         is_closing,
     };
-    let (bundle, ex) = match prepare(shared, head, arrival) {
+    let (bundle, ex) = match prepare(shared, head, arrival).await {
         Ok(prepared) => prepared,
         Err(refusal) => {
             // A body that nobody reads must not pass for the next request.
@@ -139,7 +140,7 @@
 }
 
 /// Routes, identifies and admits a request.
-fn prepare(
+async fn prepare(
     shared: &Shared,
     mut head: RequestHead,
     arrival: Arrival,
@@ -151,15 +152,24 @@
             "send a smaller body",
         ));
     }
+    let wait_until = arrival.arrived_at.after(MAX_WAIT);
+    let mut waiter = None;
     let (bundle, route, account) = loop {
         let view = shared.view.load();
         let bundle = view.bundle.clone().ok_or(NO_BUNDLE)?;
         let route = bundle.route(head.path()).ok_or(NO_ROUTE)?;
         let account = identify(&view, &bundle.routes[route], &head).map_err(unidentified)?;
-        match admit(shared, &bundle, account, arrival.arrived_at) {
-            Ok(()) => break (bundle, route, account),
+        let Some(account) = account else { break (bundle, route, None) };
+        match shared.gate.admit(&bundle, account, shared.clock.now()) {
+            Ok(()) => break (bundle, route, Some(account)),
             Err(NotAdmitted::OtherBundle) => {}
-            Err(NotAdmitted::OverRate { retry_at }) => return Err(over_rate(shared, retry_at)),
+            Err(NotAdmitted::OverRate { retry_at }) => {
+                waiter = waiter.or_else(|| shared.waiting.enter(account));
+                if waiter.is_none() || retry_at > wait_until {
+                    return Err(over_rate(shared, retry_at));
+                }
+                task::sleep(shared.clock.left(retry_at)).await;
+            }
         }
     };
     head.headers.remove("authorization");
@@ -182,15 +192,6 @@
     Ok((bundle, ex))
 }
 
-fn admit(
-    shared: &Shared,
-    bundle: &Bundle,
-    account: Option<AccountKey>,
-    now: MonoTime,
-) -> Result<(), NotAdmitted> {
-    account.map_or(Ok(()), |account| shared.gate.admit(bundle, account, now))
-}
-
 fn over_rate(shared: &Shared, retry_at: MonoTime) -> Refusal {
     let mut refusal = Refusal::not_run(429, "over_rate", "come again when told");
     refusal.retry_at = Some(shared.clock.to_unix(retry_at));
--- a/crates/apricotlug-edge/src/lib.rs
+++ b/crates/apricotlug-edge/src/lib.rs
@@ -21,6 +21,7 @@
 mod settle;
 mod shared;
 mod view;
+mod wait;
 
 pub use answer::{DEADLINE_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER};
 pub use caller::accept;
--- a/crates/apricotlug-edge/src/shared.rs
+++ b/crates/apricotlug-edge/src/shared.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     clock::Clock, drain::Drain, gate::Gate, holders::Holders, metrics::Metrics, pool::Pool,
-    remote::Fleet, view::ViewCell,
+    remote::Fleet, view::ViewCell, wait::Waiting,
 };
 
 /// State shared by all tasks of one entry instance.
@@ -31,6 +31,8 @@
     pub view: ViewCell,
     /// Decision state.
     pub gate: Gate,
+    /// Requests that wait for a token.
+    pub waiting: Waiting,
     /// Live instances among which slots are split.
     pub holders: Holders,
     /// Idle connections to backend servers.
@@ -67,6 +69,7 @@
             clock,
             view: ViewCell::default(),
             gate,
+            waiting: Waiting::default(),
             holders: Holders::default(),
             pool: Pool::default(),
             drain: Drain::default(),
--- /dev/null
+++ b/crates/apricotlug-edge/src/wait.rs
@@ -0,0 +1,49 @@
+//! Waiting for a token of a client account: a request that comes a little too early is held back
+//! for a short while in place of a refusal.
+
+use std::{
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use apricotlug_model::{AccountKey, HashMap};
+
+/// Longest time for which a request waits for a token.
+pub const MAX_WAIT: Duration = Duration::from_millis(200);
+
+/// Most requests of one client account that wait on one instance. An account far above its rate
+/// is refused at once when this many wait.
+const MAX_WAITING: u32 = 32;
+
+/// Requests that wait for a token, by client account.
+#[derive(Debug, Default)]
+pub struct Waiting(Mutex<HashMap<AccountKey, u32>>);
+
+/// One request that waits, until it is dropped.
+#[derive(Debug)]
+pub struct Waiter<'a> {
+    waiting: &'a Waiting,
+    account: AccountKey,
+}
+
+impl Waiting {
+    /// Lets a request wait, unless too many of its account do.
+    pub fn enter(&self, account: AccountKey) -> Option<Waiter<'_>> {
+        let mut counts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let count = counts.entry(account).or_default();
+        if *count >= MAX_WAITING {
+            return None;
+        }
+        *count += 1;
+        Some(Waiter { waiting: self, account })
+    }
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        let mut counts = self.waiting.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(count) = counts.get_mut(&self.account) {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
--- a/crates/apricotlug-node/src/lib.rs
+++ b/crates/apricotlug-node/src/lib.rs
@@ -1,5 +1,6 @@
 //! One entry instance: its listeners, its part in the fleet, its start and its drain.
 
+mod actions;
 mod error;
 mod fleet;
 mod keeper;
@@ -8,9 +9,12 @@
 mod node;
 mod pages;
 mod peers;
+mod release;
+mod reports;
 mod seats;
 mod sync;
 
 pub use error::NodeError;
 pub use lookups::{LookupPages, Lookups, Named};
 pub use node::{Addrs, Node, NodeConfig};
+pub use release::sign_off;
--- a/crates/apricotlug-node/src/node.rs
+++ b/crates/apricotlug-node/src/node.rs
@@ -111,7 +111,7 @@
             shared: Arc::clone(&shared),
             peers: peers.clone(),
             reports,
-            client,
+            client: client.clone(),
         };
         let pages = LookupPages {
             shared: Arc::clone(&shared),
@@ -121,6 +121,7 @@
         let admin_app = Arc::new(pages::app(AdminPages {
             shared: Arc::clone(&shared),
             peers: peers.clone(),
+            client,
         }));
         let has_seeds = !settings.peers.is_empty();
         let tasks = vec![
--- /dev/null
+++ b/crates/apricotlug-node/src/release.rs
@@ -0,0 +1,40 @@
+//! Signs a bundle off: splits its text into chunks and puts the head in force.
+
+use apricotlug_config::chunk::{Manifest, split};
+use apricotlug_model::{BundleVersion, UnixTime};
+use apricotlug_platform::{BundleStore, ChunkHash, Result, SignOff};
+
+/// Signs a bundle off on top of the one in force.
+///
+/// # Errors
+/// Returns an error where the platform cannot be asked.
+pub async fn sign_off(
+    store: &BundleStore,
+    text: &str,
+    version: BundleVersion,
+    operator: &str,
+) -> Result<SignOff> {
+    let base = store.read_head().await?;
+    if base.as_ref().is_some_and(|head| head.version >= version) {
+        return Ok(SignOff::Conflict {
+            winner: base.map(Box::new),
+        });
+    }
+    let (hashes, chunks) = split(text);
+    let manifest = Manifest {
+        version,
+        write_id: rand::random(),
+        signed_by: operator.to_owned(),
+        signed_at: UnixTime::now(),
+        chunks: hashes,
+    };
+    let chunks: Vec<_> = chunks
+        .into_iter()
+        .map(|chunk| (ChunkHash(chunk.hash.0), chunk.text.into_bytes()))
+        .collect();
+    let manifest = serde_json::to_vec(&manifest)
+        .map_err(|e| apricotlug_platform::Error::Malformed(e.to_string()))?;
+    store
+        .sign_off(base.as_ref(), version, &manifest, &chunks)
+        .await
+}
--- /dev/null
+++ b/crates/apricotlug-node/src/reports.rs
@@ -0,0 +1,180 @@
+//! What the administration API reports.
+
+use std::net::IpAddr;
+
+use apricotlug_admin::{
+    Explanation, FleetStatus, InstanceState, InstanceStatus, Keys, PlatformStatus, Problem,
+    ProblemCode, RegionStatus, Unconfirmed,
+};
+use apricotlug_model::{Bundle, BundleVersion, RegionKey};
+use apricotlug_peer::{Member, State};
+use serde_json::{Value, json};
+
+use crate::pages::{AdminPages, Answer};
+
+/// Time without an answer after which the platform counts as unreachable.
+const PLATFORM_SILENCE: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// Reports the state of this instance.
+pub fn status(pages: &AdminPages) -> Value {
+    let shared = &pages.shared;
+    let view = shared.view.load();
+    json!({
+        "instance": shared.identity.name,
+        "incarnation": format!("{:016x}", shared.identity.incarnation),
+        "data_centre": shared.data_centre,
+        "bundle_version": view.bundle.as_ref().map(|bundle| bundle.version.0),
+        "withdrawn_keys": view.withdrawn.len(),
+        "is_leaving": shared.drain.is_leaving(),
+        "is_isolated": pages.peers.view().is_isolated,
+        "is_superseded": pages.peers.view().is_superseded,
+        "requests_in_flight": shared.drain.in_flight(),
+        "orders_remembered": shared.gate.orders().len(),
+        "platform": platform(pages),
+    })
+}
+
+/// Reports the state of the fleet as seen from here.
+pub fn fleet(pages: &AdminPages) -> FleetStatus {
+    let shared = &pages.shared;
+    let fleet = pages.peers.view();
+    let bundle = shared.view.load().bundle.clone();
+    let unconfirmed = fleet.unconfirmed.iter();
+    FleetStatus {
+        instance: shared.identity.name.clone(),
+        at: shared.clock.unix(),
+        bundle: bundle.as_ref().map(|bundle| bundle.version),
+        platform: platform(pages),
+        instances: fleet.members.iter().map(instance).collect(),
+        regions: bundle
+            .as_deref()
+            .map(|bundle| regions(pages, bundle))
+            .unwrap_or_default(),
+        accounts: Vec::new(),
+        moves: Vec::new(),
+        unconfirmed: unconfirmed
+            .map(|(key, names)| Unconfirmed {
+                key: key.clone(),
+                instances: names.clone(),
+            })
+            .collect(),
+    }
+}
+
+fn platform(pages: &AdminPages) -> PlatformStatus {
+    let now = pages.client.now();
+    let last = pages.client.last_answer();
+    PlatformStatus {
+        is_reachable: last.is_some_and(|at| now.since(at) < PLATFORM_SILENCE),
+        answered_at: last.map(|at| pages.shared.clock.unix().before(now.since(at))),
+        calls: pages.client.calls().total(),
+    }
+}
+
+fn instance(member: &Member) -> InstanceStatus {
+    let bundle = member.progress.bundle;
+    InstanceStatus {
+        name: member.record.id.name.clone(),
+        data_centre: member.record.data_centre.clone(),
+        state: match member.state {
+            State::Ready if bundle == 0 => InstanceState::Empty,
+            State::Ready => InstanceState::Ready,
+            State::Leaving => InstanceState::Leaving,
+            State::Suspect => InstanceState::Suspect,
+            State::Dead => InstanceState::Dead,
+        },
+        caller: member.record.addresses.caller,
+        bundle: (bundle > 0).then_some(BundleVersion(bundle)),
+        load: member.load,
+    }
+}
+
+/// Reports the load that this instance puts on each region.
+fn regions(pages: &AdminPages, bundle: &Bundle) -> Vec<RegionStatus> {
+    let own = bundle
+        .data_centres
+        .values()
+        .find(|dc| dc.id == pages.shared.data_centre);
+    bundle
+        .regions
+        .iter()
+        .map(|(key, region)| {
+            let slots = slots(bundle, key);
+            let occupied = occupied(pages, bundle, key);
+            RegionStatus {
+                id: region.id.clone(),
+                slots,
+                cap: slots * u32::from(region.cap_percent) / 100,
+                occupied,
+                shifted: if own.is_some_and(|dc| dc.region == key) {
+                    0
+                } else {
+                    occupied
+                },
+            }
+        })
+        .collect()
+}
+
+fn slots(bundle: &Bundle, region: RegionKey) -> u32 {
+    let endpoints = bundle.endpoints.iter();
+    let here = endpoints.filter(|(key, e)| bundle.region_of(*key) == region && !e.is_draining);
+    here.map(|(_, endpoint)| u32::from(endpoint.slots)).sum()
+}
+
+fn occupied(pages: &AdminPages, bundle: &Bundle, region: RegionKey) -> u32 {
+    let here = bundle
+        .endpoints
+        .keys()
+        .filter(|key| bundle.region_of(*key) == region);
+    let outstanding = pages
+        .shared
+        .gate
+        .with_placement(|placement| here.map(|key| u32::from(placement.outstanding(key))).sum());
+    outstanding.unwrap_or(0)
+}
+
+/// Reports the keys of client accounts.
+pub fn keys(pages: &AdminPages, bundle: &Bundle) -> Keys {
+    let withdrawn = pages.shared.view.load().withdrawn.clone();
+    let fleet = pages.peers.view();
+    Keys::list(bundle, &withdrawn, |id| {
+        fleet.unconfirmed.get(id).cloned().unwrap_or_default()
+    })
+}
+
+/// Explains where the clients of an address belong.
+pub fn explain(bundle: &Bundle, client: &str) -> Answer {
+    let addr: IpAddr = client.parse().map_err(|_| {
+        Problem::new(
+            ProblemCode::Refused,
+            format!("{client:?} is no address"),
+            "send client=IP",
+        )
+    })?;
+    let home = bundle.blocks.home(addr);
+    let mut steps = Vec::new();
+    match home {
+        None => steps.push("no block holds the address: any region serves it".to_owned()),
+        Some(site) => {
+            let site = &bundle.sites[site];
+            let dc = &bundle.data_centres[site.data_centre];
+            steps.push(format!(
+                "a block holds the address; its home is site {}",
+                site.id
+            ));
+            steps.push(format!("the site stands in data centre {}", dc.id));
+            steps.push(format!(
+                "the data centre stands in region {}",
+                bundle.regions[dc.region].id
+            ));
+        }
+    }
+    let explanation = Explanation {
+        client: client.to_owned(),
+        home: home.map(|site| bundle.sites[site].id.clone()),
+        instances: Vec::new(),
+        steps,
+    };
+    Ok((200, json!(explanation)))
+}
--- a/crates/apricotlug-policy/examples/support/sim.rs
+++ b/crates/apricotlug-policy/examples/support/sim.rs
@@ -12,8 +12,9 @@
 };
 use apricotlug_policy::{
     lookup::{Directory, InstanceEntry, InstanceState},
+    order::AttemptState,
     placement::{LoadReport, Outcome, ShareHolder, Ticket, WaitQueue, Want},
-    retry::{AttemptState, RetryBudget},
+    retry::RetryBudget,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
--- a/src/commands/bundle.rs
+++ b/src/commands/bundle.rs
@@ -4,10 +4,11 @@
 
 use anyhow::{Context, bail};
 use apricotlug_config::{
-    chunk::{Manifest, join, split},
+    chunk::{Manifest, join},
     parse_bundle,
 };
-use apricotlug_model::{BundleVersion, Findings, UnixTime};
+use apricotlug_model::{Findings, UnixTime};
+use apricotlug_node::sign_off;
 use apricotlug_platform::{BundleStore, ChunkHash, Client, ClientConfig, Head, SignOff};
 use argh::FromArgs;
 
@@ -140,41 +141,6 @@
     }
 }
 
-/// Signs a bundle off on top of the one in force.
-///
-/// # Errors
-/// Returns an error where the platform cannot be asked or the version is not above the one in
-/// force.
-pub async fn sign_off(
-    store: &BundleStore,
-    text: &str,
-    version: BundleVersion,
-    operator: &str,
-) -> anyhow::Result<SignOff> {
-    let base = store.read_head().await?;
-    let (hashes, chunks) = split(text);
-    let manifest = Manifest {
-        version,
-        write_id: rand::random(),
-        signed_by: operator.to_owned(),
-        signed_at: UnixTime::now(),
-        chunks: hashes,
-    };
-    let chunks: Vec<_> = chunks
-        .into_iter()
-        .map(|chunk| (ChunkHash(chunk.hash.0), chunk.text.into_bytes()))
-        .collect();
-    let manifest = serde_json::to_vec(&manifest)?;
-    if base.as_ref().is_some_and(|head| head.version >= version) {
-        return Ok(SignOff::Conflict {
-            winner: base.map(Box::new),
-        });
-    }
-    Ok(store
-        .sign_off(base.as_ref(), version, &manifest, &chunks)
-        .await?)
-}
-
 impl Show {
     async fn run(self) -> anyhow::Result<ExitCode> {
         let store = store(self.platform);
--- a/src/commands/dev.rs
+++ b/src/commands/dev.rs
@@ -5,7 +5,7 @@
 use anyhow::{Context, bail};
 use apricotlug_config::{Listen, LogLevel, Settings, parse_bundle};
 use apricotlug_model::{Bundle, UnixTime};
-use apricotlug_node::{Node, NodeConfig};
+use apricotlug_node::{Node, NodeConfig, sign_off};
 use apricotlug_platform::{BundleStore, Client, ClientConfig, SignOff};
 use apricotlug_standins::{
     backend::{BackendConfig, BackendStandIn},
@@ -14,7 +14,6 @@
 use argh::FromArgs;
 use async_std::task;
 
-use super::bundle::sign_off;
 use crate::{logs, signals};
 
 /// Bundle that the system starts with.
