Bound what a check may cost, and drop findings that only follow from a missing list

Cause: a list of 210,000 wrong lines gave as many findings, some 50 MB of text by estimate; a missing list of versions or endpoints was reported again at each service and version. Change: 1,000 findings are listed and the rest counted; texts above 8 MiB are refused.

--- a/crates/apricotlug-config/src/bundle/services.rs
+++ b/crates/apricotlug-config/src/bundle/services.rs
@@ -40,7 +40,9 @@
     }
     let versions = versions::read(doc, fields, &services, now, bundle);
     let mut endpoints = Endpoints::new();
-    for row in fields.some_tables(doc, "endpoint", "an endpoint") {
+    let rows = fields.some_tables(doc, "endpoint", "an endpoint");
+    endpoints.has_faults = rows.is_empty();
+    for row in rows {
         endpoints.read(doc, row, sites, &services, &versions, bundle);
     }
     let mut routes = Routes::new();
--- a/crates/apricotlug-config/src/bundle/versions.rs
+++ b/crates/apricotlug-config/src/bundle/versions.rs
@@ -47,7 +47,9 @@
         moves: Vec::new(),
         has_faults: false,
     };
-    for row in fields.some_tables(doc, "service_version", "a version") {
+    let rows = fields.some_tables(doc, "service_version", "a version");
+    versions.has_faults = rows.is_empty();
+    for row in rows {
         if versions.read(doc, row, services, now, bundle).is_none() {
             versions.has_faults = true;
         }
@@ -59,7 +61,8 @@
 }
 
 impl<'t> Versions<'t> {
-    /// Returns the key of a version of a service.
+    /// Returns the key of a version of a service. Where no version could be read at all, that is
+    /// the finding, and references add none.
     pub(super) fn resolve(
         &self,
         doc: &mut Doc<'_>,
@@ -67,6 +70,9 @@
         service: ServiceKey,
         id: At<&str>,
     ) -> Option<VersionKey> {
+        if self.ids.is_empty() {
+            return None;
+        }
         let Some(version) = self.ids.get(&(service, id.value)) else {
             let service = &bundle.services[service].id;
             doc.add(
--- a/crates/apricotlug-config/src/chunk.rs
+++ b/crates/apricotlug-config/src/chunk.rs
@@ -17,8 +17,8 @@
 /// Longest chunk, in bytes. Longer runs without a cut are cut here.
 pub const MAX_CHUNK_BYTES: usize = 256 * 1024;
 
-/// Longest text that is put together, in bytes.
-pub const MAX_TEXT_BYTES: usize = 32 * 1024 * 1024;
+/// Longest text that is put together and parsed, in bytes.
+pub const MAX_TEXT_BYTES: usize = 8 * 1024 * 1024;
 
 /// SHA-256 of a chunk; serialised as 64 hexadecimal digits.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -107,7 +107,7 @@
     #[error("chunk {0} is corrupt: fetch it from another source")]
     Corrupt(ChunkHash),
     /// The chunks together exceed the limit.
-    #[error("the text exceeds {MAX_TEXT_BYTES} bytes: refuse the manifest")]
+    #[error("the text exceeds {MAX_TEXT_BYTES} bytes: refuse it")]
     TooLong,
 }
 
--- a/crates/apricotlug-config/src/doc.rs
+++ b/crates/apricotlug-config/src/doc.rs
@@ -5,6 +5,11 @@
 use apricotlug_model::{Finding, FindingCode, Findings, Place};
 use toml::{Spanned, de::DeTable};
 
+use crate::chunk::MAX_TEXT_BYTES;
+
+/// Most findings that are listed; further ones are counted.
+pub const MAX_FINDINGS: usize = 1_000;
+
 /// Value with the byte offset where it stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct At<T> {
@@ -18,6 +23,13 @@
     text: &'t str,
     line_starts: Vec<usize>,
     findings: Findings,
+    omitted: Option<Omitted>,
+}
+
+/// Findings beyond the limit.
+struct Omitted {
+    count: usize,
+    first: Place,
 }
 
 impl<'t> Doc<'t> {
@@ -28,14 +40,21 @@
             text,
             line_starts: Vec::new(),
             findings: Findings::default(),
+            omitted: None,
         }
     }
 
     /// Returns the table of the text.
     ///
     /// # Errors
-    /// Returns every syntax error where the text is not TOML.
+    /// Returns every syntax error where the text is not TOML, or that the text is too long.
     pub(crate) fn table(&mut self) -> Result<Spanned<DeTable<'t>>, Findings> {
+        if self.text.len() > MAX_TEXT_BYTES {
+            let message = format!("the text has {} bytes", self.text.len());
+            let help = format!("use at most {MAX_TEXT_BYTES} bytes");
+            self.add(FindingCode::OutOfRange, 0, message, help);
+            return Err(self.take_findings());
+        }
         let (table, errors) = DeTable::parse_recoverable(self.text);
         if errors.is_empty() {
             return Ok(table);
@@ -62,6 +81,12 @@
         help: impl Into<String>,
     ) {
         let place = self.place(offset);
+        if self.findings.0.len() >= MAX_FINDINGS {
+            let first = place;
+            let omitted = self.omitted.get_or_insert(Omitted { count: 0, first });
+            omitted.count += 1;
+            return;
+        }
         self.findings.push(Finding {
             code,
             place,
@@ -87,7 +112,16 @@
     /// # Errors
     /// Returns all findings where there is at least one.
     pub(crate) fn finish<T>(&mut self, value: T) -> Result<T, Findings> {
-        mem::take(&mut self.findings).into_result(value)
+        let mut findings = mem::take(&mut self.findings);
+        if let Some(Omitted { count, first }) = self.omitted.take() {
+            findings.push(Finding {
+                code: FindingCode::OutOfRange,
+                place: first,
+                message: format!("{count} further findings are not listed"),
+                help: "mend those listed and check again".to_owned(),
+            });
+        }
+        findings.into_result(value)
     }
 
     /// Returns the sorted findings.
--- a/crates/apricotlug-config/src/lib.rs
+++ b/crates/apricotlug-config/src/lib.rs
@@ -14,4 +14,5 @@
 mod value;
 
 pub use bundle::{load_bundle, parse_bundle};
+pub use doc::MAX_FINDINGS;
 pub use settings::{Listen, LogLevel, Settings, parse_settings};
--- a/crates/apricotlug-config/tests/bundle.rs
+++ b/crates/apricotlug-config/tests/bundle.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use apricotlug_config::{load_bundle, parse_bundle};
+use apricotlug_config::{MAX_FINDINGS, chunk::MAX_TEXT_BYTES, load_bundle, parse_bundle};
 use apricotlug_model::{
     Bundle, EndpointKey,
     FindingCode::{
@@ -59,6 +59,28 @@
 #[test]
 fn each_bundle_fault_is_found() {
     let cases: &[(&str, &str, &[FindingCode])] = &[
+        (
+            "\nregion = [",
+            "\nregions = [",
+            &[MissingField, UnknownField],
+        ),
+        ("\nsite = [", "\nsites = [", &[MissingField, UnknownField]),
+        (
+            "service_version = [",
+            "service_versions = [",
+            &[MissingField, UnknownField],
+        ),
+        (
+            "endpoint = [",
+            "endpoints = [",
+            &[MissingField, UnknownField],
+        ),
+        ("route = [", "routes = [", &[MissingField, UnknownField]),
+        (
+            "operator = [",
+            "operators = [",
+            &[MissingField, UnknownField],
+        ),
         ("version = 3", "version = 0", &[OutOfRange]),
         ("version = 3", "", &[MissingField]),
         ("version = 3", "version = '3'", &[WrongType]),
@@ -195,6 +217,42 @@
     }
 }
 
+#[test]
+fn line_ends_and_a_byte_order_mark_change_nothing() {
+    let list = r#"["10.3.0.0/16", "2001:db8::/32"]"#;
+    let text = edit(SMALL, list, "'''\n10.3.0.0/16\n2001:db8::/32\n'''");
+    let expected = check(&text).unwrap();
+    assert_eq!(check(&text.replace('\n', "\r\n")).unwrap(), expected);
+    assert_eq!(check(&format!("\u{feff}{text}")).unwrap(), expected);
+    let faulty = edit(&text, "slots = 4", "slots = 0").replace('\n', "\r\n");
+    let place = &check(&faulty).unwrap_err().0[0].place;
+    assert_eq!((place.line, place.column), (33, 106));
+}
+
+#[test]
+fn a_flood_of_findings_is_cut_short_and_counted() {
+    let list = r#"["10.1.0.0/16", "10.2.0.0/24"]"#;
+    let text = edit(SMALL, list, &format!("[{}]", "\"x\",".repeat(3_000)));
+    let findings = check(&text).unwrap_err();
+    assert_eq!(findings.0.len(), MAX_FINDINGS + 1);
+    let last = findings
+        .0
+        .iter()
+        .find(|row| row.message.contains("further"))
+        .unwrap();
+    assert!(
+        last.message.starts_with("2000 further findings"),
+        "{}",
+        last.message
+    );
+}
+
+#[test]
+fn a_text_beyond_the_limit_is_refused() {
+    let text = format!("{SMALL}#{}", "x".repeat(MAX_TEXT_BYTES));
+    assert_eq!(codes(&check(&text).unwrap_err()), [OutOfRange]);
+}
+
 #[test]
 fn an_accepted_bundle_loads_after_its_deadline() {
     let text = edit(SMALL, "2027-01-31T18:00:00+01:00", "2020-01-31T18:00:00Z");
