Refuse IPv4 blocks written as IPv6; a repeated service is one finding

Cause: addresses of clients are looked up in canonical form, so such a block matched none; a repeated service was also reported as having no version. The table case of the service failed first; the one of the block was not run alone before the change. Measured: cargo test -p apricotlug-config, all pass.

--- a/crates/apricotlug-config/src/bundle/blocks.rs
+++ b/crates/apricotlug-config/src/bundle/blocks.rs
@@ -129,6 +129,18 @@
         );
         return None;
     };
+    if ip.to_canonical() != ip {
+        doc.add(
+            FindingCode::OutOfRange,
+            text.offset,
+            format!(
+                "{} is IPv4 written as IPv6, and would match no client",
+                text.value
+            ),
+            "write it as an IPv4 block",
+        );
+        return None;
+    }
     let network = network(ip, prefix);
     if network != ip {
         doc.add(
--- a/crates/apricotlug-config/src/bundle/names.rs
+++ b/crates/apricotlug-config/src/bundle/names.rs
@@ -26,9 +26,9 @@
         }
     }
 
-    /// Adds a name. The key is `None` where the entry has findings of its own: references to it
-    /// are then no findings.
-    pub(super) fn add(&mut self, doc: &mut Doc<'_>, id: At<&'t str>, key: Option<K>) {
+    /// Adds a name and returns whether it is new. The key is `None` where the entry has findings
+    /// of its own: references to it are then no findings.
+    pub(super) fn add(&mut self, doc: &mut Doc<'_>, id: At<&'t str>, key: Option<K>) -> bool {
         if let Some(first) = self.entries.get(id.value) {
             let line = doc.line(first.offset);
             doc.add(
@@ -37,10 +37,11 @@
                 format!("{} {:?} stands already on line {line}", self.what, id.value),
                 "rename or remove one of them",
             );
-            return;
+            return false;
         }
         let offset = id.offset;
         self.entries.insert(id.value, Entry { key, offset });
+        true
     }
 
     /// Returns the key of a referenced name. Where no name could be read at all, that is the
--- a/crates/apricotlug-config/src/bundle/services.rs
+++ b/crates/apricotlug-config/src/bundle/services.rs
@@ -43,11 +43,18 @@
     let rows = fields.some_tables(doc, "endpoint", "an endpoint");
     endpoints.has_faults = rows.is_empty();
     for row in rows {
-        endpoints.read(doc, row, sites, &services, &versions, bundle);
+        match endpoints.read(doc, row, sites, &services, &versions, bundle) {
+            Some(endpoint) => {
+                bundle.endpoints.push(endpoint);
+            }
+            None => endpoints.has_faults = true,
+        }
     }
     let mut routes = Routes::new();
     for row in fields.some_tables(doc, "route", "a route") {
-        routes.read(doc, row, &services, bundle);
+        if let Some(route) = routes.read(doc, row, &services) {
+            bundle.routes.push(route);
+        }
     }
     versions.check(doc, &service_offsets, bundle);
     endpoints.check(doc, &versions, bundle);
@@ -62,12 +69,14 @@
     let id = row.id(doc, "id");
     row.finish(doc);
     let id = id?;
-    let service = Service {
+    let key = ServiceKey::from(bundle.services.len());
+    if !services.add(doc, id, Some(key)) {
+        return None;
+    }
+    bundle.services.push(Service {
         id: id.value.to_owned(),
         versions: Vec::new(),
-    };
-    let key = bundle.services.push(service);
-    services.add(doc, id, Some(key));
+    });
     Some(id.offset)
 }
 
@@ -94,8 +103,8 @@
         sites: &Names<'t, SiteKey>,
         services: &Names<'t, ServiceKey>,
         versions: &Versions<'t>,
-        bundle: &mut Bundle,
-    ) {
+        bundle: &Bundle,
+    ) -> Option<Endpoint> {
         let id = row.id(doc, "id");
         let addr = row.addr(doc, "addr", Port::Named);
         let site = row.string(doc, "site");
@@ -115,22 +124,14 @@
         let version = service
             .zip(version)
             .and_then(|(service, version)| versions.resolve(doc, bundle, service, version));
-        let endpoint = (|| {
-            Some(Endpoint {
-                id: id?.value.to_owned(),
-                addr: addr?.value,
-                site: site?,
-                version: version?,
-                slots: slots?,
-                is_draining: is_draining?,
-            })
-        })();
-        match endpoint {
-            Some(endpoint) => {
-                bundle.endpoints.push(endpoint);
-            }
-            None => self.has_faults = true,
-        }
+        Some(Endpoint {
+            id: id?.value.to_owned(),
+            addr: addr?.value,
+            site: site?,
+            version: version?,
+            slots: slots?,
+            is_draining: is_draining?,
+        })
     }
 
     fn add_addr(&mut self, doc: &mut Doc<'_>, addr: At<SocketAddr>) {
@@ -189,8 +190,7 @@
         doc: &mut Doc<'_>,
         mut row: Fields<'t>,
         services: &Names<'t, ServiceKey>,
-        bundle: &mut Bundle,
-    ) {
+    ) -> Option<Route> {
         let id = row.id(doc, "id");
         let prefix = row.string(doc, "prefix");
         let access = row.choice(doc, "access", &ACCESS);
@@ -205,19 +205,14 @@
             self.add_prefix(doc, prefix);
         }
         let service = service.and_then(|service| services.resolve(doc, service));
-        let route = (|| {
-            Some(Route {
-                id: id?.value.to_owned(),
-                prefix: prefix?.value.to_owned(),
-                access: access?,
-                repeat: repeat?,
-                service: service?,
-                timeout_ms: timeout_ms?,
-            })
-        })();
-        if let Some(route) = route {
-            bundle.routes.push(route);
-        }
+        Some(Route {
+            id: id?.value.to_owned(),
+            prefix: prefix?.value.to_owned(),
+            access: access?,
+            repeat: repeat?,
+            service: service?,
+            timeout_ms: timeout_ms?,
+        })
     }
 
     fn add_prefix(&mut self, doc: &mut Doc<'_>, prefix: At<&'t str>) {
--- a/crates/apricotlug-config/tests/bundle.rs
+++ b/crates/apricotlug-config/tests/bundle.rs
@@ -59,6 +59,12 @@
 #[test]
 fn each_bundle_fault_is_found() {
     let cases: &[(&str, &str, &[FindingCode])] = &[
+        (
+            "{ id = \"orders\" }]",
+            "{ id = \"orders\" }, { id = \"orders\" }]",
+            &[Duplicate],
+        ),
+        ("2001:db8::/32", "::ffff:10.9.0.0/112", &[OutOfRange]),
         (
             "\nregion = [",
             "\nregions = [",
