--- a/crates/apricotlug-edge/src/caller.rs
+++ b/crates/apricotlug-edge/src/caller.rs
@@ -159,7 +159,9 @@
         let bundle = view.bundle.clone().ok_or(NO_BUNDLE)?;
         let route = bundle.route(head.path()).ok_or(NO_ROUTE)?;
         let account = identify(&view, &bundle.routes[route], &head).map_err(unidentified)?;
-        let Some(account) = account else { break (bundle, route, None) };
+        let Some(account) = account else {
+            break (bundle, route, None);
+        };
         match shared.gate.admit(&bundle, account, shared.clock.now()) {
             Ok(()) => break (bundle, route, Some(account)),
             Err(NotAdmitted::OtherBundle) => {}
--- a/crates/apricotlug-edge/src/wait.rs
+++ b/crates/apricotlug-edge/src/wait.rs
@@ -35,13 +35,20 @@
             return None;
         }
         *count += 1;
-        Some(Waiter { waiting: self, account })
+        Some(Waiter {
+            waiting: self,
+            account,
+        })
     }
 }
 
 impl Drop for Waiter<'_> {
     fn drop(&mut self) {
-        let mut counts = self.waiting.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut counts = self
+            .waiting
+            .0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         if let Some(count) = counts.get_mut(&self.account) {
             *count = count.saturating_sub(1);
         }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -69,7 +69,11 @@
             backends.push(backend);
         }
         let platform = block_on(PlatformStandIn::start(PlatformConfig::default())).unwrap();
-        let world = Self { platform, backends, text };
+        let world = Self {
+            platform,
+            backends,
+            text,
+        };
         assert_eq!(world.sign_off(&world.text.clone()), SignOff::Accepted);
         world
     }
@@ -107,7 +111,10 @@
     }
 
     pub fn runs(&self, order: &str) -> usize {
-        self.backends.iter().map(|b| b.runs().get(order).copied().unwrap_or(0)).sum()
+        self.backends
+            .iter()
+            .map(|b| b.runs().get(order).copied().unwrap_or(0))
+            .sum()
     }
 
     pub fn total(&self) -> usize {
@@ -214,7 +221,10 @@
     pub fn members_ready(&self) -> usize {
         let fleet = self.admin_get("/v1/fleet");
         let instances = fleet["instances"].as_array().cloned().unwrap_or_default();
-        instances.iter().filter(|instance| instance["state"] == "ready").count()
+        instances
+            .iter()
+            .filter(|instance| instance["state"] == "ready")
+            .count()
     }
 
     pub fn is_serving(&self) -> bool {
@@ -222,7 +232,13 @@
     }
 
     pub fn get(&self, target: &str) -> Reply {
-        ask(self.caller, "GET", target, &format!("authorization: Bearer {CALLER}\r\n"), b"")
+        ask(
+            self.caller,
+            "GET",
+            target,
+            &format!("authorization: Bearer {CALLER}\r\n"),
+            b"",
+        )
     }
 
     pub fn post(&self, target: &str, head: &str, body: &[u8]) -> Reply {
@@ -280,7 +296,9 @@
 
 /// Sends raw bytes and reads until the other end closes.
 pub fn send_raw(addr: SocketAddr, bytes: &[u8]) -> Reply {
-    let Ok(mut stream) = TcpStream::connect(addr) else { return Reply::default() };
+    let Ok(mut stream) = TcpStream::connect(addr) else {
+        return Reply::default();
+    };
     stream.set_read_timeout(Some(WAIT)).unwrap();
     if stream.write_all(bytes).is_err() {
         return Reply::default();
@@ -288,9 +306,19 @@
     let mut answer = Vec::new();
     let _ = stream.read_to_end(&mut answer);
     let answer = String::from_utf8_lossy(&answer).into_owned();
-    let (head, body) = answer.split_once("\r\n\r\n").unwrap_or((answer.as_str(), ""));
-    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
-    Reply { status, head: head.to_owned(), body: body.to_owned() }
+    let (head, body) = answer
+        .split_once("\r\n\r\n")
+        .unwrap_or((answer.as_str(), ""));
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok())
+        .unwrap_or(0);
+    Reply {
+        status,
+        head: head.to_owned(),
+        body: body.to_owned(),
+    }
 }
 
 mod tempdir {
