--- a/crates/apricotlug-edge/src/attempt.rs
+++ b/crates/apricotlug-edge/src/attempt.rs
@@ -20,6 +20,10 @@
 /// Longest wait for a connection to a backend server.
 const CONNECT: Duration = Duration::from_millis(500);
 
+/// Largest answer to an idempotent request that is read whole before any of it is passed on, so
+/// that a cut one can be asked for again. In bytes.
+const MAX_PREFETCHED_BYTES: u64 = 64 * 1024;
+
 /// Largest answer, in bytes.
 const MAX_ANSWER_BYTES: u64 = u64::MAX;
 
@@ -41,12 +45,17 @@
     pub head: ResponseHead,
     /// Framing of the body.
     pub framing: Framing,
-    /// Reads the body.
+    /// Body bytes that were read already.
+    pub prefetched: Vec<u8>,
+    /// Reads the rest of the body.
     pub reader: BodyReader,
     /// Connection to the backend server.
     pub conn: Conn,
     /// Whether the whole request body was sent; if not, neither connection is used again.
     pub is_request_whole: bool,
+    /// Whether the answer names the request; if not, the connection is not used again, since a
+    /// late answer on it could not be told from the next one.
+    pub is_echoed: bool,
 }
 
 /// How an attempt ended without an answer.
@@ -85,7 +94,7 @@
     pool: &Pool,
     clock: &Clock,
 ) -> Result<Answer, Failure> {
-    let mut conn = connect(target, pool, clock).await?;
+    let (mut conn, is_reused) = connect(target, pool, clock).await?;
     let sent = timeout(
         clock.left(target.deadline),
         send(ex, body, caller, &mut conn),
@@ -101,14 +110,19 @@
             ));
         }
     };
-    verify(ex, head, conn, is_request_whole).await
+    let verified = verify(ex, head, conn, is_request_whole, is_reused, target);
+    let late = || Failure::new(AttemptState::PerhapsRun, Outcome::TimedOut, "timeout");
+    timeout(clock.left(target.deadline), verified)
+        .await
+        .map_err(|_| late())?
 }
 
-async fn connect(target: Target, pool: &Pool, clock: &Clock) -> Result<Conn, Failure> {
+/// Returns a connection, and whether it carried other exchanges before.
+async fn connect(target: Target, pool: &Pool, clock: &Clock) -> Result<(Conn, bool), Failure> {
     if target.may_reuse
         && let Some(conn) = pool.take(target.addr).await
     {
-        return Ok(conn);
+        return Ok((conn, true));
     }
     let within = CONNECT.min(clock.left(target.deadline));
     let limits = Limits {
@@ -117,6 +131,7 @@
     };
     Conn::connect(target.addr, limits, within)
         .await
+        .map(|conn| (conn, false))
         .map_err(|_| Failure::new(AttemptState::NotSent, Outcome::ConnectFailed, "connect"))
 }
 
@@ -202,9 +217,12 @@
     head: ResponseHead,
     mut conn: Conn,
     is_request_whole: bool,
+    is_reused: bool,
+    target: Target,
 ) -> Result<Answer, Failure> {
     let echoed = head.headers.text(REQUEST_ID_HEADER);
-    if echoed.is_some_and(|id| id != ex.id) {
+    let is_echoed = echoed == Some(ex.id.as_str());
+    if !is_echoed && (is_reused || echoed.is_some()) {
         return Err(broken("crossed_answer"));
     }
     let framing = response_framing(&ex.head.method, &head).map_err(|_| broken("framing"))?;
@@ -218,11 +236,23 @@
             "not_run",
         ));
     }
+    let mut prefetched = Vec::new();
+    if target.may_reuse && matches!(framing, Framing::Length(len) if len <= MAX_PREFETCHED_BYTES) {
+        while let Some(piece) = reader
+            .next(&mut conn)
+            .await
+            .map_err(|_| broken("answer_body"))?
+        {
+            prefetched.extend_from_slice(&piece);
+        }
+    }
     Ok(Answer {
         head,
         framing,
+        prefetched,
         reader,
         conn,
         is_request_whole,
+        is_echoed,
     })
 }
--- a/crates/apricotlug-edge/src/deliver.rs
+++ b/crates/apricotlug-edge/src/deliver.rs
@@ -69,7 +69,7 @@
     let mut out = head.encode();
     let mut writer = BodyWriter::new(caller, framing);
     loop {
-        let piece = match answer.reader.next(&mut answer.conn).await {
+        let piece = match next_piece(answer).await {
             Ok(Some(piece)) => piece,
             Ok(None) => break,
             Err(_) => {
@@ -106,6 +106,13 @@
     })
 }
 
+async fn next_piece(answer: &mut Answer) -> Result<Option<Vec<u8>>, HttpError> {
+    if !answer.prefetched.is_empty() {
+        return Ok(Some(std::mem::take(&mut answer.prefetched)));
+    }
+    answer.reader.next(&mut answer.conn).await
+}
+
 /// Reads the whole answer; `None` where it has more than `most` bytes.
 ///
 /// # Errors
@@ -117,7 +124,7 @@
 ) -> Result<Option<KeptAnswer>, HttpError> {
     let head = caller_head(ex, answer, answer.framing, false);
     let mut kept = Some(Vec::new());
-    while let Some(piece) = answer.reader.next(&mut answer.conn).await? {
+    while let Some(piece) = next_piece(answer).await? {
         keep(&mut kept, &piece, most);
     }
     Ok(kept.map(|body| kept_answer(&head, body)))
--- a/crates/apricotlug-edge/src/settle.rs
+++ b/crates/apricotlug-edge/src/settle.rs
@@ -131,7 +131,7 @@
 }
 
 async fn reuse(shared: &Shared, answer: Answer) {
-    if !answer.is_request_whole || !answer.head.is_keep_alive() {
+    if !answer.is_request_whole || !answer.is_echoed || !answer.head.is_keep_alive() {
         return;
     }
     if let Ok(addr) = answer.conn.peer_addr() {
