Look-ups do not name suspect instances while their region has a ready one

Cause: with one of two instances paused, the other went on naming it for ever: an instance that hears of nobody cannot tell a pause of all others from its own isolation, so membership keeps them suspect and declares none dead. Change: the directory treats a suspect member as dead while the region has a ready member; it is named again once it is heard of.

--- a/crates/apricotlug-node/src/fleet.rs
+++ b/crates/apricotlug-node/src/fleet.rs
@@ -1,9 +1,14 @@
 //! Follows the fleet: members for look-ups and slot shares, withdrawn keys, the delegate.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use apricotlug_edge::{Holder, Shared};
-use apricotlug_model::{Bundle, DataCentreKey};
+use apricotlug_model::{Bundle, DataCentreKey, RegionKey};
 use apricotlug_peer::{Member, PeerHandle, State};
 use apricotlug_policy::lookup::{InstanceEntry, InstanceLoad, InstanceState};
 use async_std::task;
@@ -93,6 +98,7 @@
 ) {
     let mut names: BTreeMap<SocketAddr, Named> = BTreeMap::new();
     let mut entries = Vec::new();
+    let ready = ready_regions(bundle, members);
     for member in members {
         let data_centre = &member.record.data_centre;
         let Some(data_centre) = bundle.data_centres.find(|dc| dc.id == *data_centre) else {
@@ -110,7 +116,10 @@
             id: member.record.id.clone(),
             addr: addresses.caller,
             data_centre,
-            state: state(member.state),
+            state: state(
+                member.state,
+                ready.contains(&bundle.data_centres[data_centre].region),
+            ),
             load: InstanceLoad {
                 outstanding: member.load.unwrap_or(0).into(),
                 slots: LOAD_SCALE,
@@ -120,10 +129,25 @@
     lookups.update(bundle, own, &entries, names, shared.clock.unix());
 }
 
-fn state(state: State) -> InstanceState {
+/// Returns the regions that have an instance which certainly takes work.
+fn ready_regions(bundle: &Bundle, members: &[Member]) -> BTreeSet<RegionKey> {
+    let ready = members.iter().filter(|member| member.state == State::Ready);
+    let data_centres = ready.filter_map(|member| {
+        bundle
+            .data_centres
+            .values()
+            .find(|dc| dc.id == member.record.data_centre)
+    });
+    data_centres.map(|dc| dc.region).collect()
+}
+
+/// Returns the state that look-ups go by. A suspect instance is named only where its region has
+/// none that is ready.
+fn state(state: State, has_ready: bool) -> InstanceState {
     match state {
         State::Ready => InstanceState::Ready,
         State::Leaving => InstanceState::Leaving,
+        State::Suspect if has_ready => InstanceState::Dead,
         State::Suspect => InstanceState::Suspect,
         State::Dead => InstanceState::Dead,
     }
