Look-ups: data centre overflow, wait queues apart for shifted requests

Cause: a shifted request without a cap left held up local ones behind it; data centres with few slots got as many callers as others; drained endpoints were still dealt. Change: queues apart, overflow per data centre, drained endpoints left out of the deal.

--- a/crates/apricotlug-policy/examples/placement_compare.rs
+++ b/crates/apricotlug-policy/examples/placement_compare.rs
@@ -25,9 +25,9 @@
     for fleet in [CAISSES, NOVAK] {
         println!("\n### {}, load {LOAD}, seed {SEED}\n", fleet.name);
         println!(
-            "| fault | policy | headroom % | p50 ms | p99 ms | refused | in rate | failed | overloads | cap excess | requests | attempts |"
+            "| fault | policy | headroom % | p50 ms | p99 ms | refused | in rate | at look-up | failed | overloads | cap excess | requests | attempts |"
         );
-        println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
+        println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|");
         for faults in Fault::ALL.chunks(THREADS) {
             thread::scope(|scope| {
                 let runs: Vec<_> = faults
@@ -47,7 +47,7 @@
     let row = |kind: PolicyKind| {
         let stats = sim::run(Scenario::new(fleet, fault, LOAD, SEED), kind);
         format!(
-            "| {} | {} | {:.0} | {:.1} | {:.1} | {} | {} | {} | {} | {} | {} | {} |\n",
+            "| {} | {} | {:.0} | {:.1} | {:.1} | {} | {} | {} | {} | {} | {} | {} | {} |\n",
             fault.name(),
             kind.name(),
             stats.headroom * 100.0,
@@ -55,6 +55,7 @@
             stats.latency_ms(99.0),
             stats.refused,
             stats.refused_in_rate,
+            stats.refused_at_lookup,
             stats.failed,
             stats.overloads,
             stats.cap_excess,
--- a/crates/apricotlug-policy/examples/support/sim.rs
+++ b/crates/apricotlug-policy/examples/support/sim.rs
@@ -43,7 +43,7 @@
     Reach { attempt: usize },
     Finish { attempt: usize },
     Settle { attempt: usize, end: End },
-    Retry { instance: usize, service: u32 },
+    Retry { instance: usize, queue: usize },
     Sample,
     Report,
     Fault { is_start: bool },
@@ -134,7 +134,7 @@
         let instance = |own| Instance {
             policy: Policy::new(kind, &bundle, &holders, own),
             retries: RetryBudget::default(),
-            waiting: vec![WaitQueue::new(WAIT_CAPACITY); bundle.services.len()],
+            waiting: vec![WaitQueue::new(WAIT_CAPACITY); bundle.services.len() * 2],
             is_dead: false,
         };
         let backend = |key| Backend::new(bundle.region_of(key), bundle.endpoints[key].slots);
@@ -184,7 +184,7 @@
             Event::Reach { attempt } => self.reach(attempt),
             Event::Finish { attempt } => self.finish(attempt),
             Event::Settle { attempt, end } => self.settle(attempt, end),
-            Event::Retry { instance, service } => self.drain_waiting(instance, service),
+            Event::Retry { instance, queue } => self.drain_waiting(instance, queue),
             Event::Sample => self.sample(),
             Event::Report => self.report(),
             Event::Fault { is_start } => self.fault(is_start),
@@ -231,7 +231,7 @@
         self.stats.requests += 1;
         self.instances[instance].retries.on_request(self.now);
         let request = self.requests.len() - 1;
-        let waiting = &self.instances[instance].waiting[service as usize];
+        let waiting = &self.instances[instance].waiting[self.queue_of(request)];
         if waiting.is_empty() && self.try_place(request) {
             return;
         }
@@ -256,39 +256,50 @@
             self.stats.requests += 1;
             self.stats.refused += 1;
             self.stats.refused_in_rate += 1;
+            self.stats.refused_at_lookup += 1;
         }
         client.instance.filter(|&i| !self.instances[i].is_dead)
     }
 
     fn wait(&mut self, request: usize) {
-        let Request {
-            instance, service, ..
-        } = self.requests[request];
+        let instance = self.requests[request].instance;
+        let queue = self.queue_of(request);
         let give_up_at = self.now.after(MAX_WAIT);
-        let queue = &mut self.instances[instance].waiting[usize::from(service)];
-        if queue.push(request, give_up_at).is_err() {
+        if self
+            .queue(instance, queue)
+            .push(request, give_up_at)
+            .is_err()
+        {
             self.refuse(request);
             return;
         }
-        let service = service.0;
-        self.at(give_up_at, Event::Retry { instance, service });
+        self.at(give_up_at, Event::Retry { instance, queue });
     }
 
-    fn drain_waiting(&mut self, instance: usize, service: u32) {
+    /// Returns the queue of a request. Shifted-in requests wait apart, so that their cap doesn't
+    /// hold up the others.
+    fn queue_of(&self, request: usize) -> usize {
+        let call = &self.requests[request];
+        let home = self.instances[call.instance].policy.home;
+        let is_shifted_in = call.client_region != self.bundle.data_centres[home].region;
+        usize::from(call.service) * 2 + usize::from(is_shifted_in)
+    }
+
+    fn drain_waiting(&mut self, instance: usize, queue: usize) {
         let now = self.now;
-        while let Some(request) = self.queue(instance, service).pop_expired(now) {
+        while let Some(request) = self.queue(instance, queue).pop_expired(now) {
             self.refuse(request);
         }
-        while let Some(waiting) = self.queue(instance, service).pop() {
+        while let Some(waiting) = self.queue(instance, queue).pop() {
             if !self.try_place(waiting.request) {
-                self.queue(instance, service).push_front(waiting);
+                self.queue(instance, queue).push_front(waiting);
                 return;
             }
         }
     }
 
-    fn queue(&mut self, instance: usize, service: u32) -> &mut WaitQueue<usize> {
-        &mut self.instances[instance].waiting[service as usize]
+    fn queue(&mut self, instance: usize, queue: usize) -> &mut WaitQueue<usize> {
+        &mut self.instances[instance].waiting[queue]
     }
 
     fn refuse(&mut self, request: usize) {
@@ -298,6 +309,7 @@
 
     /// Places an attempt. Without a place it arranges another try, and returns false.
     fn try_place(&mut self, request: usize) -> bool {
+        let queue = self.queue_of(request);
         let call = &self.requests[request];
         let instance = &mut self.instances[call.instance];
         let region = self.bundle.data_centres[instance.policy.home].region;
@@ -323,7 +335,7 @@
             Err(no_place) => {
                 let retry = Event::Retry {
                     instance: call.instance,
-                    service: call.service.0,
+                    queue,
                 };
                 self.at(
                     no_place
@@ -481,8 +493,8 @@
             .policy
             .settle(endpoint, ticket, outcome, self.now);
         self.conclude(request, end);
-        for service in self.bundle.services.keys() {
-            self.drain_waiting(instance, service.0);
+        for queue in 0..self.instances[instance].waiting.len() {
+            self.drain_waiting(instance, queue);
         }
     }
 
--- a/crates/apricotlug-policy/examples/support/stats.rs
+++ b/crates/apricotlug-policy/examples/support/stats.rs
@@ -11,6 +11,8 @@
     pub refused: u64,
     /// Refused requests that were inside their client account's rate.
     pub refused_in_rate: u64,
+    /// Refused requests whose caller got no instance from the look-up.
+    pub refused_at_lookup: u64,
     /// Requests that reached a backend server with all slots taken.
     pub overloads: u64,
     /// Largest number of requests of other regions in a region, beyond its shift cap.
--- a/crates/apricotlug-policy/src/lookup/directory.rs
+++ b/crates/apricotlug-policy/src/lookup/directory.rs
@@ -19,7 +19,7 @@
 /// Instances that an answer names at most.
 const MAX_INSTANCES: usize = 3;
 /// Time for which callers may use an answer of their home region.
-const HOME_TTL: Duration = Duration::from_secs(10);
+const HOME_TTL: Duration = Duration::from_secs(5);
 /// Time for which callers may use an answer of another region.
 const SHIFTED_TTL: Duration = Duration::from_secs(5);
 /// Time after which what a lost or restarted instance answered has expired.
@@ -65,11 +65,18 @@
     own: DataCentreKey,
     home_of_site: Vec<DataCentreKey>,
     region_of: Vec<RegionKey>,
-    data_centres: Vec<Pool>,
+    data_centres: Vec<DataCentre>,
     regions: Vec<Region>,
     milli_slots: u64,
 }
 
+/// Data centre as the look-up knows it.
+#[derive(Clone, Debug, Default)]
+struct DataCentre {
+    pool: Pool,
+    overflow: Overflow,
+}
+
 /// Region as the look-up knows it.
 #[derive(Clone, Debug, Default)]
 struct Region {
@@ -110,14 +117,7 @@
         }
         self.follow_entries(new, entries, now);
         self.learn_cost(entries, now);
-        for (key, region) in new.regions.keys().zip(&mut self.regions) {
-            let local = entries
-                .iter()
-                .filter(|e| new.data_centres[e.data_centre].region == key);
-            let named = local.filter(|e| e.is_named());
-            let (outstanding, slots) = load(named);
-            region.overflow.observe(outstanding, slots, now);
-        }
+        self.follow_load(new, entries, now);
     }
 
     /// Answers a look-up.
@@ -141,7 +141,7 @@
         if reason == AnswerReason::Home {
             return self.answer_home(home, region, now, rng);
         }
-        if let Some(other) = self.find_room(region, now) {
+        if let Some(other) = self.find_room(region, reason, now) {
             return self.answer_shifted(other, reason, now, rng);
         }
         match reason {
@@ -176,9 +176,14 @@
     ) -> Answer {
         let state = &mut self.regions[usize::from(region)];
         let expires_at = now.after(HOME_TTL);
+        let data_centre = &self.data_centres[usize::from(home)];
+        let first = match rng.random_ratio(data_centre.overflow.permille().into(), 1000) {
+            true => &state.pool,
+            false => &data_centre.pool,
+        };
         state.home_answers.add(0, expires_at, now);
         Answer {
-            instances: name(&self.data_centres[usize::from(home)], &state.pool, rng),
+            instances: name(first, &state.pool, rng),
             expires_at,
             region: Some(region),
             reason: AnswerReason::Home,
@@ -204,13 +209,21 @@
     }
 
     /// Returns the nearest region that has instances and room within its shift cap.
-    fn find_room(&mut self, home: RegionKey, now: UnixTime) -> Option<RegionKey> {
+    ///
+    /// A region that sends its own callers elsewhere takes only those that have no other place.
+    fn find_room(
+        &mut self,
+        home: RegionKey,
+        reason: AnswerReason,
+        now: UnixTime,
+    ) -> Option<RegionKey> {
+        let is_home_down = reason == AnswerReason::HomeDown;
         let nearest = std::mem::take(&mut self.regions[usize::from(home)].nearest);
         let found = nearest.iter().copied().find(|region| {
             let state = &mut self.regions[usize::from(*region)];
             let charged = state.charged.live(now).milli_slots + self.milli_slots;
             !state.pool.is_empty()
-                && !state.overflow.is_over()
+                && (is_home_down || !state.overflow.is_over())
                 && charged <= state.shift_cap.at(now)
         });
         self.regions[usize::from(home)].nearest = nearest;
@@ -222,6 +235,7 @@
         self.home_of_site = sites.map(|site| site.data_centre).collect();
         let data_centres = bundle.data_centres.values();
         self.region_of = data_centres.map(|dc| dc.region).collect();
+        self.data_centres = vec![DataCentre::default(); bundle.data_centres.len()];
         self.regions
             .resize_with(bundle.regions.len(), Region::default);
         for (key, region) in bundle.regions.keys().zip(&mut self.regions) {
@@ -246,7 +260,9 @@
     }
 
     fn follow_entries(&mut self, bundle: &Bundle, entries: &[InstanceEntry], now: UnixTime) {
-        self.data_centres = vec![Pool::default(); bundle.data_centres.len()];
+        for data_centre in &mut self.data_centres {
+            data_centre.pool = Pool::default();
+        }
         for region in &mut self.regions {
             region.pool = Pool::default();
         }
@@ -257,7 +273,9 @@
                 weight: entry.weight(),
             };
             let region = self.region_of[usize::from(entry.data_centre)];
-            self.data_centres[usize::from(entry.data_centre)].push(member);
+            self.data_centres[usize::from(entry.data_centre)]
+                .pool
+                .push(member);
             self.regions[usize::from(region)].pool.push(member);
         }
         let answering = entries.iter().filter(|entry| entry.is_named()).count();
@@ -269,6 +287,19 @@
         }
     }
 
+    fn follow_load(&mut self, bundle: &Bundle, entries: &[InstanceEntry], now: UnixTime) {
+        let named = || entries.iter().filter(|entry| entry.is_named());
+        for (key, region) in bundle.regions.keys().zip(&mut self.regions) {
+            let is_local = |e: &&InstanceEntry| bundle.data_centres[e.data_centre].region == key;
+            let (outstanding, slots) = load(named().filter(is_local));
+            region.overflow.observe(outstanding, slots, now);
+        }
+        for (key, data_centre) in bundle.data_centres.keys().zip(&mut self.data_centres) {
+            let (outstanding, slots) = load(named().filter(|e| e.data_centre == key));
+            data_centre.overflow.observe(outstanding, slots, now);
+        }
+    }
+
     /// Estimates the slots that one answer's caller occupies: all slots in use over all live
     /// answers, taking the other instances to have given as many as this one.
     fn learn_cost(&mut self, entries: &[InstanceEntry], now: UnixTime) {
--- a/crates/apricotlug-policy/src/lookup/overflow.rs
+++ b/crates/apricotlug-policy/src/lookup/overflow.rs
@@ -1,19 +1,19 @@
-//! Part of a region's callers that are sent elsewhere.
+//! Part of a region's or data centre's callers that are sent elsewhere.
 
 use std::time::Duration;
 
 use apricotlug_model::UnixTime;
 
 /// Load, in hundredths of the slots, from which more callers are sent elsewhere.
-const START_PERCENT: u64 = 90;
+const START_PERCENT: u64 = 80;
 /// Load, in hundredths of the slots, below which callers come back. The gap is the hysteresis.
-const END_PERCENT: u64 = 70;
+const END_PERCENT: u64 = 60;
 /// Change per step, in thousandths of the callers.
 const STEP_PERMILLE: u16 = 100;
 /// Time between steps.
 const STEP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Part of a region's callers that are sent elsewhere.
+/// Part of a region's or data centre's callers that are sent elsewhere.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Overflow {
     permille: u16,
@@ -37,7 +37,9 @@
             return;
         }
         let load = outstanding * 100;
-        if load >= slots * START_PERCENT {
+        if slots == 0 {
+            self.permille = 1000;
+        } else if load >= slots * START_PERCENT {
             self.permille = (self.permille + STEP_PERMILLE).min(1000);
         } else if load < slots * END_PERCENT {
             self.permille = self.permille.saturating_sub(STEP_PERMILLE);
--- a/crates/apricotlug-policy/src/placement/share.rs
+++ b/crates/apricotlug-policy/src/placement/share.rs
@@ -8,7 +8,7 @@
 
 /// Part of a region's shift cap that is set aside for instances of other regions, in hundredths.
 /// The rest is for clients of other regions that reach the region's own instances.
-const FOREIGN_PART_PERCENT: u32 = 50;
+const FOREIGN_PART_PERCENT: u32 = 20;
 /// Slots of a service by which a holder in the endpoint's data centre may lead the others.
 const HOME_LEAD_SLOTS: u32 = 2;
 
@@ -186,11 +186,11 @@
     }
 }
 
-/// Returns a region's endpoints by service, so that rounding spreads evenly within a service.
+/// Returns a region's endpoints that take new work by service, so that rounding spreads evenly within a service.
 fn endpoints_of(bundle: &Bundle, region: RegionKey) -> Vec<(ServiceKey, EndpointKey)> {
     let endpoints = bundle.endpoints.iter();
     let mut rows: Vec<_> = endpoints
-        .filter(|(key, _)| bundle.region_of(*key) == region)
+        .filter(|(key, endpoint)| !endpoint.is_draining && bundle.region_of(*key) == region)
         .map(|(key, endpoint)| (bundle.versions[endpoint.version].service, key))
         .collect();
     rows.sort_unstable();
@@ -199,10 +199,9 @@
 
 /// Returns one instance's part of the slots for clients of other regions.
 fn shifted_in_part(bundle: &Bundle, region: RegionKey, holders: &[Dealt], own: usize) -> u32 {
-    let endpoints = bundle.endpoints.iter();
+    let endpoints = endpoints_of(bundle, region).into_iter();
     let slots: u32 = endpoints
-        .filter(|(key, _)| bundle.region_of(*key) == region)
-        .map(|(_, endpoint)| u32::from(endpoint.slots))
+        .map(|(_, key)| u32::from(bundle.endpoints[key].slots))
         .sum();
     let percent = u32::from(bundle.regions[region].shift_cap_percent);
     let foreign_percent = percent * FOREIGN_PART_PERCENT / 100;
