--- a/crates/apricotlug-policy/src/lookup/directory.rs
+++ b/crates/apricotlug-policy/src/lookup/directory.rs
@@ -51,7 +51,7 @@
 pub enum AnswerReason {
     /// The home region serves.
     Home,
-    /// The home region has no instance.
+    /// The home region has no instance, or no usable backend slot.
     HomeDown,
     /// The home region is over its cap.
     HomeOver,
@@ -82,6 +82,7 @@
 struct Region {
     pool: Pool,
     nearest: Vec<RegionKey>,
+    has_slots: bool,
     shift_cap: DelayedLimit<u64, UnixTime>,
     charged: ChargeRing,
     home_answers: ChargeRing,
@@ -133,7 +134,7 @@
         let region = self.region_of[usize::from(home)];
         let state = &mut self.regions[usize::from(region)];
         let reason = match state.overflow.permille() {
-            _ if state.pool.is_empty() => AnswerReason::HomeDown,
+            _ if state.pool.is_empty() || !state.has_slots => AnswerReason::HomeDown,
             0 => AnswerReason::Home,
             permille if !rng.random_ratio(permille.into(), 1000) => AnswerReason::Home,
             _ => AnswerReason::HomeOver,
@@ -144,9 +145,9 @@
         if let Some(other) = self.find_room(region, reason, now) {
             return self.answer_shifted(other, reason, now, rng);
         }
-        match reason {
-            AnswerReason::HomeOver => self.answer_home(home, region, now, rng),
-            _ => refusal(now),
+        match self.regions[usize::from(region)].pool.is_empty() {
+            true => refusal(now),
+            false => self.answer_home(home, region, now, rng),
         }
     }
 
@@ -292,6 +293,7 @@
         for (key, region) in bundle.regions.keys().zip(&mut self.regions) {
             let is_local = |e: &&InstanceEntry| bundle.data_centres[e.data_centre].region == key;
             let (outstanding, slots) = load(named().filter(is_local));
+            region.has_slots = slots > 0;
             region.overflow.observe(outstanding, slots, now);
         }
         for (key, data_centre) in bundle.data_centres.keys().zip(&mut self.data_centres) {
--- a/crates/apricotlug-policy/src/placement/decide.rs
+++ b/crates/apricotlug-policy/src/placement/decide.rs
@@ -132,18 +132,17 @@
             Locality::Elsewhere => None,
             Locality::Home | Locality::Anywhere => find_local(group, &picker, rng),
         };
-        if local.is_none() && locality != Locality::Elsewhere {
+        let is_local_well = local.as_ref().is_some_and(|found| found.is_well(&picker));
+        if !is_local_well && locality != Locality::Elsewhere {
             if !has_well_endpoint(group, &picker) {
                 group.home_return.note_unusable();
             } else if locality == Locality::Home {
-                return Err(no_place(group, &picker, None));
+                return local.ok_or_else(|| no_place(group, &picker, None));
             }
         }
-        let is_shift_preferred = match &local {
-            Some(found) if found.reason == PlaceReason::Probe => false,
-            Some(_) => group.home_return.prefers_shift(now, rng),
-            None => true,
-        };
+        let is_probe = |found: &Found| found.reason == PlaceReason::Probe;
+        let is_shift_preferred = !local.as_ref().is_some_and(is_probe)
+            && (!is_local_well || group.home_return.prefers_shift(now, rng));
         let local = match local {
             Some(found) if !is_shift_preferred => return Ok(found),
             local => local,
@@ -163,12 +162,14 @@
                 )));
                 continue;
             }
-            if let Some(picked) = picker.pick(members, rng) {
-                return Ok(Found::new(picked.state, members, PlaceReason::Shift));
+            let picked = picker.pick(members, rng);
+            let found = picked.map(|picked| Found::new(picked.state, members, PlaceReason::Shift));
+            if let Some(found) = found.filter(|found| found.is_well(&picker)) {
+                return Ok(found);
             }
         }
-        local
-            .or_else(|| find_in_panic(group, &picker, rng))
+        find_in_panic(group, &picker, rng)
+            .or(local)
             .ok_or_else(|| no_place(group, &picker, barrier))
     }
 
@@ -201,6 +202,12 @@
             reason,
         }
     }
+
+    /// Tells whether own outcomes speak for the endpoint, or the request tests it.
+    fn is_well(&self, picker: &Picker<'_>) -> bool {
+        let state = picker.state(self.state);
+        state.is_well(picker.now) || state.is_probe_due(picker.now)
+    }
 }
 
 fn find_local(group: &Group, picker: &Picker<'_>, rng: &mut impl Rng) -> Option<Found> {
@@ -231,7 +238,7 @@
     let total = group.local().count();
     let well = group
         .local()
-        .filter(|&state| picker.state(state).fault().is_none());
+        .filter(|&state| picker.state(state).is_well(picker.now));
     if well.count() * 2 > total {
         return None;
     }
@@ -247,7 +254,7 @@
 fn has_well_endpoint(group: &Group, picker: &Picker<'_>) -> bool {
     group.local().any(|state| {
         let endpoint = picker.state(state);
-        endpoint.fault().is_none() && !endpoint.is_leaving()
+        endpoint.is_well(picker.now) && !endpoint.is_leaving()
     })
 }
 
@@ -260,7 +267,7 @@
     let Some(first) = present().next() else {
         return refuse(Refusal::NoEndpoint, picker.now);
     };
-    let is_well = |&state: &StateIndex| picker.state(state).fault().is_none();
+    let is_well = |&state: &StateIndex| picker.state(state).is_well(picker.now);
     if group
         .local()
         .filter(|&state| !picker.state(state).is_leaving())
--- a/crates/apricotlug-policy/src/placement/engine.rs
+++ b/crates/apricotlug-policy/src/placement/engine.rs
@@ -95,7 +95,9 @@
     pub fn update(&mut self, old: &Bundle, new: &Bundle, now: MonoTime) {
         self.bundle_version = new.version;
         self.follow_home(old, new);
+        let known = self.states.len();
         self.bring_in_endpoints(Some(old), new, now);
+        self.open_new_endpoints(new, known, now);
         self.apply_shares(new, now.after(BUNDLE_SETTLE_TIME), now);
     }
 
@@ -258,6 +260,18 @@
         index
     }
 
+    /// Opens the share of endpoints that no instance has used before. States from `known` on are
+    /// theirs.
+    fn open_new_endpoints(&mut self, bundle: &Bundle, known: usize, now: MonoTime) {
+        if self.states.len() == known {
+            return;
+        }
+        let shares = SlotShares::split(bundle, &self.holders, &self.own);
+        for state in &mut self.states[known..] {
+            state.limit.set(shares.slots(state.key), now, now);
+        }
+    }
+
     fn apply_shares(&mut self, bundle: &Bundle, usable_at: MonoTime, now: MonoTime) {
         let shares = SlotShares::split(bundle, &self.holders, &self.own);
         for (key, index) in bundle.endpoints.keys().zip(&self.state_of) {
--- a/crates/apricotlug-policy/src/placement/health.rs
+++ b/crates/apricotlug-policy/src/placement/health.rs
@@ -118,6 +118,11 @@
         self.fault
     }
 
+    /// Tells whether own outcomes don't speak against the endpoint, ejected or not.
+    pub(super) fn is_well(&self, now: MonoTime) -> bool {
+        self.fault.is_none() && self.failure_rate * self.aging(now) < EJECT_FAILURE_RATE
+    }
+
     /// Returns the end of the present ejection.
     pub(super) fn ejected_until(&self) -> MonoTime {
         self.ejected_until
@@ -148,8 +153,8 @@
             true => self.latency_us * age,
             false => typical_us,
         };
-        let share = f32::from(self.open_slots(now).max(1));
-        let load = f32::from(self.outstanding + 1) / share;
+        let share = f32::from(self.limit.at(now).max(1));
+        let load = 1.0 + f32::from(self.outstanding) / share;
         let failure = 1.0 + FAILURE_PENALTY * self.failure_rate * age;
         latency * load * failure * self.report_factor(now)
     }
--- a/crates/apricotlug-policy/src/placement/share.rs
+++ b/crates/apricotlug-policy/src/placement/share.rs
@@ -99,7 +99,10 @@
         for (service, endpoint) in endpoints_of(bundle, region) {
             let slots = bundle.endpoints[endpoint].slots;
             let usable_slots = usable.take(slots);
-            let foreign_slots = foreign.take(slots).min(usable_slots);
+            let foreign_slots = match foreign_holders.is_empty() {
+                true => 0,
+                false => foreign.take(slots).min(usable_slots),
+            };
             let mut deal = Deal {
                 holders,
                 service,
