--- a/crates/apricotlug-policy/examples/support/sim.rs
+++ b/crates/apricotlug-policy/examples/support/sim.rs
@@ -31,6 +31,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
 const SAMPLES_PER_SPAN: u32 = 10;
+const PROBE_TIME: Duration = Duration::from_millis(6);
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Time in which the look-up learns of dead instances.
 const DETECTION_TIME: Duration = Duration::from_secs(3);
@@ -565,6 +566,7 @@
 
     /// Delivers the reports of the last interval, then takes the next ones.
     fn report(&mut self) {
+        self.probe();
         self.update_directory();
         let is_lie = self.scenario.fault == Fault::LyingReport && self.is_struck();
         for key in self.bundle.endpoints.keys() {
@@ -589,6 +591,25 @@
         }
     }
 
+    /// Probes the endpoints whose ejection has ended.
+    fn probe(&mut self) {
+        for instance in &mut self.instances {
+            for key in instance.policy.placement.due_probes(self.now) {
+                let outcome = match self.backends[usize::from(key)].behaviour {
+                    Behaviour::Dead => Outcome::ConnectFailed,
+                    _ => Outcome::Answered {
+                        latency: PROBE_TIME,
+                        server_error: false,
+                    },
+                };
+                instance
+                    .policy
+                    .placement
+                    .settle_probe(key, outcome, self.now);
+            }
+        }
+    }
+
     fn fault(&mut self, is_start: bool) {
         let fault = self.scenario.fault;
         if !is_start {
--- a/crates/apricotlug-policy/src/lookup/charge.rs
+++ b/crates/apricotlug-policy/src/lookup/charge.rs
@@ -3,9 +3,9 @@
 use apricotlug_model::UnixTime;
 
 /// Number of time slices. Answers live for less than all but two of them.
-const SLICES: usize = 16;
+const SLICES: usize = 32;
 /// Span of a slice, in microseconds.
-const SLICE_US: u64 = 1_000_000;
+const SLICE_US: u64 = 250_000;
 
 /// Live answers and their charges by the time slice in which they expire.
 ///
--- a/crates/apricotlug-policy/src/lookup/directory.rs
+++ b/crates/apricotlug-policy/src/lookup/directory.rs
@@ -18,7 +18,7 @@
 
 /// Instances that an answer names at most.
 const MAX_INSTANCES: usize = 3;
-/// Time for which callers may use an answer of their home region.
+/// Time for which callers may use an answer of their home region; below the ring of charges.
 const HOME_TTL: Duration = Duration::from_secs(5);
 /// Time for which callers may use an answer of another region.
 const SHIFTED_TTL: Duration = Duration::from_secs(5);
--- a/crates/apricotlug-policy/src/placement/decide.rs
+++ b/crates/apricotlug-policy/src/placement/decide.rs
@@ -168,7 +168,11 @@
                 return Ok(found);
             }
         }
-        find_in_panic(group, &picker, rng)
+        let spread = match locality {
+            Locality::Elsewhere => None,
+            Locality::Home | Locality::Anywhere => find_in_panic(group, &picker, rng),
+        };
+        spread
             .or(local)
             .ok_or_else(|| no_place(group, &picker, barrier))
     }
--- a/crates/apricotlug-policy/src/placement/engine.rs
+++ b/crates/apricotlug-policy/src/placement/engine.rs
@@ -137,6 +137,25 @@
         }
     }
 
+    /// Returns the endpoints whose ejection has ended. Probes bring them back without requests.
+    #[must_use]
+    pub fn due_probes(&self, now: MonoTime) -> Vec<EndpointKey> {
+        let states = self.state_of.iter().map(|i| &self.states[*i as usize]);
+        let due = states.filter(|state| state.is_probe_due(now) && !state.is_leaving());
+        due.map(|state| state.key).collect()
+    }
+
+    /// Takes in the outcome of a probe that occupied no slot.
+    pub fn settle_probe(&mut self, endpoint: EndpointKey, outcome: Outcome, now: MonoTime) {
+        let Some(&index) = self.state_of.get(usize::from(endpoint)) else {
+            return;
+        };
+        let fault = self.states[index as usize].settle_probe(outcome, now);
+        if let Some(fault) = fault {
+            self.eject(index, fault, now);
+        }
+    }
+
     /// Takes in an endpoint's word on its own state.
     ///
     /// A wish to drain counts until a later report takes it back. Health counts while own
--- a/crates/apricotlug-policy/src/placement/health.rs
+++ b/crates/apricotlug-policy/src/placement/health.rs
@@ -162,6 +162,35 @@
     /// Takes in how a request ended. Returns whether the endpoint now ought to be ejected.
     pub(super) fn settle(&mut self, outcome: Outcome, now: MonoTime) -> Option<Fault> {
         self.outstanding = self.outstanding.saturating_sub(1);
+        self.learn(outcome, now)
+    }
+
+    /// Takes in the outcome of a probe. An answer proves that an unreachable endpoint can be
+    /// reached again, not that one with errors serves requests.
+    pub(super) fn settle_probe(&mut self, outcome: Outcome, now: MonoTime) -> Option<Fault> {
+        match (outcome, self.fault) {
+            (
+                Outcome::Answered {
+                    server_error: false,
+                    ..
+                },
+                Some(Fault::Unreachable),
+            ) => {
+                self.recover(now);
+                None
+            }
+            (
+                Outcome::Answered {
+                    server_error: false,
+                    ..
+                },
+                _,
+            ) => None,
+            _ => self.learn(outcome, now),
+        }
+    }
+
+    fn learn(&mut self, outcome: Outcome, now: MonoTime) -> Option<Fault> {
         match outcome {
             Outcome::Answered {
                 latency,
@@ -222,12 +251,18 @@
         self.failure_rate *= self.aging(now) * (1.0 - SAMPLE_WEIGHT);
         self.failures_in_row = 0;
         self.sampled_at = now;
-        if self.fault.take().is_some() {
-            self.failure_rate = 0.0;
-            self.cold_since = Some(now);
+        if self.fault.is_some() {
+            self.recover(now);
         }
     }
 
+    fn recover(&mut self, now: MonoTime) {
+        self.fault = None;
+        self.failure_rate = 0.0;
+        self.failures_in_row = 0;
+        self.cold_since = Some(now);
+    }
+
     fn fail(&mut self, fault: Fault, now: MonoTime) -> Option<Fault> {
         let rate = self.failure_rate * self.aging(now);
         self.latency_us *= self.aging(now);
--- a/crates/apricotlug-policy/src/placement/share.rs
+++ b/crates/apricotlug-policy/src/placement/share.rs
@@ -8,7 +8,7 @@
 
 /// Part of a region's shift cap that is set aside for instances of other regions, in hundredths.
 /// The rest is for clients of other regions that reach the region's own instances.
-const FOREIGN_PART_PERCENT: u32 = 20;
+const FOREIGN_PART_PERCENT: u32 = 10;
 /// Slots of a service by which a holder in the endpoint's data centre may lead the others.
 const HOME_LEAD_SLOTS: u32 = 2;
 
--- a/crates/apricotlug-policy/tests/placement_rules.rs
+++ b/crates/apricotlug-policy/tests/placement_rules.rs
@@ -187,6 +187,23 @@
     assert!(counts[0] > 100, "{counts:?}");
 }
 
+#[test]
+fn a_probe_brings_back_an_unreachable_endpoint_but_not_one_with_errors() {
+    for (outcome, is_back) in [(Outcome::ConnectFailed, true), (Outcome::Broken, false)] {
+        let mut bed = Bed::new();
+        let others: Vec<_> = bed.bundle.endpoints.keys().skip(1).collect();
+        for _ in 0..3 {
+            let choice = bed.place_without(&others).unwrap();
+            bed.settle(choice, outcome);
+        }
+        assert!(bed.placement.due_probes(bed.now).is_empty());
+        bed.pass(5_000);
+        assert_eq!(bed.placement.due_probes(bed.now), [EndpointKey(0)]);
+        bed.placement.settle_probe(EndpointKey(0), good(), bed.now);
+        assert_eq!(bed.placement.is_ejected(EndpointKey(0)), !is_back);
+    }
+}
+
 #[test]
 fn errors_eject_at_most_half_of_a_version() {
     let mut bed = Bed::new();
