--- a/crates/apricotlug-policy/src/lookup/directory.rs
+++ b/crates/apricotlug-policy/src/lookup/directory.rs
@@ -26,6 +26,8 @@
 const SHIFT_SETTLE_TIME: Duration = Duration::from_secs(8);
 /// Time after which to ask again where no region has room.
 const REFUSED_TTL: Duration = Duration::from_secs(1);
+/// Part of a shift cap, in hundredths, up to which the nearest region is filled before others.
+const FIRST_FILL_PERCENT: u64 = 60;
 /// Slots that one answer's caller is taken to occupy before anything was measured, in thousandths.
 const ASSUMED_MILLI_SLOTS: u64 = 100;
 /// Largest such estimate, in thousandths.
@@ -220,13 +222,15 @@
     ) -> Option<RegionKey> {
         let is_home_down = reason == AnswerReason::HomeDown;
         let nearest = std::mem::take(&mut self.regions[usize::from(home)].nearest);
-        let found = nearest.iter().copied().find(|region| {
-            let state = &mut self.regions[usize::from(*region)];
+        let has_room = |region: RegionKey, percent: u64| {
+            let state = &mut self.regions[usize::from(region)];
             let charged = state.charged.live(now).milli_slots + self.milli_slots;
             !state.pool.is_empty()
+                && state.has_slots
                 && (is_home_down || !state.overflow.is_over())
-                && charged <= state.shift_cap.at(now)
-        });
+                && charged * 100 <= state.shift_cap.at(now) * percent
+        };
+        let found = find_nearest(&nearest, has_room);
         self.regions[usize::from(home)].nearest = nearest;
         found
     }
@@ -321,6 +325,19 @@
     }
 }
 
+/// Returns the nearest region with room. One that is filled up to a part comes after all others.
+fn find_nearest(
+    nearest: &[RegionKey],
+    mut has_room: impl FnMut(RegionKey, u64) -> bool,
+) -> Option<RegionKey> {
+    [FIRST_FILL_PERCENT, 100].into_iter().find_map(|percent| {
+        nearest
+            .iter()
+            .copied()
+            .find(|region| has_room(*region, percent))
+    })
+}
+
 /// Names one instance of the first pool, then others of the second, in data centres apart.
 fn name(first: &Pool, then: &Pool, rng: &mut impl Rng) -> Vec<SocketAddr> {
     let mut taken = Vec::with_capacity(MAX_INSTANCES);
