Look-ups: better of two instances, jittered expiry, short answers without room

Cause: weights by momentary headroom sent all callers to one instance until their answers expired; callers that found no room kept a useless answer for 5 s, and asked again all at once. Change: draw by slots, the less loaded of two, counting answers given since the last load; expiry shortened by up to a fifth at random; 1 s where no other region has room.

--- a/crates/apricotlug-policy/src/lookup/directory.rs
+++ b/crates/apricotlug-policy/src/lookup/directory.rs
@@ -12,7 +12,7 @@
     charge::ChargeRing,
     entry::InstanceEntry,
     overflow::Overflow,
-    pool::{Member, Pool},
+    pool::{Member, MemberIndex, Pool},
 };
 use crate::limit::DelayedLimit;
 
@@ -22,9 +22,11 @@
 const HOME_TTL: Duration = Duration::from_secs(5);
 /// Time for which callers may use an answer of another region.
 const SHIFTED_TTL: Duration = Duration::from_secs(5);
+/// Shortest time of an answer, in hundredths of the longest.
+const JITTER_MIN_PERCENT: u32 = 80;
 /// Time after which what a lost or restarted instance answered has expired.
 const SHIFT_SETTLE_TIME: Duration = Duration::from_secs(8);
-/// Time after which to ask again where no region has room.
+/// Time after which to ask again where no other region has room.
 const REFUSED_TTL: Duration = Duration::from_secs(1);
 /// Part of a shift cap, in hundredths, up to which the nearest region is filled before others.
 const FIRST_FILL_PERCENT: u64 = 60;
@@ -69,6 +71,9 @@
     region_of: Vec<RegionKey>,
     data_centres: Vec<DataCentre>,
     regions: Vec<Region>,
+    members: Vec<Member>,
+    /// Slots that one answer's caller is taken to occupy, in thousandths, over the number of
+    /// answering instances.
     milli_slots: u64,
 }
 
@@ -105,6 +110,7 @@
             region_of: Vec::new(),
             data_centres: Vec::new(),
             regions: Vec::new(),
+            members: Vec::new(),
             milli_slots: ASSUMED_MILLI_SLOTS,
         };
         directory.follow_bundle(bundle);
@@ -142,14 +148,14 @@
             _ => AnswerReason::HomeOver,
         };
         if reason == AnswerReason::Home {
-            return self.answer_home(home, region, now, rng);
+            return self.answer_home(home, HOME_TTL, now, rng);
         }
         if let Some(other) = self.find_room(region, reason, now) {
             return self.answer_shifted(other, reason, now, rng);
         }
         match self.regions[usize::from(region)].pool.is_empty() {
             true => refusal(now),
-            false => self.answer_home(home, region, now, rng),
+            false => self.answer_home(home, REFUSED_TTL, now, rng),
         }
     }
 
@@ -166,6 +172,38 @@
         self.regions[usize::from(region)].shift_cap.at(now)
     }
 
+    /// Names the less loaded of two instances of the first data centre, or of the region, then
+    /// others of the region, in data centres apart.
+    fn name(
+        &mut self,
+        first: Option<DataCentreKey>,
+        region: RegionKey,
+        rng: &mut impl Rng,
+    ) -> Vec<SocketAddr> {
+        let pool = &self.regions[usize::from(region)].pool;
+        let first = first.and_then(|key| {
+            let data_centre = &self.data_centres[usize::from(key)];
+            data_centre.pool.pick(&self.members, rng)
+        });
+        let mut taken = Vec::with_capacity(MAX_INSTANCES);
+        taken.extend(first.or_else(|| pool.pick(&self.members, rng)));
+        while taken.len() < MAX_INSTANCES {
+            let Some(member) = pool.draw_other(&self.members, &taken, rng) else {
+                break;
+            };
+            taken.push(member);
+        }
+        if let Some(first) = taken.first() {
+            let answering = self.members.len() as u64;
+            let member = &mut self.members[*first as usize];
+            member.milli_slots_used += self.milli_slots * answering;
+        }
+        taken
+            .iter()
+            .map(|member| self.members[*member as usize].addr)
+            .collect()
+    }
+
     fn home(&self, site: SiteKey) -> Option<DataCentreKey> {
         self.home_of_site.get(usize::from(site)).copied()
     }
@@ -173,20 +211,18 @@
     fn answer_home(
         &mut self,
         home: DataCentreKey,
-        region: RegionKey,
+        ttl: Duration,
         now: UnixTime,
         rng: &mut impl Rng,
     ) -> Answer {
+        let region = self.region_of[usize::from(home)];
+        let expires_at = now.after(jitter(ttl, rng));
         let state = &mut self.regions[usize::from(region)];
-        let expires_at = now.after(HOME_TTL);
-        let data_centre = &self.data_centres[usize::from(home)];
-        let first = match rng.random_ratio(data_centre.overflow.permille().into(), 1000) {
-            true => &state.pool,
-            false => &data_centre.pool,
-        };
         state.home_answers.add(0, expires_at, now);
+        let overflow = self.data_centres[usize::from(home)].overflow;
+        let is_elsewhere = rng.random_ratio(overflow.permille().into(), 1000);
         Answer {
-            instances: name(first, &state.pool, rng),
+            instances: self.name((!is_elsewhere).then_some(home), region, rng),
             expires_at,
             region: Some(region),
             reason: AnswerReason::Home,
@@ -200,11 +236,11 @@
         now: UnixTime,
         rng: &mut impl Rng,
     ) -> Answer {
+        let expires_at = now.after(jitter(SHIFTED_TTL, rng));
         let state = &mut self.regions[usize::from(region)];
-        let expires_at = now.after(SHIFTED_TTL);
         state.charged.add(self.milli_slots, expires_at, now);
         Answer {
-            instances: name(&Pool::default(), &state.pool, rng),
+            instances: self.name(None, region, rng),
             expires_at,
             region: Some(region),
             reason,
@@ -271,17 +307,20 @@
         for region in &mut self.regions {
             region.pool = Pool::default();
         }
+        self.members.clear();
         for entry in entries.iter().filter(|entry| entry.is_named()) {
-            let member = Member {
+            let index = MemberIndex::try_from(self.members.len()).unwrap_or(MemberIndex::MAX);
+            let weight = entry.weight();
+            self.members.push(Member {
                 addr: entry.addr,
                 data_centre: entry.data_centre,
-                weight: entry.weight(),
-            };
-            let region = self.region_of[usize::from(entry.data_centre)];
-            self.data_centres[usize::from(entry.data_centre)]
-                .pool
-                .push(member);
-            self.regions[usize::from(region)].pool.push(member);
+                weight,
+                milli_slots_used: u64::from(entry.load.outstanding) * 1000,
+            });
+            let data_centre = usize::from(entry.data_centre);
+            let region = usize::from(self.region_of[data_centre]);
+            self.data_centres[data_centre].pool.push(index, weight);
+            self.regions[region].pool.push(index, weight);
         }
         let answering = entries.iter().filter(|entry| entry.is_named()).count();
         for (key, region) in bundle.regions.keys().zip(&mut self.regions) {
@@ -338,17 +377,9 @@
     })
 }
 
-/// Names one instance of the first pool, then others of the second, in data centres apart.
-fn name(first: &Pool, then: &Pool, rng: &mut impl Rng) -> Vec<SocketAddr> {
-    let mut taken = Vec::with_capacity(MAX_INSTANCES);
-    taken.extend(first.draw(rng).or_else(|| then.draw(rng)));
-    while taken.len() < MAX_INSTANCES {
-        let Some(member) = then.draw_other(&taken, rng) else {
-            break;
-        };
-        taken.push(member);
-    }
-    taken.iter().map(|member| member.addr).collect()
+/// Shortens a time by up to a fifth at random, so that callers don't ask all at once.
+fn jitter(ttl: Duration, rng: &mut impl Rng) -> Duration {
+    ttl * rng.random_range(JITTER_MIN_PERCENT..=100) / 100
 }
 
 fn refusal(now: UnixTime) -> Answer {
--- a/crates/apricotlug-policy/src/lookup/entry.rs
+++ b/crates/apricotlug-policy/src/lookup/entry.rs
@@ -4,9 +4,7 @@
 
 use apricotlug_model::{DataCentreKey, InstanceId};
 
-/// Part of its slots, in sixteenths, that counts as free at least, since load lags.
-const MIN_HEADROOM_SIXTEENTHS: u64 = 4;
-/// Weight of a ready instance over that of a suspect one with the same headroom.
+/// Weight of a ready instance over that of a suspect one with as many slots.
 const SUSPECT_DIVISOR: u64 = 8;
 
 /// Entry instance.
@@ -53,15 +51,12 @@
         matches!(self.state, InstanceState::Ready | InstanceState::Suspect)
     }
 
-    /// Returns the weight of the instance among others. It follows the free slots, but never
-    /// falls below a part of all slots.
+    /// Returns the weight of the instance among others; zero where it is not named.
     pub(super) fn weight(&self) -> u64 {
-        let slots = u64::from(self.load.slots.max(1)) * 16;
-        let free = slots.saturating_sub(u64::from(self.load.outstanding) * 16);
-        let weight = free.max(slots * MIN_HEADROOM_SIXTEENTHS / 16) * SUSPECT_DIVISOR;
+        let weight = u64::from(self.load.slots.max(1)) * SUSPECT_DIVISOR;
         match self.state {
             InstanceState::Ready => weight,
-            InstanceState::Suspect => (weight / SUSPECT_DIVISOR).max(1),
+            InstanceState::Suspect => weight / SUSPECT_DIVISOR,
             InstanceState::Leaving | InstanceState::Dead => 0,
         }
     }
--- a/crates/apricotlug-policy/src/lookup/overflow.rs
+++ b/crates/apricotlug-policy/src/lookup/overflow.rs
@@ -10,6 +10,10 @@
 const END_PERCENT: u64 = 60;
 /// Change per step, in thousandths of the callers.
 const STEP_PERMILLE: u16 = 100;
+/// Load, in hundredths of the slots, from which the step up is larger.
+const FULL_PERCENT: u64 = 95;
+/// Larger step up, in thousandths of the callers.
+const FULL_STEP_PERMILLE: u16 = 200;
 /// Time between steps.
 const STEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -39,6 +43,8 @@
         let load = outstanding * 100;
         if slots == 0 {
             self.permille = 1000;
+        } else if load >= slots * FULL_PERCENT {
+            self.permille = (self.permille + FULL_STEP_PERMILLE).min(1000);
         } else if load >= slots * START_PERCENT {
             self.permille = (self.permille + STEP_PERMILLE).min(1000);
         } else if load < slots * END_PERCENT {
--- a/crates/apricotlug-policy/src/lookup/pool.rs
+++ b/crates/apricotlug-policy/src/lookup/pool.rs
@@ -1,4 +1,4 @@
-//! Weighted choice among the instances of a data centre or region.
+//! Choice among the instances of a data centre or region.
 
 use std::net::SocketAddr;
 
@@ -8,7 +8,7 @@
 /// Random draws for another instance before the members are searched in order.
 const DRAWS: usize = 4;
 
-/// Member of a pool.
+/// Instance that look-ups may name.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Member {
     /// Address that callers connect to.
@@ -17,20 +17,32 @@
     pub(super) data_centre: DataCentreKey,
     /// Weight, above zero.
     pub(super) weight: u64,
+    /// Slots in use by its last word, and by answers given since, in thousandths.
+    pub(super) milli_slots_used: u64,
 }
 
-/// Instances with running sums of their weights.
+impl Member {
+    /// Returns the load relative to the weight. Only the order matters.
+    fn load(&self) -> u64 {
+        self.milli_slots_used * 1000 / self.weight
+    }
+}
+
+/// Index of a member.
+pub(super) type MemberIndex = u32;
+
+/// Members with running sums of their weights.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pool {
-    members: Vec<Member>,
+    members: Vec<MemberIndex>,
     sums: Vec<u64>,
 }
 
 impl Pool {
     /// Adds a member.
-    pub(super) fn push(&mut self, member: Member) {
-        self.sums.push(self.total() + member.weight);
-        self.members.push(member);
+    pub(super) fn push(&mut self, index: MemberIndex, weight: u64) {
+        self.sums.push(self.total() + weight);
+        self.members.push(index);
     }
 
     /// Tells whether the pool has no member.
@@ -38,8 +50,37 @@
         self.members.is_empty()
     }
 
-    /// Returns a random member, by weight.
-    pub(super) fn draw(&self, rng: &mut impl Rng) -> Option<Member> {
+    /// Returns the less loaded of two members drawn by weight.
+    pub(super) fn pick(&self, members: &[Member], rng: &mut impl Rng) -> Option<MemberIndex> {
+        let one = self.draw(rng)?;
+        let other = self.draw(rng)?;
+        let load = |index: MemberIndex| members[index as usize].load();
+        Some(if load(other) < load(one) { other } else { one })
+    }
+
+    /// Returns a member that is not in `taken`, drawn by weight, in another data centre than the
+    /// first of `taken` where there is one.
+    pub(super) fn draw_other(
+        &self,
+        members: &[Member],
+        taken: &[MemberIndex],
+        rng: &mut impl Rng,
+    ) -> Option<MemberIndex> {
+        let data_centre = |index: MemberIndex| members[index as usize].data_centre;
+        let is_new = |index: &MemberIndex| !taken.contains(index);
+        let is_apart = |index: &MemberIndex| match taken {
+            [first] => data_centre(*first) != data_centre(*index),
+            _ => true,
+        };
+        let mut drawn = (0..DRAWS).filter_map(|_| self.draw(rng));
+        let all = || self.members.iter().copied();
+        drawn
+            .find(|index| is_new(index) && is_apart(index))
+            .or_else(|| all().find(|index| is_new(index) && is_apart(index)))
+            .or_else(|| all().find(is_new))
+    }
+
+    fn draw(&self, rng: &mut impl Rng) -> Option<MemberIndex> {
         if self.is_empty() {
             return None;
         }
@@ -48,25 +89,6 @@
         self.members.get(i).copied()
     }
 
-    /// Returns a random member that is not in `taken`, by weight, in another data centre than
-    /// the first of `taken` where there is one.
-    pub(super) fn draw_other(&self, taken: &[Member], rng: &mut impl Rng) -> Option<Member> {
-        let is_new = |member: &Member| taken.iter().all(|other| other.addr != member.addr);
-        let is_apart =
-            |member: &Member| taken.len() != 1 || member.data_centre != taken[0].data_centre;
-        let drawn = (0..DRAWS)
-            .filter_map(|_| self.draw(rng))
-            .find(|m| is_new(m) && is_apart(m));
-        drawn
-            .or_else(|| {
-                self.members
-                    .iter()
-                    .copied()
-                    .find(|m| is_new(m) && is_apart(m))
-            })
-            .or_else(|| self.members.iter().copied().find(is_new))
-    }
-
     fn total(&self) -> u64 {
         self.sums.last().copied().unwrap_or(0)
     }
--- a/crates/apricotlug-policy/src/placement/health.rs
+++ b/crates/apricotlug-policy/src/placement/health.rs
@@ -17,8 +17,10 @@
 const UNHEALTHY_REPORT_PENALTY: f32 = 3.0;
 /// Failure average from which an endpoint may be ejected.
 const EJECT_FAILURE_RATE: f32 = 0.5;
-/// Failures in a row from which an endpoint may be ejected.
-const EJECT_FAILURES_IN_ROW: u8 = 3;
+/// Failures in a row from which an endpoint that answers may be ejected.
+const EJECT_ERRORS_IN_ROW: u8 = 3;
+/// Failures in a row from which an endpoint that doesn't answer may be ejected.
+const EJECT_UNREACHABLE_IN_ROW: u8 = 2;
 /// First ejection's duration; each further one takes twice as long.
 const EJECT_BASE: Duration = Duration::from_secs(1);
 /// Longest ejection.
@@ -269,8 +271,12 @@
         self.failure_rate = rate + SAMPLE_WEIGHT * (1.0 - rate);
         self.failures_in_row = self.failures_in_row.saturating_add(1);
         self.sampled_at = now;
+        let limit = match fault {
+            Fault::Errors => EJECT_ERRORS_IN_ROW,
+            Fault::Unreachable => EJECT_UNREACHABLE_IN_ROW,
+        };
         let is_bad = self.fault.is_some()
-            || self.failures_in_row >= EJECT_FAILURES_IN_ROW
+            || self.failures_in_row >= limit
             || self.failure_rate >= EJECT_FAILURE_RATE;
         let is_known = self.fault.is_some() && self.ejected_until > now;
         (is_bad && !is_known).then_some(fault)
--- a/crates/apricotlug-policy/tests/lookup_answers.rs
+++ b/crates/apricotlug-policy/tests/lookup_answers.rs
@@ -158,15 +158,15 @@
         ..NOVAK
     });
     let mut shifted = Vec::new();
-    for outstanding in [10, 10, 10, 7, 7, 4, 4, 4, 4] {
+    for outstanding in [10, 10, 10, 7, 7, 4, 4, 4, 4, 4, 4] {
         bed.pass(1_000);
         bed.set_region(0, InstanceState::Ready, outstanding);
         let over = (0..100).filter(|_| bed.lookup(0).reason == AnswerReason::HomeOver);
         shifted.push(over.count());
     }
     assert!(shifted[0] > 0 && shifted[2] > shifted[0], "{shifted:?}");
-    assert!(shifted[4] > 10, "{shifted:?}");
-    assert_eq!(shifted[8], 0, "{shifted:?}");
+    assert!(shifted[4] > 30, "{shifted:?}");
+    assert_eq!(shifted[10], 0, "{shifted:?}");
 }
 
 #[test]
