--- a/crates/apricotlug-policy/src/moves/mod.rs
+++ b/crates/apricotlug-policy/src/moves/mod.rs
@@ -1,1 +1,23 @@
 //! Moves of traffic from one version of a service to another.
+//!
+//! A [`MoveRecord`] in the platform holds the stage; whoever leads the move advances it with
+//! [`advance`]. Two guards need nobody: a [`Guard`] in each instance cuts a faulty version's share
+//! at once, and [`share`] counts an unfinished move as taken back from its deadline on.
+
+mod advance;
+mod baseline;
+mod detector;
+mod evidence;
+mod guard;
+mod histogram;
+mod record;
+mod score;
+mod share;
+
+pub use advance::{FINISH_MARGIN, MIN_DWELL, Summary, advance, stage_due};
+pub use detector::{Detector, Fault, Signal};
+pub use evidence::{Counts, Evidence, Pair, Report, Sample, Side, Totals};
+pub use guard::Guard;
+pub use histogram::LogHistogram;
+pub use record::{MoveId, MoveRecord, MoveRecordWire, MoveState, RecordError, TakeBackReason};
+pub use share::{ActiveMove, pick_version, share};
