--- a/crates/apricotlug-policy/examples/moves/cases.rs
+++ b/crates/apricotlug-policy/examples/moves/cases.rs
@@ -75,6 +75,8 @@
     ErrorsUnderLoad,
     /// Three times the latency while the share is 250 or more.
     SlowUnderLoad,
+    /// 40% of the requests fail while the share is above 500.
+    ErrorsUnderFullLoad,
     /// Half of the requests fail on the smaller route.
     ErrorsOneRoute,
     /// Three times the latency on the smaller route.
@@ -82,7 +84,7 @@
 }
 
 /// Every case.
-pub const CASES: [Case; 13] = [
+pub const CASES: [Case; 14] = [
     Case::Good,
     Case::GoodBlips,
     Case::GoodCold,
@@ -94,6 +96,7 @@
     Case::SlowLater,
     Case::ErrorsUnderLoad,
     Case::SlowUnderLoad,
+    Case::ErrorsUnderFullLoad,
     Case::ErrorsOneRoute,
     Case::SlowOneRoute,
 ];
@@ -134,6 +137,7 @@
             Self::SlowLater => is_late.then_some(slow),
             Self::ErrorsUnderLoad => is_loaded.then_some(errors(0.4)),
             Self::SlowUnderLoad => is_loaded.then_some(slow),
+            Self::ErrorsUnderFullLoad => (share > 500).then_some(errors(0.4)),
             Self::ErrorsOneRoute => (route == 1).then_some(errors(0.5)),
             Self::SlowOneRoute => (route == 1).then_some(slow),
         }
--- a/crates/apricotlug-policy/examples/moves/fleet.rs
+++ b/crates/apricotlug-policy/examples/moves/fleet.rs
@@ -48,6 +48,8 @@
     pub faulty_share: f64,
     /// Requests to the new version later than 5 s after its fault showed.
     pub late: u64,
+    /// Those of them that the fault touched.
+    pub late_faulty: u64,
     /// Time from the first faulty answer until no instance sent anything, in seconds.
     pub cut_after_s: Option<f64>,
 }
@@ -89,6 +91,7 @@
     touched: u64,
     faulty: u64,
     late: u64,
+    late_faulty: u64,
     first_faulty_at: Option<MonoTime>,
     shown_at: Option<MonoTime>,
     last_new_at: Option<MonoTime>,
@@ -133,6 +136,7 @@
             touched: 0,
             faulty: 0,
             late: 0,
+            late_faulty: 0,
             first_faulty_at: None,
             shown_at: None,
             last_new_at: None,
@@ -209,7 +213,9 @@
     fn note_new(&mut self, effect: Option<Effect>, sample: Sample, now: MonoTime) {
         self.new_requests += 1;
         self.last_new_at = Some(now);
-        self.late += u64::from(self.shown_at.is_some_and(|at| now.since(at) > GRACE));
+        let is_late = self.shown_at.is_some_and(|at| now.since(at) > GRACE);
+        self.late += u64::from(is_late);
+        self.late_faulty += u64::from(is_late && effect.is_some());
         let Some(effect) = effect else {
             return;
         };
@@ -293,6 +299,7 @@
             new_share: self.new_requests as f64 / all,
             faulty_share: self.touched as f64 / all,
             late: self.late,
+            late_faulty: self.late_faulty,
             cut_after_s: self.first_faulty_at.and_then(cut_after),
         }
     }
--- a/crates/apricotlug-policy/examples/moves/main.rs
+++ b/crates/apricotlug-policy/examples/moves/main.rs
@@ -1,5 +1,5 @@
 //! Virtual-time table of version moves at both users' sizes.
-//! `cargo run --release -p apricotlug-policy --example moves -- [RUNS]`
+//! `cargo run --release -p apricotlug-policy --example moves -- [RUNS [WAY]]`
 
 mod cases;
 mod fleet;
@@ -22,10 +22,12 @@
         runs - 1
     );
     println!(
-        "| way | case | runs | right | worst share of faulty requests, % | worst share of the bad version, % | requests over 5 s late | longest time to the cut, s |"
+        "| way | case | runs | right | worst share of faulty requests, % | worst share of the bad version, % | requests over 5 s late | of them touched by the fault | longest time to the cut, s |"
     );
-    println!("|---|---|---|---|---|---|---|---|");
-    for way in WAYS {
+    println!("|---|---|---|---|---|---|---|---|---|");
+    let only = env::args().nth(2);
+    let is_wanted = |way: &Way| only.as_ref().is_none_or(|name| *name == format!("{way:?}"));
+    for way in WAYS.into_iter().filter(is_wanted) {
         for case in CASES {
             print_row(way, case, &outcomes(way, case, runs));
         }
@@ -44,21 +46,19 @@
     let right = outcomes.iter().filter(is_right).count();
     let most = |value: fn(&Outcome) -> f64| outcomes.iter().map(value).fold(0.0, f64::max);
     let late: u64 = outcomes.iter().map(|it| it.late).sum();
+    let late_faulty: u64 = outcomes.iter().map(|it| it.late_faulty).sum();
     let faulty = 100.0 * most(|it| it.faulty_share);
     let new = 100.0 * most(|it| it.new_share);
     let cut_s = most(|it| it.cut_after_s.unwrap_or(0.0));
     let runs = outcomes.len();
-    if env::var_os("EACH").is_some() {
-        for it in outcomes {
-            println!("{it:?}");
-        }
-    }
     if case.is_good() {
         let ended_s = most(|it| it.ended_s);
-        println!("| {way:?} | {case:?} | {runs} | {right} | | | | last ended at {ended_s:.0} s |");
+        println!(
+            "| {way:?} | {case:?} | {runs} | {right} | | | | | last ended at {ended_s:.0} s |"
+        );
     } else {
         println!(
-            "| {way:?} | {case:?} | {runs} | {right} | {faulty:.3} | {new:.2} | {late} | {cut_s:.1} |"
+            "| {way:?} | {case:?} | {runs} | {right} | {faulty:.3} | {new:.2} | {late} | {late_faulty} | {cut_s:.1} |"
         );
     }
 }
--- a/crates/apricotlug-policy/src/moves/detector.rs
+++ b/crates/apricotlug-policy/src/moves/detector.rs
@@ -8,8 +8,8 @@
 //! the start. The probability that one sum passes its threshold `t` within `n` bad answers of a
 //! version no worse than tolerated is at most `n · exp(-t)`.
 //!
-//! Where the old version has hardly any traffic left, nothing can be compared at the same time.
-//! There the old version's last counts raise a doubt, and the guard lowers the share until the
+//! Where the old version has little traffic left, bad answers at the same time tell little.
+//! There the old version's last counts raise a doubt, and the guard lowers the share so that the
 //! versions can be compared again.
 
 use std::{collections::BTreeMap, time::Duration};
@@ -31,7 +31,7 @@
 /// Risk of a slow answer, as a multiple of the old version's, that is tolerated.
 const TOLERATED_SLOW: f64 = 2.0;
 
-/// Share from which on the versions can hardly be compared at the same time.
+/// Share from which on bad answers tell little, since most come from the new version anyway.
 const LONE_SHARE: f64 = 0.8;
 
 /// What is wrong with a version.
@@ -60,6 +60,7 @@
     all: Scores,
     last_step: MonoTime,
     is_doubtful: bool,
+    is_old_troubled: bool,
 }
 
 impl Detector {
@@ -78,12 +79,14 @@
             test.take_baseline(step, 0.5_f64.powf(half_lives));
         }
         self.is_doubtful = false;
+        self.is_old_troubled = false;
         for (route, step) in &steps {
             let test = self.routes.entry(route.clone()).or_default();
             for pair in step {
                 test.compare(pair, &mut self.all);
             }
             self.is_doubtful |= test.take_doubt();
+            self.is_old_troubled |= test.old_alone.is_suspect();
         }
         self.fault()
     }
@@ -101,6 +104,12 @@
         self.is_doubtful
     }
 
+    /// Tells whether the old version itself is worse than it was of late.
+    #[must_use]
+    pub fn is_old_troubled(&self) -> bool {
+        self.is_old_troubled
+    }
+
     /// Returns what is new in each report, by route.
     fn take_steps<'a>(
         &mut self,
@@ -191,6 +200,7 @@
     baseline: Baseline,
     scores: Scores,
     alone: Scores,
+    old_alone: Scores,
 }
 
 impl RouteTest {
@@ -208,6 +218,8 @@
         let limits = self.baseline.slow_limits();
         self.scores.compare(step, limits);
         all.compare(step, limits);
+        self.old_alone
+            .compare_with_last(&step.old, &self.baseline, limits);
         if step.share() >= LONE_SHARE {
             self.alone
                 .compare_with_last(&step.new, &self.baseline, limits);
--- a/crates/apricotlug-policy/src/moves/guard.rs
+++ b/crates/apricotlug-policy/src/moves/guard.rs
@@ -10,7 +10,11 @@
 const DOUBT: Duration = Duration::from_secs(15);
 
 /// Largest share while in doubt, in thousandths.
-const DOUBTFUL_SHARE: u16 = 200;
+const DOUBTFUL_SHARE: u16 = 500;
+
+/// Doubts, each gone at the lower share while the old version was well, that make a fault: the
+/// version fails under the load of a large share only.
+const MAX_DOUBTS: u8 = 2;
 
 /// Guard of one instance over one move. A cut stands as long as the move.
 #[derive(Clone, Debug, Default)]
@@ -19,6 +23,7 @@
     fleet: Detector,
     fault: Option<Fault>,
     has_cut: bool,
+    doubts: u8,
     doubt_until: MonoTime,
 }
 
@@ -26,7 +31,8 @@
     /// Judges what this instance has counted itself. Returns whether the share is cut.
     pub fn observe_own(&mut self, report: &Report, now: MonoTime) -> bool {
         let fault = self.own.observe([report], now);
-        self.note(fault, self.own.is_doubtful(), now)
+        let (is_doubtful, is_old_troubled) = (self.own.is_doubtful(), self.own.is_old_troubled());
+        self.note(fault, is_doubtful, is_old_troubled, now)
     }
 
     /// Judges the reports of all instances, this one's included. A cut by any of them is followed.
@@ -34,7 +40,8 @@
     pub fn observe_fleet(&mut self, evidence: &Evidence, now: MonoTime) -> bool {
         let fault = self.fleet.observe(evidence.reports(), now);
         self.has_cut |= evidence.has_cut();
-        self.note(fault, self.fleet.is_doubtful(), now)
+        let is_old_troubled = self.fleet.is_old_troubled();
+        self.note(fault, self.fleet.is_doubtful(), is_old_troubled, now)
     }
 
     /// Tells whether the new version gets no request from this instance.
@@ -71,11 +78,22 @@
         !self.doubt_until.is_past(now)
     }
 
-    fn note(&mut self, fault: Option<Fault>, is_doubtful: bool, now: MonoTime) -> bool {
-        if is_doubtful {
+    fn note(
+        &mut self,
+        fault: Option<Fault>,
+        is_doubtful: bool,
+        is_old_troubled: bool,
+        now: MonoTime,
+    ) -> bool {
+        if is_doubtful && !self.is_in_doubt(now) {
+            self.doubts += 1;
             self.doubt_until = now.after(DOUBT);
         }
-        self.has_cut |= fault.is_some();
+        if is_old_troubled && self.is_in_doubt(now) {
+            // What raised the doubt strikes both versions.
+            self.doubts = 0;
+        }
+        self.has_cut |= fault.is_some() || self.doubts >= MAX_DOUBTS;
         self.fault = self.fault.take().or(fault);
         self.has_cut
     }
