--- a/crates/apricotlug-peer/src/gossip.rs
+++ b/crates/apricotlug-peer/src/gossip.rs
@@ -5,13 +5,15 @@
 use apricotlug_model::MonoTime;
 use rand::{Rng, RngExt};
 
-pub use crate::membership::Target;
+pub use crate::membership::{Talk, Target};
 use crate::{Exchange, MemberRecord, Membership, NameHash, News, State, membership::PERIOD};
 
 /// Delay before news is pushed, within which further news joins in.
 const PUSH_DELAY: Duration = Duration::from_millis(20);
-/// Least time between two pushes.
-const PUSH_INTERVAL: Duration = Duration::from_millis(100);
+/// Least time from a push to the next one of a bundle, a withdrawal or a record.
+const NEWS_INTERVAL: Duration = Duration::from_millis(100);
+/// Least time from a push to the next one of members' changes alone.
+const MEMBERS_INTERVAL: Duration = Duration::from_secs(1);
 /// Most messages of one conversation.
 const MAX_ROUNDS: u8 = 6;
 
@@ -62,17 +64,16 @@
             self.last_push = now;
             targets.extend(self.membership.push_targets(now, rng));
         }
-        targets.sort_unstable();
-        targets.dedup();
+        targets.sort_unstable_by_key(|target| (target.addr, target.talk));
+        targets.dedup_by_key(|target| target.addr);
         targets
     }
 
     /// Returns the message that opens a conversation.
     pub fn request(&mut self, target: &Target, now: MonoTime) -> Exchange {
-        let is_local = target.id.is_none_or(|id| self.membership.is_local(id));
         let mut msg = Exchange::default();
         self.membership.set_progress(self.news.progress());
-        self.membership.fill_request(&mut msg, is_local, now);
+        self.membership.fill_request(&mut msg, target, now);
         msg.news = self.news.digest();
         msg
     }
@@ -110,11 +111,14 @@
     }
 
     fn schedule_push(&mut self, now: MonoTime) {
-        let has_news = self.news.take_change();
         let has_members = self.membership.take_change();
-        if (has_news || has_members) && self.next_push.is_none() {
-            let earliest = self.last_push.after(PUSH_INTERVAL);
-            self.next_push = Some(now.after(PUSH_DELAY).max(earliest));
-        }
+        let interval = match self.news.take_change() {
+            true => NEWS_INTERVAL,
+            false if has_members => MEMBERS_INTERVAL,
+            false => return,
+        };
+        let push = now.after(PUSH_DELAY).max(self.last_push.after(interval));
+        let planned = self.next_push.unwrap_or(MonoTime::MAX);
+        self.next_push = Some(push.min(planned));
     }
 }
--- a/crates/apricotlug-peer/src/lib.rs
+++ b/crates/apricotlug-peer/src/lib.rs
@@ -28,7 +28,7 @@
 };
 pub use config::{PeerConfig, PeerHandler};
 pub use error::PeerError;
-pub use gossip::{Gossip, Target};
+pub use gossip::{Gossip, Talk, Target};
 pub use handle::{FleetView, PeerHandle};
 pub use member::{Addresses, Member, MemberRecord, NameHash, Progress, State};
 pub use membership::Membership;
--- a/crates/apricotlug-peer/src/membership/digest.rs
+++ b/crates/apricotlug-peer/src/membership/digest.rs
@@ -4,7 +4,7 @@
 
 use apricotlug_model::MonoTime;
 
-use super::{Membership, entry::Entry};
+use super::{Membership, Talk, Target, entry::Entry};
 use crate::{DigestEntry, Exchange, MemberDigest, MemberRecord, NameHash, Pulse};
 
 /// Most records spread on change in one message.
@@ -28,14 +28,18 @@
 
 impl Membership {
     /// Fills a message that opens a conversation.
-    pub fn fill_request(&mut self, msg: &mut Exchange, is_local: bool, now: MonoTime) {
+    pub fn fill_request(&mut self, msg: &mut Exchange, target: &Target, now: MonoTime) {
         msg.sender = self.me;
         msg.data_centre = self.home;
+        msg.members = self.take_hot(MAX_HOT);
+        if target.talk == Talk::Push {
+            return;
+        }
+        let is_local = target.id.is_none_or(|id| self.is_local(id));
         msg.summaries = self.summaries(is_local, now);
         if is_local {
             msg.pulses = self.pulses();
         }
-        msg.members = self.take_hot(MAX_HOT);
     }
 
     /// Merges a message and fills the reply to it.
@@ -54,10 +58,9 @@
             self.merge_pulses(msg, reply, now);
         }
         if msg.round == 0 {
-            reply.pulses = match msg.data_centre == self.home {
-                true => self.pulses_ahead(msg),
-                false => Vec::new(),
-            };
+            if msg.data_centre == self.home && !msg.pulses.is_empty() {
+                reply.pulses = self.pulses_ahead(msg);
+            }
             let hot = self.take_hot(MAX_HOT);
             reply.members.extend(hot);
         }
--- a/crates/apricotlug-peer/src/membership/entry.rs
+++ b/crates/apricotlug-peer/src/membership/entry.rs
@@ -7,6 +7,15 @@
 use super::{DEATH_SPREADS_FOR, SUSPECT_AFTER, SUSPECT_AFTER_FAILED_CALL};
 use crate::{DigestEntry, MemberRecord, NameHash, Progress, Pulse, State, member::hash64};
 
+/// How much a conversation opens with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Talk {
+    /// Signs of life, summaries and all that is new.
+    Full,
+    /// What is new alone.
+    Push,
+}
+
 /// Whom to call next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Target {
@@ -14,6 +23,8 @@
     pub id: Option<NameHash>,
     /// Address.
     pub addr: SocketAddr,
+    /// How much to open with.
+    pub talk: Talk,
 }
 
 /// Row of one member.
--- a/crates/apricotlug-peer/src/membership/mod.rs
+++ b/crates/apricotlug-peer/src/membership/mod.rs
@@ -26,7 +26,7 @@
 use crate::{MemberRecord, NameHash, Progress, State};
 
 pub(crate) use digest::{MAX_DIGEST_ENTRIES, MAX_MEMBERS_PER_MESSAGE, MAX_WANTS};
-pub use entry::Target;
+pub use entry::{Talk, Target};
 use {
     entry::{Beat, Entry},
     rival::Rival,
--- a/crates/apricotlug-peer/src/membership/pulse.rs
+++ b/crates/apricotlug-peer/src/membership/pulse.rs
@@ -38,7 +38,9 @@
                 continue;
             };
             let is_ahead = entry.run == theirs.run && entry.heartbeat > theirs.heartbeat;
-            if theirs.id != self.me && is_ahead {
+            // A sender whose name another run uses learns whether that one is alive.
+            let is_rival = entry.run != theirs.run && theirs.id == msg.sender;
+            if theirs.id != self.me && (is_ahead || is_rival) {
                 pulses.push(entry.pulse(theirs.id));
             }
         }
--- a/crates/apricotlug-peer/src/membership/select.rs
+++ b/crates/apricotlug-peer/src/membership/select.rs
@@ -5,7 +5,7 @@
 use apricotlug_model::MonoTime;
 use rand::{Rng, RngExt};
 
-use super::{Membership, Target, entry::Entry};
+use super::{Membership, Talk, Target, entry::Entry};
 use crate::{NameHash, State};
 
 /// Calls to other data centres that the members of one data centre make in a period, together.
@@ -13,7 +13,7 @@
 /// The same, where there is news to push.
 const REMOTE_CALLS_PER_PUSH: usize = 4;
 /// Calls within the data centre where there is news to push.
-const LOCAL_CALLS_PER_PUSH: usize = 2;
+const LOCAL_CALLS_PER_PUSH: usize = 3;
 /// One local call in this many goes to a suspect or dead member, so that partitions heal.
 const LOCAL_HEAL_ONE_IN: u32 = 8;
 /// One remote call in this many goes to a silent data centre.
@@ -47,6 +47,9 @@
         if self.has_remote_turn(REMOTE_CALLS_PER_PUSH, now, rng) {
             targets.extend(self.remote_target(now, rng));
         }
+        for target in &mut targets {
+            target.talk = Talk::Push;
+        }
         targets.sort_unstable();
         targets.dedup();
         targets
@@ -117,6 +120,7 @@
         pick(&seeds, rng).map(|addr| Target {
             id: None,
             addr: *addr,
+            talk: Talk::Full,
         })
     }
 
@@ -130,6 +134,7 @@
     Target {
         id: Some(id),
         addr: entry.record.addresses.peer,
+        talk: Talk::Full,
     }
 }
 
