--- a/crates/apricotlug-peer/tests/membership.rs
+++ b/crates/apricotlug-peer/tests/membership.rs
@@ -154,6 +154,41 @@
     }
 }
 
+#[test]
+fn a_woken_instance_does_not_take_its_own_pause_for_the_others_silence() {
+    let mut fleet = settled(&[5, 5], 13);
+    fleet.pause(0);
+    fleet.run(SECOND * 20);
+    fleet.lose_deferred(0);
+    fleet.wake(0);
+    fleet.run(Duration::from_millis(1));
+    for other in 1..10 {
+        assert!(
+            fleet.is_named(0, other),
+            "instance {other} is not named after the pause"
+        );
+    }
+}
+
+#[test]
+fn one_that_hears_nobody_of_its_data_centre_does_not_make_the_others_doubt_each_other() {
+    let mut fleet = settled(&[5, 3], 14);
+    let mates = [1, 2, 3, 4];
+    fleet.cut(&mates, &[0]);
+    let mut has_doubt = false;
+    fleet.run_until(SECOND * 30, |f| {
+        has_doubt |= !f.are_all_named(&mates);
+        false
+    });
+    assert!(
+        !has_doubt,
+        "a declaration of death went before fresh signs of life"
+    );
+    fleet.heal();
+    let all = fleet.all();
+    within(&mut fleet, SECOND * 20, "heal", |f| f.are_all_named(&all));
+}
+
 /// Partition: groups by data centre, and whether it cuts one way only.
 const PARTITIONS: [(&str, &[usize], bool, u64, u64); 6] = [
     ("one data centre, both ways, short", &[0], false, 5, 20),
--- a/crates/apricotlug-peer/tests/support/fleet.rs
+++ b/crates/apricotlug-peer/tests/support/fleet.rs
@@ -159,6 +159,11 @@
         self.schedule(Duration::ZERO, Event::Poll(i));
     }
 
+    /// Loses what came in during a pause, as its connections were closed meanwhile.
+    pub fn lose_deferred(&mut self, i: usize) {
+        self.nodes[i].deferred.clear();
+    }
+
     /// Starts an instance again with the same name and address, empty.
     pub fn restart(&mut self, i: usize, generation: u64) {
         let site = self.nodes[i].site;
