--- a/crates/apricotlug-peer/src/membership/entry.rs
+++ b/crates/apricotlug-peer/src/membership/entry.rs
@@ -7,6 +7,15 @@
 use super::{DEATH_SPREADS_FOR, SUSPECT_AFTER, SUSPECT_AFTER_FAILED_CALL};
 use crate::{DigestEntry, MemberRecord, NameHash, Progress, Pulse, State, member::hash64};
 
+/// How much a conversation opens with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Talk {
+    /// Signs of life, summaries and all that is new.
+    Full,
+    /// What is new alone.
+    Push,
+}
+
 /// Whom to call next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Target {
@@ -14,6 +23,8 @@
     pub id: Option<NameHash>,
     /// Address.
     pub addr: SocketAddr,
+    /// How much to open with.
+    pub talk: Talk,
 }
 
 /// Row of one member.
@@ -109,8 +120,10 @@
 /// Counter of one data centre.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Beat {
-    pub value: u64,
+    pub value: u32,
     pub floor: Progress,
+    /// Beat at which the floor was taken.
+    pub floor_beat: u32,
     pub advanced_at: MonoTime,
 }
 
@@ -119,6 +132,7 @@
         Self {
             value: 0,
             floor: Progress::default(),
+            floor_beat: 0,
             advanced_at: now,
         }
     }
--- a/crates/apricotlug-peer/src/membership/select.rs
+++ b/crates/apricotlug-peer/src/membership/select.rs
@@ -1,19 +1,21 @@
 //! Choice of the peers to call.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use apricotlug_model::MonoTime;
 use rand::{Rng, RngExt};
 
-use super::{Membership, Target, entry::Entry};
+use super::{Membership, Talk, Target, entry::Entry};
 use crate::{NameHash, State};
 
+/// Silence after which a member of the same data centre is called itself, before it is suspect.
+const PROBE_AFTER: Duration = Duration::from_millis(1750);
 /// Calls to other data centres that the members of one data centre make in a period, together.
 const REMOTE_CALLS_PER_PERIOD: usize = 2;
 /// The same, where there is news to push.
 const REMOTE_CALLS_PER_PUSH: usize = 4;
 /// Calls within the data centre where there is news to push.
-const LOCAL_CALLS_PER_PUSH: usize = 2;
+const LOCAL_CALLS_PER_PUSH: usize = 3;
 /// One local call in this many goes to a suspect or dead member, so that partitions heal.
 const LOCAL_HEAL_ONE_IN: u32 = 8;
 /// One remote call in this many goes to a silent data centre.
@@ -47,6 +49,9 @@
         if self.has_remote_turn(REMOTE_CALLS_PER_PUSH, now, rng) {
             targets.extend(self.remote_target(now, rng));
         }
+        for target in &mut targets {
+            target.talk = Talk::Push;
+        }
         targets.sort_unstable();
         targets.dedup();
         targets
@@ -70,6 +75,15 @@
         let locals = self.others().filter(|(_, e)| e.data_centre == self.home);
         let (live, silent): (Vec<_>, Vec<_>) =
             locals.partition(|(id, entry)| self.state_of(*id, entry, now) < State::Suspect);
+        let stalest = live
+            .iter()
+            .max_by_key(|(_, entry)| now.since(entry.advanced_at));
+        if let Some((id, entry)) = stalest
+            && now.since(entry.advanced_at) > PROBE_AFTER
+            && !is_healing
+        {
+            return Some(target(*id, entry));
+        }
         let choice = if silent.is_empty() || (!is_healing && !live.is_empty()) {
             live
         } else {
@@ -117,6 +131,7 @@
         pick(&seeds, rng).map(|addr| Target {
             id: None,
             addr: *addr,
+            talk: Talk::Full,
         })
     }
 
@@ -130,6 +145,7 @@
     Target {
         id: Some(id),
         addr: entry.record.addresses.peer,
+        talk: Talk::Full,
     }
 }
 
