--- a/crates/apricotlug-peer/tests/wire.rs
+++ b/crates/apricotlug-peer/tests/wire.rs
@@ -2,9 +2,9 @@
 
 use apricotlug_model::MonoTime;
 use apricotlug_peer::{
-    BundleHead, Chunk, DigestEntry, Exchange, MemberDigest, MemberRecord, NameHash, NamedRecord,
-    NewsDigest, PeerError, Progress, Pulse, RecordStamp, SiteBeat, State, Summary, decode_exchange,
-    encode_exchange,
+    BundleHead, Chunk, DigestEntry, Exchange, MAX_HEAD_BYTES, MemberDigest, MemberRecord, NameHash,
+    NamedRecord, NewsDigest, PeerError, Progress, Pulse, RecordStamp, SiteBeat, State, Summary,
+    decode_exchange, encode_exchange,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 use rand::{SeedableRng, rngs::StdRng};
@@ -102,7 +102,7 @@
         }),
         ("large head", |msg| {
             if let Some(head) = &mut msg.head {
-                head.bytes = vec![0; 64 * 1024 + 1].into();
+                head.bytes = vec![0; MAX_HEAD_BYTES + 1].into();
             }
         }),
     ];
--- a/crates/apricotlug-policy/tests/retry_budget.rs
+++ b/crates/apricotlug-policy/tests/retry_budget.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use apricotlug_model::{MonoTime, Repeat};
-use apricotlug_policy::retry::{AttemptState, HedgeTimer, RetryBudget, RetryDecision};
+use apricotlug_policy::{
+    order::AttemptState,
+    retry::{HedgeTimer, RetryBudget, RetryDecision},
+};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 const START: MonoTime = MonoTime(1_000_000);
