Look-ups: callers refused at home ask again

Cause: callers of a region without usable slots kept its answers until they expired. Change: a refusal at home ends the answer that led there; it no longer counts as live.

--- a/crates/apricotlug-policy/examples/support/sim.rs
+++ b/crates/apricotlug-policy/examples/support/sim.rs
@@ -68,6 +68,7 @@
 }
 
 struct Request {
+    client: usize,
     service: ServiceKey,
     client_region: RegionKey,
     instance: usize,
@@ -216,11 +217,12 @@
     fn call(&mut self, service: u32, region: u32) {
         self.schedule_call(service, region);
         let client_region = RegionKey(region);
-        let Some(instance) = self.find_instance(client_region) else {
+        let Some((client, instance)) = self.find_instance(client_region) else {
             return;
         };
         let is_flash = self.scenario.fault == Fault::FlashShift && self.is_struck() && region == 0;
         self.requests.push(Request {
+            client,
             service: ServiceKey(service),
             client_region,
             instance,
@@ -239,12 +241,13 @@
         self.wait(request);
     }
 
-    /// Returns the instance that a random client of the region calls, if it lives.
-    fn find_instance(&mut self, region: RegionKey) -> Option<usize> {
+    /// Returns a random client of the region and the instance that it calls, if that lives.
+    fn find_instance(&mut self, region: RegionKey) -> Option<(usize, usize)> {
         let local: Vec<_> = (0..self.clients.len())
             .filter(|&i| self.clients[i].region == region)
             .collect();
-        let client = &mut self.clients[local[self.rng.random_range(0..local.len())]];
+        let index = local[self.rng.random_range(0..local.len())];
+        let client = &mut self.clients[index];
         let now = UnixTime(self.now.0);
         if client.expires_at.is_past(now) {
             let answer = self
@@ -259,7 +262,8 @@
             self.stats.refused_in_rate += 1;
             self.stats.refused_at_lookup += 1;
         }
-        client.instance.filter(|&i| !self.instances[i].is_dead)
+        let instance = client.instance.filter(|&i| !self.instances[i].is_dead)?;
+        Some((index, instance))
     }
 
     fn wait(&mut self, request: usize) {
@@ -280,10 +284,14 @@
     /// Returns the queue of a request. Shifted-in requests wait apart, so that their cap doesn't
     /// hold up the others.
     fn queue_of(&self, request: usize) -> usize {
+        let service = usize::from(self.requests[request].service);
+        service * 2 + usize::from(self.is_shifted_in(request))
+    }
+
+    fn is_shifted_in(&self, request: usize) -> bool {
         let call = &self.requests[request];
         let home = self.instances[call.instance].policy.home;
-        let is_shifted_in = call.client_region != self.bundle.data_centres[home].region;
-        usize::from(call.service) * 2 + usize::from(is_shifted_in)
+        call.client_region != self.bundle.data_centres[home].region
     }
 
     fn drain_waiting(&mut self, instance: usize, queue: usize) {
@@ -303,7 +311,19 @@
         &mut self.instances[instance].waiting[queue]
     }
 
+    /// Refuses a request as not run. A caller that was at home looks up again before its next
+    /// one; a shifted caller's answer is charged and stays in use.
     fn refuse(&mut self, request: usize) {
+        let call = &self.requests[request];
+        let client = &mut self.clients[call.client];
+        let is_same_answer = client.instance == Some(call.instance);
+        let home = self.instances[call.instance].policy.home;
+        if is_same_answer && self.bundle.data_centres[home].region == client.region {
+            let expires_at = std::mem::take(&mut client.expires_at);
+            let now = UnixTime(self.now.0);
+            self.directory
+                .end_home_answer(&self.bundle, client.addr, expires_at, now);
+        }
         self.stats.refused += 1;
         self.stats.refused_in_rate += u64::from(self.requests[request].is_in_rate);
     }
--- a/crates/apricotlug-policy/src/lookup/charge.rs
+++ b/crates/apricotlug-policy/src/lookup/charge.rs
@@ -30,22 +30,35 @@
 impl ChargeRing {
     /// Counts an answer until it expires.
     pub(super) fn add(&mut self, milli_slots: u64, expires_at: UnixTime, now: UnixTime) {
-        self.advance(now);
-        let last = self.first_slice + SLICES as u64 - 1;
-        let slice = (expires_at.0 / SLICE_US + 1).clamp(self.first_slice, last);
-        let charge = &mut self.slices[(slice % SLICES as u64) as usize];
+        let charge = self.slice(expires_at, now);
         charge.answers += 1;
         charge.milli_slots += milli_slots;
         self.sum.answers += 1;
         self.sum.milli_slots += milli_slots;
     }
 
+    /// Stops counting an answer that carried no charge, before it expires.
+    pub(super) fn remove_uncharged(&mut self, expires_at: UnixTime, now: UnixTime) {
+        let charge = self.slice(expires_at, now);
+        if charge.answers > 0 {
+            charge.answers -= 1;
+            self.sum.answers -= 1;
+        }
+    }
+
     /// Returns the sum over live answers.
     pub(super) fn live(&mut self, now: UnixTime) -> Charge {
         self.advance(now);
         self.sum
     }
 
+    fn slice(&mut self, expires_at: UnixTime, now: UnixTime) -> &mut Charge {
+        self.advance(now);
+        let last = self.first_slice + SLICES as u64 - 1;
+        let slice = (expires_at.0 / SLICE_US + 1).clamp(self.first_slice, last);
+        &mut self.slices[(slice % SLICES as u64) as usize]
+    }
+
     /// Drops the slices that are over. A clock that goes back changes nothing.
     fn advance(&mut self, now: UnixTime) {
         let present = now.0 / SLICE_US;
--- a/crates/apricotlug-policy/src/lookup/directory.rs
+++ b/crates/apricotlug-policy/src/lookup/directory.rs
@@ -159,6 +159,23 @@
         }
     }
 
+    /// Ends an answer of the home region before it expires, for a caller that was refused there
+    /// and looks up again. A shifted answer stays charged, so its caller keeps it.
+    pub fn end_home_answer(
+        &mut self,
+        bundle: &Bundle,
+        client: IpAddr,
+        expires_at: UnixTime,
+        now: UnixTime,
+    ) {
+        let site = bundle.blocks.home(client);
+        let home = site.and_then(|site| self.home(site)).unwrap_or(self.own);
+        let region = &mut self.regions[usize::from(self.region_of[usize::from(home)])];
+        if !expires_at.is_past(now) {
+            region.home_answers.remove_uncharged(expires_at, now);
+        }
+    }
+
     /// Returns what live answers may still bring to a region from others, in thousandths of a
     /// slot.
     pub fn charged_milli_slots(&mut self, region: RegionKey, now: UnixTime) -> u64 {
