--- a/crates/apricotlug-policy/src/lookup/directory.rs
+++ b/crates/apricotlug-policy/src/lookup/directory.rs
@@ -8,13 +8,15 @@
 use apricotlug_model::{Bundle, DataCentreKey, RegionKey, SiteKey, UnixTime};
 use rand::{Rng, RngExt};
 
-use super::{
-    charge::ChargeRing,
-    entry::InstanceEntry,
-    overflow::Overflow,
-    pool::{Member, MemberIndex, Pool},
+use crate::{
+    limit::DelayedLimit,
+    lookup::{
+        charge::ChargeRing,
+        entry::InstanceEntry,
+        overflow::Overflow,
+        pool::{Member, MemberIndex, Pool},
+    },
 };
-use crate::limit::DelayedLimit;
 
 /// Instances that an answer names at most.
 const MAX_INSTANCES: usize = 3;
--- a/crates/apricotlug-policy/src/placement/engine.rs
+++ b/crates/apricotlug-policy/src/placement/engine.rs
@@ -6,15 +6,17 @@
     Bundle, BundleVersion, DataCentreKey, EndpointKey, HashMap, InstanceId, MonoTime, RegionKey,
 };
 
-use super::{
-    health::{EndpointState, Fault},
-    index::{Index, StateIndex},
-    link::{LinkBudget, Traffic},
-    request::{LoadReport, Outcome, Ticket},
-    share::{ShareHolder, SlotShares},
-    shift::RegionShift,
+use crate::{
+    limit::DelayedLimit,
+    placement::{
+        health::{EndpointState, Fault},
+        index::{Index, StateIndex},
+        link::{LinkBudget, Traffic},
+        request::{LoadReport, Outcome, Ticket},
+        share::{ShareHolder, SlotShares},
+        shift::RegionShift,
+    },
 };
-use crate::limit::DelayedLimit;
 
 /// Part of a version's endpoints that may be ejected for errors at once, in hundredths.
 const MAX_EJECTED_PERCENT: usize = 50;
--- a/crates/apricotlug-policy/src/placement/health.rs
+++ b/crates/apricotlug-policy/src/placement/health.rs
@@ -4,8 +4,10 @@
 
 use apricotlug_model::{EndpointKey, MonoTime, RegionKey};
 
-use super::request::{LoadReport, Outcome};
-use crate::limit::DelayedLimit;
+use crate::{
+    limit::DelayedLimit,
+    placement::request::{LoadReport, Outcome},
+};
 
 /// Weight of a new sample in the moving averages.
 const SAMPLE_WEIGHT: f32 = 0.2;
