Requests wait their turn for a slot, count as shifted where their home is elsewhere, and draw their version

Cause: placement refused at once where every slot was taken for a few milliseconds; the comparison in docs/design/placement.md had moved to short queues. Version shares were not applied at all. Ruled out: waiting by timers alone (a freed slot wakes the first in the queue; the 20 ms timer is for slots that come free without a request of this instance ending). Change: queues by service, first in, first out, at most 64 and a quarter of the request's time or 500 ms; a caller whose block is at home in another region counts against the shift cap; the first attempt goes to the drawn version and is the only one that counts as evidence, later ones to the version that serves.

--- a/crates/apricotlug-edge/src/gate.rs
+++ b/crates/apricotlug-edge/src/gate.rs
@@ -3,7 +3,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use apricotlug_model::{
-    AccountKey, Bundle, BundleVersion, DataCentreKey, InstanceId, MonoTime, Repeat,
+    AccountKey, Bundle, BundleVersion, DataCentreKey, InstanceId, MonoTime, Repeat, ServiceKey,
+    UnixTime,
 };
 use apricotlug_policy::{
     budget::{Admission, Budgets},
@@ -13,6 +14,8 @@
 };
 use rand::rngs::SmallRng;
 
+use crate::board::{Board, Draw};
+
 /// Decision state that exists once a bundle is in force.
 #[derive(Debug)]
 struct Decisions {
@@ -138,7 +141,20 @@
         }
     }
 
-    /// Places a request on a backend server.
+    /// Draws the version of a request for a service.
+    pub fn draw(
+        &self,
+        board: &Board,
+        bundle: &Bundle,
+        service: ServiceKey,
+        now: MonoTime,
+        unix: UnixTime,
+    ) -> Draw {
+        board.draw(bundle, service, now, unix, &mut lock(&self.state).rng)
+    }
+
+    /// Places a request on a backend server. One whose client is at home in another region
+    /// counts against the shift cap.
     ///
     /// # Errors
     /// Returns why there is no place.
@@ -146,6 +162,8 @@
         &self,
         bundle: &Bundle,
         want: &Want<'_>,
+        arrived_at: MonoTime,
+        is_shifted_in: bool,
         now: MonoTime,
     ) -> Result<Choice, NoPlace> {
         let mut state = lock(&self.state);
@@ -156,7 +174,11 @@
                 retry_at: now,
             });
         };
-        decisions.placement.place(bundle, want, now, rng)
+        let placement = &mut decisions.placement;
+        match is_shifted_in {
+            true => placement.place_shifted_in(bundle, want, arrived_at, now, rng),
+            false => placement.place_or_wait(bundle, want, arrived_at, now, rng),
+        }
     }
 
     /// Frees the slot of a placed request.
--- a/crates/apricotlug-edge/src/lib.rs
+++ b/crates/apricotlug-edge/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod attempt;
+mod board;
 mod caller;
 mod clock;
 mod deliver;
@@ -15,15 +16,18 @@
 mod identify;
 mod metrics;
 mod order;
+mod place;
 mod pool;
 mod remote;
 mod run;
 mod settle;
 mod shared;
+mod slots;
 mod view;
 mod wait;
 
 pub use answer::{DEADLINE_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER};
+pub use board::{Board, MoveView};
 pub use caller::accept;
 pub use clock::Clock;
 pub use drain::Drain;
--- /dev/null
+++ b/crates/apricotlug-edge/src/place.rs
@@ -0,0 +1,136 @@
+//! Places a request on a backend server, and waits a little where no slot is free.
+
+use apricotlug_model::{Bundle, EndpointKey, Route, ServiceKey, VersionKey};
+use apricotlug_policy::placement::{Choice, NoPlace, Outcome, Refusal, Want};
+
+use crate::{exchange::Exchange, shared::Shared, slots::SlotQueues};
+
+/// Slot of a backend server, settled when dropped.
+#[derive(Debug)]
+pub struct Permit<'a> {
+    shared: &'a Shared,
+    choice: Choice,
+    service: ServiceKey,
+    /// How the attempt ended; a cancelled one unless set.
+    pub outcome: Outcome,
+}
+
+impl Permit<'_> {
+    /// Returns the endpoint.
+    #[must_use]
+    pub fn endpoint(&self) -> EndpointKey {
+        self.choice.endpoint
+    }
+}
+
+impl Drop for Permit<'_> {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        self.shared.gate.settle(&self.choice, self.outcome, now);
+        self.shared.slots.wake(self.service);
+    }
+}
+
+/// What a request needs a slot for.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Bundle.
+    pub bundle: &'a Bundle,
+    /// Route.
+    pub route: &'a Route,
+    /// Version; `None` for any that serves.
+    pub version: Option<VersionKey>,
+}
+
+/// Places a request; where all slots are taken, it waits its turn for a short while.
+///
+/// # Errors
+/// Returns why there is no place.
+pub async fn place<'a>(
+    shared: &'a Shared,
+    wanted: Wanted<'_>,
+    ex: &Exchange,
+    used: &[EndpointKey],
+) -> Result<Permit<'a>, NoPlace> {
+    let service = wanted.route.service;
+    if !shared.slots.is_waited_for(service) {
+        match place_now(shared, wanted, ex, used) {
+            Err(no_place) if is_worth_waiting(no_place.reason) => {}
+            placed => return placed.inspect_err(|no_place| log_refusal(ex, no_place)),
+        }
+    }
+    let give_up_at = SlotQueues::give_up_at(ex.arrived_at, ex.deadline);
+    let mut turn = shared.slots.join(service, give_up_at);
+    loop {
+        let has_time = match &mut turn {
+            Some(turn) => shared.slots.wait(turn, &shared.clock).await,
+            None => false,
+        };
+        match place_now(shared, wanted, ex, used) {
+            Err(no_place) if has_time && is_worth_waiting(no_place.reason) => {}
+            placed => return placed.inspect_err(|no_place| log_refusal(ex, no_place)),
+        }
+    }
+}
+
+fn log_refusal(ex: &Exchange, no_place: &NoPlace) {
+    tracing::info!(kind = "no_place", request = ex.id, reason = ?no_place.reason);
+}
+
+fn is_worth_waiting(reason: Refusal) -> bool {
+    match reason {
+        Refusal::Full | Refusal::ShiftCap | Refusal::Link => true,
+        Refusal::NoEndpoint | Refusal::Unhealthy | Refusal::OtherBundle => false,
+    }
+}
+
+fn place_now<'a>(
+    shared: &'a Shared,
+    wanted: Wanted<'_>,
+    ex: &Exchange,
+    used: &[EndpointKey],
+) -> Result<Permit<'a>, NoPlace> {
+    let Wanted {
+        bundle,
+        route,
+        version,
+    } = wanted;
+    let want = Want {
+        service: route.service,
+        version,
+        exclude: used,
+    };
+    let is_shifted_in = is_shifted_in(shared, bundle, ex);
+    let now = shared.clock.now();
+    let choice = shared
+        .gate
+        .place(bundle, &want, ex.arrived_at, is_shifted_in, now)?;
+    let endpoint = &bundle.endpoints[choice.endpoint];
+    tracing::info!(
+        kind = "placement",
+        request = ex.id,
+        endpoint = endpoint.id,
+        version = bundle.versions[endpoint.version].id,
+        candidates = choice.candidates,
+        reason = ?choice.reason,
+    );
+    Ok(Permit {
+        shared,
+        choice,
+        service: route.service,
+        outcome: Outcome::Cancelled,
+    })
+}
+
+/// Tells whether the caller's home is another region. Callers of no block are at home anywhere.
+fn is_shifted_in(shared: &Shared, bundle: &Bundle, ex: &Exchange) -> bool {
+    let Some(home) = bundle.blocks.home(ex.caller) else {
+        return false;
+    };
+    let home = bundle.data_centres[bundle.sites[home].data_centre].region;
+    let own = bundle
+        .data_centres
+        .values()
+        .find(|dc| dc.id == shared.data_centre);
+    own.is_some_and(|own| own.region != home)
+}
--- a/crates/apricotlug-edge/src/run.rs
+++ b/crates/apricotlug-edge/src/run.rs
@@ -3,17 +3,19 @@
 use std::{sync::Arc, time::Duration};
 
 use apricotlug_http::Conn;
-use apricotlug_model::{Bundle, EndpointKey, MonoTime, Repeat, Route, RouteKey};
+use apricotlug_model::{Bundle, EndpointKey, MonoTime, Repeat, RouteKey};
 use apricotlug_policy::{
     order::{AttemptState, Disposition},
-    placement::{self, Choice, NoPlace, Outcome, Want},
+    placement::{self, NoPlace, Outcome},
 };
 
 use crate::{
     answer::{self, Refusal},
     attempt::{self, Answer, Failure, Target},
+    board::{Draw, Ended},
     exchange::{Exchange, RequestBody},
     order::unknown,
+    place::{Permit, Wanted, place},
     shared::Shared,
 };
 
@@ -26,23 +28,6 @@
 /// Time after which a caller may try again where nothing tells a better one.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Slot of a backend server, settled when dropped.
-#[derive(Debug)]
-pub struct Permit<'a> {
-    shared: &'a Shared,
-    choice: Choice,
-    /// How the attempt ended; a cancelled one unless set.
-    pub outcome: Outcome,
-}
-
-impl Drop for Permit<'_> {
-    fn drop(&mut self) {
-        self.shared
-            .gate
-            .settle(&self.choice, self.outcome, self.shared.clock.now());
-    }
-}
-
 /// Answer whose body is still to be read, and the slot that it occupies until then.
 #[derive(Debug)]
 pub struct Obtained<'a> {
@@ -102,15 +87,33 @@
     let mut bundle = Arc::clone(bundle);
     let mut route = ex.route;
     let repeat = bundle.routes[route].repeat;
+    let mut draw = draw_version(shared, &bundle, route);
     shared.gate.on_request(shared.clock.now());
     loop {
-        let mut permit = match place(shared, &bundle, &bundle.routes[route], ex, &tried) {
+        let version = if tried.attempts == 0 {
+            draw.version
+        } else {
+            draw.fallback
+        };
+        let wanted = Wanted {
+            bundle: &bundle,
+            route: &bundle.routes[route],
+            version,
+        };
+        let mut permit = match place(shared, wanted, ex, &tried.used).await {
             Ok(permit) => permit,
             Err(no_place) if no_place.reason == placement::Refusal::OtherBundle => {
                 let rerouted = reroute(shared, ex);
                 let refusal = || tried.give_up(no_place_refusal(shared, &tried, no_place));
                 (bundle, route) = rerouted.ok_or_else(refusal)?;
                 tried.used.clear();
+                draw = draw_version(shared, &bundle, route);
+                continue;
+            }
+            Err(no_place) if version != draw.fallback => {
+                // The drawn version has no place; what follows says nothing about it.
+                tracing::debug!(request = ex.id, reason = ?no_place.reason, "fallback version");
+                draw = draw.fall_back();
                 continue;
             }
             Err(no_place) => {
@@ -126,6 +129,12 @@
                 shared.metrics.on_attempt("answered");
                 let latency = shared.clock.now().since(sent_at);
                 let server_error = answer.head.status >= 500;
+                let ended = Ended {
+                    endpoint: permit.endpoint(),
+                    is_error: server_error,
+                    latency,
+                };
+                judge(shared, &bundle, route, &draw, &tried, ended);
                 permit.outcome = Outcome::Answered {
                     latency,
                     server_error,
@@ -139,8 +148,16 @@
             Err(failure) => {
                 shared.metrics.on_attempt(failure.why);
                 permit.outcome = failure.outcome;
+                let latency = shared.clock.now().since(sent_at);
+                let is_error = !matches!(failure.outcome, Outcome::Cancelled | Outcome::Shed);
+                let ended = Ended {
+                    endpoint: permit.endpoint(),
+                    is_error,
+                    latency,
+                };
+                judge(shared, &bundle, route, &draw, &tried, ended);
                 tried.state = tried.state.and(failure.state);
-                tried.used.push(permit.choice.endpoint);
+                tried.used.push(permit.endpoint());
                 drop(permit);
                 log_failure(&bundle, ex, &tried, &failure);
                 if let Some(refusal) = final_refusal(shared, ex, body, &tried, &failure, repeat) {
@@ -151,6 +168,29 @@
     }
 }
 
+fn draw_version(shared: &Shared, bundle: &Bundle, route: RouteKey) -> Draw {
+    let service = bundle.routes[route].service;
+    let (now, unix) = (shared.clock.now(), shared.clock.unix());
+    shared.gate.draw(&shared.board, bundle, service, now, unix)
+}
+
+/// Counts how the first attempt ended for or against its version.
+fn judge(
+    shared: &Shared,
+    bundle: &Bundle,
+    route: RouteKey,
+    draw: &Draw,
+    tried: &Tried,
+    ended: Ended,
+) {
+    if tried.attempts == 1 {
+        let route = &bundle.routes[route].id;
+        shared
+            .board
+            .settle(draw, route, ended, &shared.identity, shared.clock.now());
+    }
+}
+
 /// Returns the bundle in force and the route of the request in it.
 fn reroute(shared: &Shared, ex: &Exchange) -> Option<(Arc<Bundle>, RouteKey)> {
     let bundle = shared.view.load().bundle.clone()?;
@@ -158,40 +198,6 @@
     Some((bundle, route))
 }
 
-fn place<'a>(
-    shared: &'a Shared,
-    bundle: &Bundle,
-    route: &Route,
-    ex: &Exchange,
-    tried: &Tried,
-) -> Result<Permit<'a>, NoPlace> {
-    let want = Want {
-        service: route.service,
-        version: None,
-        exclude: &tried.used,
-    };
-    let choice = shared
-        .gate
-        .place(bundle, &want, shared.clock.now())
-        .inspect_err(|no_place| {
-            tracing::info!(kind = "no_place", request = ex.id, reason = ?no_place.reason);
-        })?;
-    let endpoint = &bundle.endpoints[choice.endpoint];
-    tracing::info!(
-        kind = "placement",
-        request = ex.id,
-        endpoint = endpoint.id,
-        version = bundle.versions[endpoint.version].id,
-        candidates = choice.candidates,
-        reason = ?choice.reason,
-    );
-    Ok(Permit {
-        shared,
-        choice,
-        outcome: Outcome::Cancelled,
-    })
-}
-
 fn target(
     shared: &Shared,
     bundle: &Bundle,
@@ -208,7 +214,7 @@
         ex.deadline
     };
     Target {
-        addr: bundle.endpoints[permit.choice.endpoint].addr,
+        addr: bundle.endpoints[permit.endpoint()].addr,
         deadline,
         // A fresh connection leaves fewer outcomes unknown than an idle one that may be dead.
         may_reuse: may_repeat,
--- a/crates/apricotlug-edge/src/shared.rs
+++ b/crates/apricotlug-edge/src/shared.rs
@@ -15,8 +15,8 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
-    clock::Clock, drain::Drain, gate::Gate, holders::Holders, metrics::Metrics, pool::Pool,
-    remote::Fleet, view::ViewCell, wait::Waiting,
+    board::Board, clock::Clock, drain::Drain, gate::Gate, holders::Holders, metrics::Metrics,
+    pool::Pool, remote::Fleet, slots::SlotQueues, view::ViewCell, wait::Waiting,
 };
 
 /// State shared by all tasks of one entry instance.
@@ -31,6 +31,10 @@
     pub view: ViewCell,
     /// Decision state.
     pub gate: Gate,
+    /// Version moves.
+    pub board: Board,
+    /// Requests that wait for a slot.
+    pub slots: SlotQueues,
     /// Requests that wait for a token.
     pub waiting: Waiting,
     /// Live instances among which slots are split.
@@ -69,6 +73,8 @@
             clock,
             view: ViewCell::default(),
             gate,
+            board: Board::default(),
+            slots: SlotQueues::default(),
             waiting: Waiting::default(),
             holders: Holders::default(),
             pool: Pool::default(),
@@ -103,6 +109,7 @@
         self.gate
             .set_bundle(old.as_deref(), &bundle, home, now, |placement| {
                 self.holders.apply(&self.identity, &bundle, placement, now);
+                self.board.set_bundle(&bundle);
                 self.view.install(Arc::clone(&bundle));
             });
         let wanted = |addr: SocketAddr| bundle.endpoints.values().any(|e| e.addr == addr);
--- /dev/null
+++ b/crates/apricotlug-edge/src/slots.rs
@@ -0,0 +1,126 @@
+//! Waiting for a slot of a service: short queues, first in, first out.
+
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use apricotlug_model::{HashMap, MonoTime, ServiceKey};
+use apricotlug_policy::placement::{WaitQueue, Waiting};
+use async_std::{
+    channel::{Receiver, Sender, bounded},
+    future::timeout,
+};
+
+use crate::clock::Clock;
+
+/// Most requests that wait for a slot of one service.
+const CAPACITY: usize = 64;
+
+/// Longest time for which a request waits for a slot.
+const MAX_WAIT: Duration = Duration::from_millis(500);
+
+/// Longest pause between two tries of a waiting request.
+const RETRY: Duration = Duration::from_millis(20);
+
+/// Requests that wait for a slot, by service.
+#[derive(Debug, Default)]
+pub struct SlotQueues(Mutex<HashMap<ServiceKey, WaitQueue<Sender<()>>>>);
+
+/// Place of a request in a queue; given up when dropped.
+#[derive(Debug)]
+pub struct Place {
+    service: ServiceKey,
+    give_up_at: MonoTime,
+    rx: Receiver<()>,
+}
+
+impl SlotQueues {
+    fn lock(&self) -> MutexGuard<'_, HashMap<ServiceKey, WaitQueue<Sender<()>>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the point up to which a request waits that arrived at `arrived_at`.
+    #[must_use]
+    pub fn give_up_at(arrived_at: MonoTime, deadline: MonoTime) -> MonoTime {
+        arrived_at.after(MAX_WAIT.min(deadline.since(arrived_at) / 4))
+    }
+
+    /// Joins the queue of a service; `None` where it is full.
+    pub fn join(&self, service: ServiceKey, give_up_at: MonoTime) -> Option<Place> {
+        let (tx, rx) = bounded(1);
+        let mut queues = self.lock();
+        let queue = queues
+            .entry(service)
+            .or_insert_with(|| WaitQueue::new(CAPACITY));
+        drop_gone(queue);
+        queue.push(tx, give_up_at).ok()?;
+        Some(Place {
+            service,
+            give_up_at,
+            rx,
+        })
+    }
+
+    /// Waits until a slot may be free. Returns whether the request should try again: it should
+    /// not once its time is over.
+    pub async fn wait(&self, place: &mut Place, clock: &Clock) -> bool {
+        if place.give_up_at.is_past(clock.now()) {
+            return false;
+        }
+        // Slots also come free without a request of this instance ending: by shares and shifts.
+        let within = RETRY.min(clock.left(place.give_up_at));
+        if timeout(within, place.rx.recv()).await.is_ok() {
+            self.rejoin(place);
+        }
+        true
+    }
+
+    /// Puts a request back to the front that was woken, in case that it finds no slot.
+    fn rejoin(&self, place: &mut Place) {
+        let (tx, rx) = bounded(1);
+        let mut queues = self.lock();
+        let queue = queues
+            .entry(place.service)
+            .or_insert_with(|| WaitQueue::new(CAPACITY));
+        queue.push_front(Waiting {
+            request: tx,
+            give_up_at: place.give_up_at,
+        });
+        place.rx = rx;
+    }
+
+    /// Wakes the request that has waited longest for a slot of the service.
+    pub fn wake(&self, service: ServiceKey) {
+        let mut queues = self.lock();
+        let Some(queue) = queues.get_mut(&service) else {
+            return;
+        };
+        while let Some(waiting) = queue.pop() {
+            // A request that has gone on or given up has dropped its end.
+            if waiting.request.try_send(()).is_ok() {
+                return;
+            }
+        }
+    }
+
+    /// Tells whether requests wait for the service: a new one must not overtake them.
+    #[must_use]
+    pub fn is_waited_for(&self, service: ServiceKey) -> bool {
+        let mut queues = self.lock();
+        queues.get_mut(&service).is_some_and(|queue| {
+            drop_gone(queue);
+            !queue.is_empty()
+        })
+    }
+}
+
+/// Drops requests at the front that have gone on or given up.
+fn drop_gone(queue: &mut WaitQueue<Sender<()>>) {
+    while let Some(waiting) = queue.pop() {
+        if !waiting.request.is_closed() {
+            queue.push_front(waiting);
+            return;
+        }
+    }
+}
