Version moves run over the fleet: reports to a leader, records by compare-and-swap, operators' verbs

Cause: records, shares and evidence existed without anybody to advance them. Change: each instance reports what it counted on the drawn attempts; the first instance by name that holds the platform's leadership judges all reports, writes the record with its fencing number and publishes it; all follow the record, each with its own guard. Pause, resume and take back through any instance. Ruled out: spreading all reports to all instances (traffic grows with the square of the fleet; a fault is cut by each instance's own guard at once, and the record follows within a second).

--- a/crates/apricotlug-node/src/actions.rs
+++ b/crates/apricotlug-node/src/actions.rs
@@ -1,17 +1,19 @@
 //! What operators do through the administration API.
 
 use apricotlug_admin::{
-    BundleHead, CheckReply, DiffReply, History, Operation, OperatorId, Problem, ProblemCode,
+    BundleHead, CheckReply, DiffReply, History, Moves, Operation, OperatorId, Problem, ProblemCode,
     SignOffReply, WithdrawReply,
 };
 use apricotlug_config::{chunk::Manifest, diff, load_bundle, parse_bundle};
 use apricotlug_model::{Bundle, UnixTime};
 use apricotlug_platform::{BundleStore, Error, Head, SignOff, Withdrawals};
+use apricotlug_policy::moves::MoveState;
 use serde_json::json;
 
 use crate::{
+    moves::MoveError,
     pages::{AdminPages, Answer, Call, bundle},
-    release,
+    release, reports,
 };
 
 /// Name under which findings of a sent bundle are reported.
@@ -126,6 +128,44 @@
     Ok((200, json!(reply)))
 }
 
+/// Pauses, resumes or takes back the move of a service.
+pub async fn change_move(pages: &AdminPages, call: &Call<'_>, state: MoveState) -> Answer {
+    let service = call.params.first().copied().unwrap_or_default();
+    let views = pages.moves.views();
+    let view = views.iter().find(|view| view.id.service == service);
+    let view = view.ok_or_else(|| Problem::unknown("move of a service", service))?;
+    let is_changed = pages
+        .moves
+        .change(&view.id, state)
+        .await
+        .map_err(|e| match e {
+            MoveError::Platform(e) => unavailable(e),
+            MoveError::Malformed(what) => Problem::new(
+                ProblemCode::Refused,
+                what,
+                "take the version out in a new bundle",
+            ),
+            MoveError::Conflict => {
+                let help = "list the moves and try again";
+                Problem::new(ProblemCode::Conflict, e.to_string(), help)
+            }
+        })?;
+    if !is_changed {
+        let help = "list the moves: this one is over, not begun, or in that state already";
+        return Err(Problem::new(
+            ProblemCode::Conflict,
+            "nothing was changed",
+            help,
+        ));
+    }
+    Ok((
+        200,
+        json!(Moves {
+            moves: reports::moves(pages)
+        }),
+    ))
+}
+
 fn unavailable(error: Error) -> Problem {
     let help = "nothing was changed; try again, or through another instance";
     match error {
--- a/crates/apricotlug-node/src/keeper.rs
+++ b/crates/apricotlug-node/src/keeper.rs
@@ -4,24 +4,20 @@
 use std::{sync::Arc, time::Duration};
 
 use apricotlug_edge::Shared;
-use apricotlug_model::InstanceId;
-use apricotlug_peer::{PeerHandle, Transfer, TransferId};
+use apricotlug_peer::PeerHandle;
 use apricotlug_platform::Client;
 use apricotlug_policy::budget::{Allotments, Report};
 use async_std::task;
 
 use crate::{
     fleet::{delegate, is_delegate},
-    messages::SeatMessage,
+    messages::{self, Message},
     seats::{self, Reports, Seats},
 };
 
 /// Pause between two steps.
 const PERIOD: Duration = Duration::from_millis(500);
 
-/// Time after which a message about budgets is not applied any more.
-const MESSAGE_LIFE: Duration = Duration::from_secs(10);
-
 /// Keeps the budgets of this instance renewed.
 #[derive(Clone, Debug)]
 pub struct SeatKeeper {
@@ -80,8 +76,13 @@
         let Some(delegate) = delegate(&self.shared, &members) else {
             return;
         };
-        self.send(&delegate.record.id, &SeatMessage::Report(report))
-            .await;
+        messages::send(
+            &self.shared,
+            &self.peers,
+            &delegate.record.id,
+            &Message::Report(report),
+        )
+        .await;
     }
 
     async fn hand_out(&self, granted: Vec<Allotments>) {
@@ -93,20 +94,14 @@
             let confirmed = self.reports.confirmed(&allotments.holder);
             if confirmed != Some(allotments.generation) {
                 let holder = allotments.holder.clone();
-                self.send(&holder, &SeatMessage::Allotments(allotments))
-                    .await;
+                messages::send(
+                    &self.shared,
+                    &self.peers,
+                    &holder,
+                    &Message::Allotments(allotments),
+                )
+                .await;
             }
         }
     }
-
-    async fn send(&self, to: &InstanceId, message: &SeatMessage) {
-        let transfer = Transfer {
-            id: TransferId(rand::random()),
-            expires: self.shared.clock.unix().after(MESSAGE_LIFE),
-            payload: message.encode(),
-        };
-        if let Err(e) = self.peers.send_transfer(to, transfer).await {
-            tracing::debug!(to = %to, error = %e, "budget message not sent");
-        }
-    }
 }
--- a/crates/apricotlug-node/src/lib.rs
+++ b/crates/apricotlug-node/src/lib.rs
@@ -6,6 +6,7 @@
 mod keeper;
 mod lookups;
 mod messages;
+mod moves;
 mod node;
 mod pages;
 mod peers;
--- a/crates/apricotlug-node/src/messages.rs
+++ b/crates/apricotlug-node/src/messages.rs
@@ -1,25 +1,36 @@
-//! Messages between an instance and the delegate of its data centre, about budgets.
+//! Messages from one instance to another: demand and allotments with the delegate of a data
+//! centre, evidence on version moves to their leader.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
+use apricotlug_edge::Shared;
 use apricotlug_model::{InstanceId, UnixTime};
-use apricotlug_policy::budget::{Allotment, Allotments, Part, Report};
+use apricotlug_peer::{PeerHandle, Transfer, TransferId};
+use apricotlug_policy::{
+    budget::{Allotment, Allotments, Part, Report},
+    moves::{self, MoveId},
+};
 use serde::{Deserialize, Serialize};
 
+/// Time after which a message is not applied any more.
+const LIFE: Duration = Duration::from_secs(10);
+
 /// Rate in thousandths per second, and burst.
 type PartWire = (u64, u64);
 
-/// Message about budgets.
+/// Message from one instance to another.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum SeatMessage {
+pub enum Message {
     /// What an instance tells the delegate.
     Report(Report),
     /// What the delegate grants an instance.
     Allotments(Allotments),
+    /// What an instance tells the leader of moves.
+    Evidence(MoveId, moves::Report),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
-enum SeatWire {
+enum MessageWire {
     Report {
         instance: InstanceId,
         confirmed: Option<u64>,
@@ -33,6 +44,7 @@
         surplus_until: UnixTime,
         accounts: Vec<(String, PartWire, PartWire, PartWire)>,
     },
+    Evidence(MoveId, moves::Report),
 }
 
 fn part_to_wire(part: Part) -> PartWire {
@@ -43,16 +55,17 @@
     Part { rate_milli, burst }
 }
 
-impl From<&SeatMessage> for SeatWire {
-    fn from(message: &SeatMessage) -> Self {
+impl From<&Message> for MessageWire {
+    fn from(message: &Message) -> Self {
         match message.clone() {
-            SeatMessage::Report(report) => Self::Report {
+            Message::Report(report) => Self::Report {
                 instance: report.instance,
                 confirmed: report.confirmed,
                 is_leaving: report.is_leaving,
                 demand_milli: report.demand_milli,
             },
-            SeatMessage::Allotments(granted) => Self::Allotments {
+            Message::Evidence(id, report) => Self::Evidence(id, report),
+            Message::Allotments(granted) => Self::Allotments {
                 holder: granted.holder,
                 generation: granted.generation,
                 floor_until: granted.floor_until,
@@ -68,10 +81,11 @@
     (row.account, budget, floor, surplus)
 }
 
-impl From<SeatWire> for SeatMessage {
-    fn from(wire: SeatWire) -> Self {
+impl From<MessageWire> for Message {
+    fn from(wire: MessageWire) -> Self {
         match wire {
-            SeatWire::Report {
+            MessageWire::Evidence(id, report) => Self::Evidence(id, report),
+            MessageWire::Report {
                 instance,
                 confirmed,
                 is_leaving,
@@ -82,7 +96,7 @@
                 is_leaving,
                 demand_milli,
             }),
-            SeatWire::Allotments {
+            MessageWire::Allotments {
                 holder,
                 generation,
                 floor_until,
@@ -109,18 +123,30 @@
     }
 }
 
-impl SeatMessage {
+impl Message {
     /// Encodes the message.
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
-        serde_json::to_vec(&SeatWire::from(self)).unwrap_or_default()
+        serde_json::to_vec(&MessageWire::from(self)).unwrap_or_default()
     }
 
     /// Decodes a message; `None` where the bytes are none.
     #[must_use]
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        serde_json::from_slice::<SeatWire>(bytes)
+        serde_json::from_slice::<MessageWire>(bytes)
             .ok()
             .map(Self::from)
     }
 }
+
+/// Sends a message to one run of an instance. One that is lost is made good by the next.
+pub async fn send(shared: &Shared, peers: &PeerHandle, to: &InstanceId, message: &Message) {
+    let transfer = Transfer {
+        id: TransferId(rand::random()),
+        expires: shared.clock.unix().after(LIFE),
+        payload: message.encode(),
+    };
+    if let Err(e) = peers.send_transfer(to, transfer).await {
+        tracing::debug!(to = %to, error = %e, "message not sent");
+    }
+}
--- /dev/null
+++ b/crates/apricotlug-node/src/moves.rs
@@ -0,0 +1,305 @@
+//! Advances version moves: every instance reports what it counted, the leader of moves decides by
+//! all reports and writes the record, and everybody follows the record.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use apricotlug_edge::{MoveView, Shared};
+use apricotlug_model::{InstanceId, MonoTime, UnixTime};
+use apricotlug_peer::{NamedRecord, PeerHandle, State};
+use apricotlug_platform::{Client, Entry, Error, Leadership, Swap};
+use apricotlug_policy::moves::{
+    Evidence, Guard, MoveId, MoveRecord, MoveRecordWire, Report, Summary, advance,
+};
+use async_std::task;
+
+/// Pause between two steps.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// Time after which an instance counts as not reporting.
+const REPORT_LIFE: Duration = Duration::from_secs(5);
+
+/// Lease of the leadership of moves.
+const LEADERSHIP: Duration = Duration::from_secs(5);
+
+/// Name of the leadership of moves.
+const LEADER_NAME: &str = "moves";
+
+/// Reports of all instances on one move, and the guard that judges them.
+#[derive(Debug, Default)]
+struct Collected {
+    evidence: Evidence,
+    heard: BTreeMap<InstanceId, MonoTime>,
+    guard: Guard,
+}
+
+/// Reports that this instance has received.
+#[derive(Debug, Default)]
+pub struct MoveReports(Mutex<BTreeMap<MoveId, Collected>>);
+
+impl MoveReports {
+    /// Takes a report in.
+    pub fn put(&self, id: MoveId, report: Report, now: MonoTime) {
+        let mut moves = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let collected = moves.entry(id).or_default();
+        collected
+            .heard
+            .insert(report.instance.clone(), now.after(REPORT_LIFE));
+        collected.evidence.merge(report);
+    }
+
+    fn summary(&self, id: &MoveId, alive: u16, now: MonoTime) -> Summary {
+        let mut moves = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let collected = moves.entry(id.clone()).or_default();
+        let is_faulty = collected.guard.observe_fleet(&collected.evidence, now);
+        let reporting = collected
+            .heard
+            .values()
+            .filter(|until| !until.is_past(now))
+            .count();
+        Summary {
+            is_faulty,
+            is_suspect: collected.guard.is_suspect(now),
+            reporting: u16::try_from(reporting).unwrap_or(u16::MAX),
+            alive,
+        }
+    }
+
+    fn retain(&self, views: &[MoveView]) {
+        let mut moves = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        moves.retain(|id, _| views.iter().any(|view| view.id == *id));
+    }
+}
+
+/// Keeps the moves going.
+#[derive(Clone, Debug)]
+pub struct MoveKeeper {
+    /// State of the instance.
+    pub shared: Arc<Shared>,
+    /// Peer node.
+    pub peers: PeerHandle,
+    /// Client of the platform.
+    pub client: Client,
+    /// Reports received.
+    pub reports: Arc<MoveReports>,
+}
+
+/// Why a step on a move failed.
+#[derive(Debug, thiserror::Error)]
+pub enum MoveError {
+    /// The platform could not be asked.
+    #[error(transparent)]
+    Platform(#[from] Error),
+    /// A record is malformed.
+    #[error("malformed record of a move: {0}")]
+    Malformed(String),
+    /// Another writer was first.
+    #[error("another writer changed the move first")]
+    Conflict,
+}
+
+impl MoveKeeper {
+    /// Keeps the moves going for ever.
+    pub async fn keep(self) {
+        let mut leadership = None;
+        loop {
+            task::sleep(PERIOD).await;
+            self.follow_records();
+            let views = self.views();
+            self.reports.retain(&views);
+            if views.is_empty() {
+                continue;
+            }
+            let is_leader = self.report().await;
+            if is_leader && let Err(e) = self.lead(&mut leadership, &views).await {
+                tracing::warn!(error = %e, "moves not advanced");
+            }
+        }
+    }
+
+    /// Returns the moves as this instance sees them.
+    #[must_use]
+    pub fn views(&self) -> Vec<MoveView> {
+        let Some(bundle) = self.shared.view.load().bundle.clone() else {
+            return Vec::new();
+        };
+        let (now, unix) = (self.shared.clock.now(), self.shared.clock.unix());
+        self.shared.board.views(&bundle, now, unix)
+    }
+
+    fn follow_records(&self) {
+        for (name, record) in self.peers.records().iter() {
+            if !name.starts_with("moves/") {
+                continue;
+            }
+            match decode(&record.bytes) {
+                Ok(record) => self.shared.board.set_record(record),
+                Err(e) => tracing::warn!(error = %e, "record from a peer refused"),
+            }
+        }
+    }
+
+    /// Sends the own reports to the leader. Returns whether this instance is the leader: the
+    /// first by name of all live instances.
+    async fn report(&self) -> bool {
+        let now = self.shared.clock.now();
+        let own = &self.shared.identity;
+        let reports = self.shared.board.reports(own, now);
+        let members = self.peers.members();
+        let live = members.iter().filter(|member| member.state == State::Ready);
+        let leader = live.map(|member| &member.record.id).min();
+        let Some(leader) = leader.filter(|leader| *leader < own) else {
+            reports
+                .into_iter()
+                .for_each(|(id, report)| self.reports.put(id, report, now));
+            return true;
+        };
+        for (id, report) in reports {
+            let message = crate::messages::Message::Evidence(id, report);
+            crate::messages::send(&self.shared, &self.peers, leader, &message).await;
+        }
+        false
+    }
+
+    async fn lead(
+        &self,
+        leadership: &mut Option<Leadership>,
+        views: &[MoveView],
+    ) -> Result<(), MoveError> {
+        let fencing = self.fencing(leadership).await?;
+        let Some(fencing) = fencing else {
+            return Ok(());
+        };
+        let members = self.peers.members();
+        let alive = members
+            .iter()
+            .filter(|member| member.state == State::Ready)
+            .count();
+        let alive = u16::try_from(alive).unwrap_or(u16::MAX);
+        for view in views {
+            if view
+                .record
+                .as_ref()
+                .is_some_and(|record| record.state.is_final())
+            {
+                continue;
+            }
+            let summary = self
+                .reports
+                .summary(&view.id, alive, self.shared.clock.now());
+            let unix = self.shared.clock.unix();
+            let Some(record) = &view.record else {
+                self.begin(view, fencing, unix).await?;
+                continue;
+            };
+            if let Some(next) = advance(&view.cfg, record, summary, fencing, unix) {
+                let stored = self.read(&view.id).await?;
+                self.write(stored.as_ref(), &next).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes up a record that stands in the platform, or begins the move.
+    async fn begin(&self, view: &MoveView, fencing: u64, now: UnixTime) -> Result<(), MoveError> {
+        if let Some(entry) = self.read(&view.id).await? {
+            return self.publish(&decode(&entry.value)?).await;
+        }
+        if view.cfg.deadline.is_past(now) {
+            return Ok(());
+        }
+        self.write(None, &MoveRecord::begin(view.id.clone(), fencing, now))
+            .await
+    }
+
+    async fn fencing(&self, leadership: &mut Option<Leadership>) -> Result<Option<u64>, MoveError> {
+        if let Some(held) = leadership
+            && self.client.renew(held).await.is_err()
+            && !held.is_held(self.client.now())
+        {
+            *leadership = None;
+        }
+        if leadership.is_none() {
+            let holder = self.shared.identity.to_string();
+            *leadership = self
+                .client
+                .acquire(LEADER_NAME, &holder, LEADERSHIP)
+                .await?;
+        }
+        let held = leadership
+            .as_ref()
+            .filter(|held| held.is_held(self.client.now()));
+        Ok(held.and_then(|held| u64::try_from(held.fencing()).ok()))
+    }
+
+    async fn read(&self, id: &MoveId) -> Result<Option<Entry>, MoveError> {
+        Ok(self.client.get(&key(id)).await?)
+    }
+
+    async fn write(&self, expected: Option<&Entry>, record: &MoveRecord) -> Result<(), MoveError> {
+        let bytes = encode(record)?;
+        match self
+            .client
+            .compare_and_swap(&key(&record.id), expected, &bytes)
+            .await?
+        {
+            Swap::Written {
+                is_superseded: false,
+                ..
+            } => self.publish(record).await,
+            _ => Err(MoveError::Conflict),
+        }
+    }
+
+    async fn publish(&self, record: &MoveRecord) -> Result<(), MoveError> {
+        self.shared.board.set_record(record.clone());
+        let record = NamedRecord {
+            name: key(&record.id),
+            version: record.sequence,
+            bytes: encode(record)?.into(),
+        };
+        if let Err(e) = self.peers.publish_record(record).await {
+            tracing::warn!(error = %e, "record of a move not published");
+        }
+        Ok(())
+    }
+
+    /// Changes a move by an operator's wish.
+    ///
+    /// # Errors
+    /// Returns an error where the platform cannot be asked or another writer was first.
+    pub async fn change(
+        &self,
+        id: &MoveId,
+        state: apricotlug_policy::moves::MoveState,
+    ) -> Result<bool, MoveError> {
+        let Some(entry) = self.read(id).await? else {
+            return Ok(false);
+        };
+        let record = decode(&entry.value)?;
+        let now = self.shared.clock.unix();
+        let Some(next) = record.with_state(state, record.fencing, now) else {
+            return Ok(false);
+        };
+        self.write(Some(&entry), &next).await?;
+        Ok(true)
+    }
+}
+
+fn key(id: &MoveId) -> String {
+    format!("moves/{}/{}/{}", id.service, id.version, id.deadline.0)
+}
+
+fn encode(record: &MoveRecord) -> Result<Vec<u8>, MoveError> {
+    let wire = MoveRecordWire::from(record.clone());
+    serde_json::to_vec(&wire).map_err(|e| MoveError::Malformed(e.to_string()))
+}
+
+fn decode(bytes: &[u8]) -> Result<MoveRecord, MoveError> {
+    let malformed = |e: &dyn std::fmt::Display| MoveError::Malformed(e.to_string());
+    let wire: MoveRecordWire = serde_json::from_slice(bytes).map_err(|e| malformed(&e))?;
+    MoveRecord::try_from(wire).map_err(|e| malformed(&e))
+}
--- a/crates/apricotlug-node/src/node.rs
+++ b/crates/apricotlug-node/src/node.rs
@@ -18,6 +18,7 @@
     fleet,
     keeper::SeatKeeper,
     lookups::{self, LookupPages, Lookups},
+    moves::{MoveKeeper, MoveReports},
     pages::{self, AdminPages},
     peers::{Inbound, Outbound},
     seats::Reports,
@@ -91,7 +92,13 @@
             seed: seed.rotate_left(2),
             ..ClientConfig::default()
         });
-        let peers = start_peers(&settings, &shared, &reports, addrs)?;
+        let move_reports = Arc::new(MoveReports::default());
+        let inbound = Inbound {
+            shared: Arc::clone(&shared),
+            reports: Arc::clone(&reports),
+            move_reports: Arc::clone(&move_reports),
+        };
+        let peers = start_peers(&settings, &shared, inbound, addrs)?;
         let addrs = Addrs {
             peer: peers.addr(),
             ..addrs
@@ -113,6 +120,12 @@
             reports,
             client: client.clone(),
         };
+        let moves = MoveKeeper {
+            shared: Arc::clone(&shared),
+            peers: peers.clone(),
+            client: client.clone(),
+            reports: move_reports,
+        };
         let pages = LookupPages {
             shared: Arc::clone(&shared),
             lookups: Arc::clone(&lookups),
@@ -122,6 +135,7 @@
             shared: Arc::clone(&shared),
             peers: peers.clone(),
             client,
+            moves: moves.clone(),
         }));
         let has_seeds = !settings.peers.is_empty();
         let tasks = vec![
@@ -131,6 +145,7 @@
             task::spawn(sync::follow_bundle(links.clone(), has_seeds)),
             task::spawn(sync::follow_withdrawals(links)),
             task::spawn(seats.clone().keep()),
+            task::spawn(moves.keep()),
             task::spawn(fleet::follow(Arc::clone(&shared), lookups, peers.clone())),
         ];
         let accept = task::spawn(accept(caller.0, Arc::clone(&shared)));
@@ -213,7 +228,7 @@
 fn start_peers(
     settings: &Settings,
     shared: &Arc<Shared>,
-    reports: &Arc<Reports>,
+    inbound: Inbound,
     addrs: Addrs,
 ) -> Result<PeerHandle, NodeError> {
     let cfg = PeerConfig {
@@ -228,9 +243,5 @@
         seeds: settings.peers.clone(),
         started: shared.clock.unix(),
     };
-    let inbound = Inbound {
-        shared: Arc::clone(shared),
-        reports: Arc::clone(reports),
-    };
     Ok(PeerNode::start(cfg, Arc::new(inbound))?)
 }
--- a/crates/apricotlug-node/src/pages.rs
+++ b/crates/apricotlug-node/src/pages.rs
@@ -3,16 +3,17 @@
 use std::sync::Arc;
 
 use apricotlug_admin::{
-    Method, OPENAPI, Operation, OperatorId, Problem, ProblemCode, authorise, resolve,
+    Method, Moves, OPENAPI, Operation, OperatorId, Problem, ProblemCode, authorise, resolve,
 };
 use apricotlug_edge::Shared;
 use apricotlug_model::Bundle;
 use apricotlug_peer::PeerHandle;
 use apricotlug_platform::Client;
+use apricotlug_policy::moves::{MoveState, TakeBackReason};
 use serde_json::{Value, json};
 use tide::{Request, Response, StatusCode};
 
-use crate::{actions, reports};
+use crate::{actions, moves::MoveKeeper, reports};
 
 /// State of the operators' pages.
 #[derive(Clone, Debug)]
@@ -23,6 +24,8 @@
     pub peers: PeerHandle,
     /// Client of the platform.
     pub client: Client,
+    /// Version moves.
+    pub moves: MoveKeeper,
 }
 
 /// Call of an operator that was authorised.
@@ -125,16 +128,22 @@
         Operation::Diff => actions::diff(bundle(&pages.shared)?.as_ref(), &call),
         Operation::SignOff => actions::sign_off(pages, &call).await,
         Operation::Withdraw => actions::withdraw(pages, &call).await,
-        Operation::Drains
-        | Operation::StartDrain
-        | Operation::StopDrain
-        | Operation::Moves
-        | Operation::PauseMove
-        | Operation::ResumeMove
-        | Operation::TakeBackMove => Err(Problem::new(
+        Operation::Moves => Ok((
+            200,
+            json!(Moves {
+                moves: reports::moves(pages)
+            }),
+        )),
+        Operation::PauseMove => actions::change_move(pages, &call, MoveState::Paused).await,
+        Operation::ResumeMove => actions::change_move(pages, &call, MoveState::Running).await,
+        Operation::TakeBackMove => {
+            let state = MoveState::TakenBack(TakeBackReason::Operator);
+            actions::change_move(pages, &call, state).await
+        }
+        Operation::Drains | Operation::StartDrain | Operation::StopDrain => Err(Problem::new(
             ProblemCode::NotFound,
             "this operation is not offered yet",
-            "set `draining` on the endpoints, or take the version out, in a new bundle",
+            "set `draining` on the endpoints in a new bundle",
         )),
     }
 }
--- a/crates/apricotlug-node/src/peers.rs
+++ b/crates/apricotlug-node/src/peers.rs
@@ -8,7 +8,8 @@
 use apricotlug_platform::{Client, Swap};
 
 use crate::{
-    messages::SeatMessage,
+    messages::Message,
+    moves::MoveReports,
     seats::{self, Reports},
 };
 
@@ -22,16 +23,21 @@
     pub shared: Arc<Shared>,
     /// Reports that this instance collects as a delegate.
     pub reports: Arc<Reports>,
+    /// Reports on version moves that this instance collects as their leader.
+    pub move_reports: Arc<MoveReports>,
 }
 
 impl PeerHandler for Inbound {
     fn apply_transfer(&self, transfer: Transfer) {
-        match SeatMessage::decode(&transfer.payload) {
-            Some(SeatMessage::Report(report)) => {
+        match Message::decode(&transfer.payload) {
+            Some(Message::Report(report)) => {
                 self.reports.put(report, self.shared.clock.now());
             }
-            Some(SeatMessage::Allotments(granted)) => seats::install(&self.shared, &granted),
-            None => tracing::warn!("a peer sent a malformed budget message"),
+            Some(Message::Allotments(granted)) => seats::install(&self.shared, &granted),
+            Some(Message::Evidence(id, report)) => {
+                self.move_reports.put(id, report, self.shared.clock.now());
+            }
+            None => tracing::warn!("a peer sent a malformed message"),
         }
     }
 
--- a/crates/apricotlug-node/src/reports.rs
+++ b/crates/apricotlug-node/src/reports.rs
@@ -3,11 +3,12 @@
 use std::net::IpAddr;
 
 use apricotlug_admin::{
-    Explanation, FleetStatus, InstanceState, InstanceStatus, Keys, PlatformStatus, Problem,
-    ProblemCode, RegionStatus, Unconfirmed,
+    Explanation, FleetStatus, InstanceState, InstanceStatus, Keys, MoveStage, MoveStatus,
+    PlatformStatus, Problem, ProblemCode, RegionStatus, Unconfirmed,
 };
 use apricotlug_model::{Bundle, BundleVersion, RegionKey};
 use apricotlug_peer::{Member, State};
+use apricotlug_policy::moves::{MoveState, TakeBackReason};
 use serde_json::{Value, json};
 
 use crate::pages::{AdminPages, Answer};
@@ -51,7 +52,7 @@
             .map(|bundle| regions(pages, bundle))
             .unwrap_or_default(),
         accounts: Vec::new(),
-        moves: Vec::new(),
+        moves: moves(pages),
         unconfirmed: unconfirmed
             .map(|(key, names)| Unconfirmed {
                 key: key.clone(),
@@ -134,6 +135,43 @@
     outstanding.unwrap_or(0)
 }
 
+/// Reports the moves as seen from here.
+pub fn moves(pages: &AdminPages) -> Vec<MoveStatus> {
+    let views = pages.moves.views();
+    views
+        .into_iter()
+        .map(|view| {
+            let state = view.record.as_ref().map(|record| record.state);
+            let (stage, reason) = match state {
+                None => (MoveStage::Running, "not begun"),
+                Some(MoveState::Running) if view.has_cut => (MoveStage::Running, "cut here"),
+                Some(MoveState::Running) => (MoveStage::Running, "advancing"),
+                Some(MoveState::Paused) => (MoveStage::Paused, "paused by an operator"),
+                Some(MoveState::Finished) => (MoveStage::Done, "finished"),
+                Some(MoveState::TakenBack(TakeBackReason::Deadline)) => {
+                    (MoveStage::TakenBack, "not finished at its deadline")
+                }
+                Some(MoveState::TakenBack(TakeBackReason::Fault)) => (
+                    MoveStage::TakenBack,
+                    "the evidence speaks against the version",
+                ),
+                Some(MoveState::TakenBack(TakeBackReason::Operator)) => {
+                    (MoveStage::TakenBack, "taken back by an operator")
+                }
+            };
+            MoveStatus {
+                service: view.id.service,
+                from: view.from,
+                to: view.id.version,
+                stage,
+                share: view.share,
+                deadline: view.id.deadline,
+                reason: reason.to_owned(),
+            }
+        })
+        .collect()
+}
+
 /// Reports the keys of client accounts.
 pub fn keys(pages: &AdminPages, bundle: &Bundle) -> Keys {
     let withdrawn = pages.shared.view.load().withdrawn.clone();
--- a/crates/apricotlug-standins/src/backend/server.rs
+++ b/crates/apricotlug-standins/src/backend/server.rs
@@ -95,6 +95,12 @@
         self.addr
     }
 
+    /// Returns the version that it runs.
+    #[must_use]
+    pub fn version(&self) -> &str {
+        &self.state.cfg.version
+    }
+
     /// Replaces the faults that it shows.
     pub fn set_faults(&self, faults: Vec<FaultRule>) {
         *lock(&self.state.faults) = faults;
