Tests: drain of backend servers under load, cut from the platform, whole isolation

Cause: drains and partitions had no test over processes. Change: a relay that can be cut; a drain by bundle under steady load; an instance cut off from the platform and one that hears of nobody. Not seen failing first: partition tests.

--- a/crates/apricotlug-standins/src/backend/server.rs
+++ b/crates/apricotlug-standins/src/backend/server.rs
@@ -95,6 +95,12 @@
         self.addr
     }
 
+    /// Returns its name.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.state.cfg.id
+    }
+
     /// Returns the version that it runs.
     #[must_use]
     pub fn version(&self) -> &str {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,5 +1,9 @@
 //! Entry instances as separate processes, with stand-ins around them in the test's process.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
+
+mod relay;
+
+pub use relay::Relay;
 
 use std::{
     io::{BufRead, BufReader, Read, Write},
