Placement follows bundles in a module of its own; removed endpoints are freed

Cause: states of removed endpoints were kept for ever, and kept their share; following a bundle searched all states for each endpoint. Change: states are freed once their tickets are settled, and their share is taken at once; returns home under way are forgotten where versions change.

--- a/crates/apricotlug-policy/src/placement/engine.rs
+++ b/crates/apricotlug-policy/src/placement/engine.rs
@@ -1,4 +1,4 @@
-//! Placement state: its life with bundles, shares, outcomes and reports.
+//! Placement state: outcomes, reports, probes and what they change.
 
 use std::time::Duration;
 
@@ -11,9 +11,9 @@
     placement::{
         health::{EndpointState, Fault},
         index::{Index, StateIndex},
-        link::{LinkBudget, Traffic},
+        link::Traffic,
         request::{LoadReport, Outcome, Ticket},
-        share::{ShareHolder, SlotShares},
+        share::ShareHolder,
         shift::RegionShift,
     },
 };
@@ -26,8 +26,6 @@
 const MAX_CROWDED_EJECTION: Duration = Duration::from_secs(1);
 /// Weight of a new sample in a version's typical latency.
 const TYPICAL_WEIGHT: f32 = 0.05;
-/// Time in which all instances install a bundle and the requests placed before it have ended.
-const BUNDLE_SETTLE_TIME: Duration = Duration::from_secs(10);
 
 /// Placement state of one instance.
 #[derive(Clone, Debug)]
@@ -42,11 +40,13 @@
     pub(super) nearest_delay: Duration,
     pub(super) shifted_in_limit: DelayedLimit<u16, MonoTime>,
     pub(super) shifted_in: u16,
-    home: DataCentreKey,
-    holders: Vec<ShareHolder>,
-    own: InstanceId,
-    state_of: Vec<StateIndex>,
-    state_by_id: HashMap<String, StateIndex>,
+    pub(super) home: DataCentreKey,
+    pub(super) holders: Vec<ShareHolder>,
+    pub(super) own: InstanceId,
+    pub(super) state_of: Vec<StateIndex>,
+    pub(super) state_by_id: HashMap<String, StateIndex>,
+    /// States that no endpoint uses any more.
+    pub(super) free_states: Vec<StateIndex>,
 }
 
 impl Placement {
@@ -80,6 +80,7 @@
             own,
             state_of: Vec::new(),
             state_by_id: HashMap::default(),
+            free_states: Vec::new(),
         };
         placement.bring_in_endpoints(None, bundle, now);
         for state in &mut placement.states {
@@ -89,38 +90,6 @@
         placement
     }
 
-    /// Carries the state over to another bundle by endpoint id. Endpoints that appear, or come
-    /// back under another address, are cold. Tickets stay valid.
-    ///
-    /// # Panics
-    /// When the home data centre's key lies outside of the new bundle.
-    pub fn update(&mut self, old: &Bundle, new: &Bundle, now: MonoTime) {
-        self.bundle_version = new.version;
-        self.follow_home(old, new);
-        let known = self.states.len();
-        self.bring_in_endpoints(Some(old), new, now);
-        self.open_new_endpoints(new, known, now);
-        self.apply_shares(new, now.after(BUNDLE_SETTLE_TIME), now);
-    }
-
-    /// Splits the slots among the live instances `holders`, of which this one is `own`.
-    ///
-    /// Slots lost count at once. Slots gained count from `usable_at`, which must lie so far off
-    /// that every other instance has heard of the change and the requests that it placed before
-    /// have ended.
-    pub fn set_slot_share(
-        &mut self,
-        bundle: &Bundle,
-        holders: &[ShareHolder],
-        own: &InstanceId,
-        usable_at: MonoTime,
-        now: MonoTime,
-    ) {
-        self.holders = holders.to_vec();
-        self.own = own.clone();
-        self.apply_shares(bundle, usable_at, now);
-    }
-
     /// Frees the slot of a placed request and learns from how the request ended.
     pub fn settle(&mut self, ticket: Ticket, outcome: Outcome, now: MonoTime) {
         let Some(state) = self.states.get_mut(ticket.state as usize) else {
@@ -210,131 +179,6 @@
         state.is_some_and(|state| self.states[*state as usize].fault().is_some())
     }
 
-    fn follow_home(&mut self, old: &Bundle, new: &Bundle) {
-        let id = &old.data_centres[self.home].id;
-        if let Some(home) = new.data_centres.find(|dc| dc.id == *id) {
-            self.home = home;
-        }
-        self.home_region = new.data_centres[self.home].region;
-        for holder in &mut self.holders {
-            let id = &old.data_centres[holder.data_centre].id;
-            if let Some(data_centre) = new.data_centres.find(|dc| dc.id == *id) {
-                holder.data_centre = data_centre;
-            }
-        }
-        for state in &mut self.states {
-            let id = &old.regions[state.region].id;
-            let region = new.regions.find(|region| region.id == *id);
-            state.region = region.unwrap_or(self.home_region);
-        }
-        self.follow_shifts(old, new);
-    }
-
-    fn follow_shifts(&mut self, old: &Bundle, new: &Bundle) {
-        let earlier = std::mem::take(&mut self.shifts);
-        let mut kept: HashMap<&str, RegionShift> = HashMap::default();
-        for (region, shift) in old.regions.values().zip(earlier) {
-            kept.insert(&region.id, shift);
-        }
-        let shifts = new
-            .regions
-            .values()
-            .map(|region| kept.remove(region.id.as_str()));
-        self.shifts = shifts.map(Option::unwrap_or_default).collect();
-    }
-
-    fn bring_in_endpoints(&mut self, old: Option<&Bundle>, new: &Bundle, now: MonoTime) {
-        self.typical_us = typical_by_id(old, new, &self.typical_us);
-        let earlier = std::mem::take(&mut self.state_of);
-        for (key, endpoint) in new.endpoints.iter() {
-            let region = new.region_of(key);
-            let index = self.state_index(&endpoint.id, key, region, now);
-            let state = &mut self.states[index as usize];
-            let before = earlier.iter().position(|state| *state == index);
-            let has_moved = before
-                .zip(old)
-                .is_some_and(|(i, old)| old.endpoints[i.into()].addr != endpoint.addr);
-            if has_moved {
-                state.reset(now);
-            }
-            state.key = key;
-            state.region = region;
-            state.version = endpoint.version.into();
-            state.is_draining = endpoint.is_draining;
-            self.state_of.push(index);
-        }
-    }
-
-    fn state_index(
-        &mut self,
-        id: &str,
-        key: EndpointKey,
-        region: RegionKey,
-        now: MonoTime,
-    ) -> StateIndex {
-        if let Some(index) = self.state_by_id.get(id) {
-            return *index;
-        }
-        let index = StateIndex::try_from(self.states.len()).unwrap_or(StateIndex::MAX);
-        self.states.push(EndpointState::cold(key, region, now));
-        self.state_by_id.insert(id.to_owned(), index);
-        index
-    }
-
-    /// Opens the share of endpoints that no instance has used before. States from `known` on are
-    /// theirs.
-    fn open_new_endpoints(&mut self, bundle: &Bundle, known: usize, now: MonoTime) {
-        if self.states.len() == known {
-            return;
-        }
-        let shares = SlotShares::split(bundle, &self.holders, &self.own);
-        for state in &mut self.states[known..] {
-            state.limit.set(shares.slots(state.key), now, now);
-        }
-    }
-
-    fn apply_shares(&mut self, bundle: &Bundle, usable_at: MonoTime, now: MonoTime) {
-        let shares = SlotShares::split(bundle, &self.holders, &self.own);
-        for (key, index) in bundle.endpoints.keys().zip(&self.state_of) {
-            let state = &mut self.states[*index as usize];
-            state.limit.set(shares.slots(key), usable_at, now);
-        }
-        let shifted_in = u16::try_from(shares.shifted_in).unwrap_or(u16::MAX);
-        self.shifted_in_limit.set(shifted_in, usable_at, now);
-        self.apply_region_shares(bundle, &shares, now);
-        let earlier = std::mem::take(&mut self.index);
-        self.index = Index::build(bundle, self.home, &self.state_of, &self.states);
-        for (group, earlier) in self.index.groups.iter_mut().zip(earlier.groups) {
-            group.home_return = earlier.home_return;
-        }
-    }
-
-    fn apply_region_shares(&mut self, bundle: &Bundle, shares: &SlotShares, now: MonoTime) {
-        let delays = bundle
-            .links
-            .iter()
-            .filter(|((from, _), _)| *from == self.home_region);
-        let nearest_us = delays.map(|(_, link)| link.delay_us).min().unwrap_or(0);
-        self.nearest_delay = Duration::from_micros(nearest_us.into());
-        self.shifts
-            .resize_with(bundle.regions.len(), RegionShift::default);
-        for (region, shift) in bundle.regions.keys().zip(&mut self.shifts) {
-            let placed = self.states.iter().filter(|state| state.region == region);
-            shift.outstanding = placed.map(|state| u32::from(state.outstanding)).sum();
-            let outward = bundle.links.get(&(self.home_region, region));
-            let inward = bundle.links.get(&(region, self.home_region));
-            shift.set_links(
-                LinkBudget::new(outward, shares.link_parts, now),
-                LinkBudget::new(inward, shares.link_parts, now),
-            );
-            let slots = bundle
-                .endpoints
-                .keys()
-                .filter(|key| bundle.region_of(*key) == region);
-            shift.slots = slots.map(|key| u32::from(shares.slots(key))).sum();
-        }
-    }
-
     fn learn_typical(&mut self, state: StateIndex, outcome: Outcome) {
         let Outcome::Answered {
             latency,
@@ -371,22 +215,3 @@
         self.states[state as usize].eject(fault, longest, now);
     }
 }
-
-fn typical_by_id(old: Option<&Bundle>, new: &Bundle, typical_us: &[f32]) -> Vec<f32> {
-    let name = |bundle: &Bundle, i: usize| {
-        let version = &bundle.versions[i.into()];
-        (
-            bundle.services[version.service].id.clone(),
-            version.id.clone(),
-        )
-    };
-    let earlier: HashMap<_, _> = match old {
-        Some(old) => (0..typical_us.len())
-            .map(|i| (name(old, i), typical_us[i]))
-            .collect(),
-        None => HashMap::default(),
-    };
-    (0..new.versions.len())
-        .map(|i| earlier.get(&name(new, i)).copied().unwrap_or(0.0))
-        .collect()
-}
--- a/crates/apricotlug-policy/src/placement/index.rs
+++ b/crates/apricotlug-policy/src/placement/index.rs
@@ -79,6 +79,13 @@
         }
     }
 
+    /// Forgets shifts and returns under way.
+    pub(super) fn forget_returns(&mut self) {
+        for group in &mut self.groups {
+            group.home_return = HomeReturn::default();
+        }
+    }
+
     /// Returns the group of a want.
     pub(super) fn group_of(&self, want: &Want<'_>) -> Option<usize> {
         match want.version {
--- a/crates/apricotlug-policy/src/placement/mod.rs
+++ b/crates/apricotlug-policy/src/placement/mod.rs
@@ -5,6 +5,7 @@
 
 mod decide;
 mod engine;
+mod follow;
 mod health;
 mod index;
 mod link;
--- a/crates/apricotlug-policy/tests/placement_rules.rs
+++ b/crates/apricotlug-policy/tests/placement_rules.rs
@@ -341,3 +341,24 @@
     bed.pass(3_000);
     assert_eq!(bed.place().unwrap().reason, PlaceReason::Shift);
 }
+
+#[test]
+fn a_removed_endpoint_keeps_its_tickets_and_comes_back_cold_once_they_are_settled() {
+    let mut bed = Bed::new();
+    let removed = bed.bundle.endpoints[EndpointKey(0)].clone();
+    let others: Vec<_> = bed.bundle.endpoints.keys().skip(1).collect();
+    let choice = bed.place_without(&others).unwrap();
+    bed.change(|bundle| {
+        bundle.endpoints = bundle.endpoints.values().skip(1).cloned().collect();
+    });
+    bed.change(|bundle| {
+        bundle.endpoints.push(removed.clone());
+    });
+    let last = EndpointKey::from(bed.bundle.endpoints.len() - 1);
+    assert_eq!(bed.placement.outstanding(last), 1);
+    assert_eq!(bed.placement.slot_limit(last, bed.now), 0);
+    bed.settle(choice, good());
+    assert_eq!(bed.placement.outstanding(last), 0);
+    bed.pass(10_000);
+    assert_eq!(bed.placement.slot_limit(last, bed.now), 3);
+}
