--- a/crates/apricotlug-policy/examples/decision_cost.rs
+++ b/crates/apricotlug-policy/examples/decision_cost.rs
@@ -11,7 +11,7 @@
 };
 
 use apricotlug_model::{
-    Block, BlockTable, Bundle, DataCentreKey, InstanceId, MonoTime, Site, UnixTime,
+    Block, BlockTable, Bundle, DataCentreKey, InstanceId, MonoTime, RegionKey, Site, UnixTime,
 };
 use apricotlug_policy::{
     lookup::{Directory, InstanceEntry, InstanceLoad, InstanceState},
@@ -34,18 +34,17 @@
             println!("| {endpoints} | {:.0}% | {nanos:.0} |", occupied * 100.0);
         }
     }
-    println!("\n| blocks | sites | instances | ns per look-up | bytes of the block table |");
-    println!("|---|---|---|---|---|");
+    println!(
+        "\n| blocks | sites | instances | ns per look-up | with a region down | µs per update |"
+    );
+    println!("|---|---|---|---|---|---|");
     for (blocks, sites, instances) in [
         (50_000, 60, 360),
         (100_000, 120, 720),
         (210_000, 250, 1_500),
     ] {
-        let nanos = lookup(blocks, sites, instances);
-        println!(
-            "| {blocks} | {sites} | {instances} | {nanos:.0} | {} |",
-            blocks * 12
-        );
+        let (up, down, update) = lookup(blocks, sites, instances);
+        println!("| {blocks} | {sites} | {instances} | {up:.0} | {down:.0} | {update:.0} |");
     }
     println!("\n| endpoints | instances | ms per split of all slots |");
     println!("|---|---|---|");
@@ -102,7 +101,8 @@
     start.elapsed().as_nanos() as f64 / f64::from(DECISIONS)
 }
 
-fn lookup(blocks: usize, sites: usize, instances: usize) -> f64 {
+/// Returns nanoseconds per look-up, the same with one region down, and microseconds per update.
+fn lookup(blocks: usize, sites: usize, instances: usize) -> (f64, f64, f64) {
     let fleet = Fleet {
         regions: 17,
         data_centres_per_region: 3,
@@ -136,17 +136,38 @@
             slots: 8,
         },
     };
-    let entries: Vec<_> = fleet.holders().into_iter().enumerate().map(entry).collect();
-    let mut now = UnixTime(1_000_000_000);
+    let mut entries: Vec<_> = fleet.holders().into_iter().enumerate().map(entry).collect();
+    let now = UnixTime(1_000_000_000);
     directory.update(&bundle, &bundle, &entries, now);
     let mut rng = StdRng::seed_from_u64(1);
     let clients: Vec<_> = (0..1 << 16)
         .map(|_| IpAddr::V4(addr(rng.random_range(0..blocks))))
         .collect();
+    let up = time_lookups(&mut directory, &bundle, &clients, now);
+    for entry in &mut entries {
+        if bundle.data_centres[entry.data_centre].region == RegionKey(0) {
+            entry.state = InstanceState::Dead;
+        }
+    }
+    let later = now.after(Duration::from_secs(20));
+    let start = Instant::now();
+    directory.update(&bundle, &bundle, &entries, later);
+    let update = start.elapsed().as_secs_f64() * 1e6;
+    let down = time_lookups(&mut directory, &bundle, &clients, later);
+    (up, down, update)
+}
+
+fn time_lookups(
+    directory: &mut Directory,
+    bundle: &Bundle,
+    clients: &[IpAddr],
+    mut now: UnixTime,
+) -> f64 {
+    let mut rng = StdRng::seed_from_u64(1);
     let start = Instant::now();
     for i in 0..DECISIONS as usize {
         now = now.after(Duration::from_micros(1));
-        black_box(directory.lookup(&bundle, clients[i % clients.len()], now, &mut rng));
+        black_box(directory.lookup(bundle, clients[i % clients.len()], now, &mut rng));
     }
     start.elapsed().as_nanos() as f64 / f64::from(DECISIONS)
 }
--- a/crates/apricotlug-policy/examples/placement_compare.rs
+++ b/crates/apricotlug-policy/examples/placement_compare.rs
@@ -1,6 +1,6 @@
 //! Compares placement policies under faults, in virtual time with fixed seeds.
 //!
-//! `cargo run --release -p apricotlug-policy --example placement_compare [POLICY]`
+//! `cargo run --release -p apricotlug-policy --example placement_compare [POLICY [SEED]]`
 
 mod support;
 
@@ -15,15 +15,17 @@
 
 /// Mean busy part of all slots.
 const LOAD: f64 = 0.5;
-/// Seed of every run.
+/// Seed of every run where none is given.
 const SEED: u64 = 7;
 
 /// Runs at once.
 const THREADS: usize = 3;
 
 fn main() {
+    let seed = env::args().nth(2).and_then(|seed| seed.parse().ok());
+    let seed = seed.unwrap_or(SEED);
     for fleet in [CAISSES, NOVAK] {
-        println!("\n### {}, load {LOAD}, seed {SEED}\n", fleet.name);
+        println!("\n### {}, load {LOAD}, seed {seed}\n", fleet.name);
         println!(
             "| fault | policy | headroom % | p50 ms | p99 ms | refused | in rate | at look-up | failed | overloads | cap excess | requests | attempts |"
         );
@@ -32,7 +34,7 @@
             thread::scope(|scope| {
                 let runs: Vec<_> = faults
                     .iter()
-                    .map(|fault| scope.spawn(move || rows(fleet, *fault)))
+                    .map(|fault| scope.spawn(move || rows(fleet, *fault, seed)))
                     .collect();
                 for run in runs {
                     print!("{}", run.join().expect("a run ends"));
@@ -43,9 +45,9 @@
 }
 
 /// Returns a fault's rows, one a policy.
-fn rows(fleet: Fleet, fault: Fault) -> String {
+fn rows(fleet: Fleet, fault: Fault, seed: u64) -> String {
     let row = |kind: PolicyKind| {
-        let stats = sim::run(Scenario::new(fleet, fault, LOAD, SEED), kind);
+        let stats = sim::run(Scenario::new(fleet, fault, LOAD, seed), kind);
         format!(
             "| {} | {} | {:.0} | {:.1} | {:.1} | {} | {} | {} | {} | {} | {} | {} | {} |\n",
             fault.name(),
