--- /dev/null
+++ b/crates/apricotlug-edge/src/caller.rs
@@ -0,0 +1,245 @@
+//! Serves the connections of callers: frame, identify, admit, then run or refuse.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use apricotlug_http::{BodyReader, Conn, Framing, HttpError, RequestHead, request_framing};
+use apricotlug_model::{Bundle, MonoTime};
+use async_std::{
+    net::{TcpListener, TcpStream},
+    task,
+};
+
+use crate::{
+    answer::{self, DEADLINE_HEADER, REQUEST_ID_HEADER, Refusal},
+    exchange::{Exchange, RequestBody, log_end},
+    gate::NotAdmitted,
+    identify::{Unidentified, identify},
+    order::{self, Claimed},
+    run,
+    settle::{self, End, Next},
+    shared::Shared,
+    wait::MAX_WAIT,
+};
+
+/// Largest request body, in bytes.
+const MAX_BODY_BYTES: u64 = 1024 * 1024 * 1024;
+
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+const NO_BUNDLE: Refusal =
+    Refusal::not_run(503, "no_bundle", "ask the look-up for another instance");
+
+const NO_ROUTE: Refusal = Refusal::not_run(404, "no_route", "use a path that the bundle routes");
+
+/// Accepts callers until the listener fails.
+pub async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                task::spawn(serve(stream, peer, Arc::clone(&shared)));
+            }
+            Err(e) => {
+                tracing::warn!(error = %e, "cannot accept a caller");
+                // Out of descriptors, most likely: others are freed meanwhile.
+                task::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, peer: SocketAddr, shared: Arc<Shared>) {
+    let mut conn = Conn::new(stream, shared.limits);
+    while serve_one(&mut conn, peer, &shared).await == Next::KeepAlive {}
+}
+
+async fn serve_one(conn: &mut Conn, peer: SocketAddr, shared: &Shared) -> Next {
+    let head = conn.read_request().await;
+    let arrived_at = shared.clock.now();
+    let _in_flight = shared.drain.enter();
+    let id = shared.next_request_id();
+    let head = match head {
+        Ok(head) => head,
+        Err(e) => return refuse_malformed(conn, shared, &id, &e).await,
+    };
+    let framing = match request_framing(&head) {
+        Ok(framing) => framing,
+        Err(e) => return refuse_malformed(conn, shared, &id, &e).await,
+    };
+    let expects_continue = head
+        .headers
+        .list("expect")
+        .iter()
+        .any(|e| e == "100-continue");
+    let is_closing = !head.is_keep_alive() || shared.drain.is_leaving();
+    let arrival = Arrival {
+        id: id.clone(),
+        framing,
+        caller: peer.ip(),
+        arrived_at,
+        is_closing,
+    };
+    let (bundle, ex) = match prepare(shared, head, arrival).await {
+        Ok(prepared) => prepared,
+        Err(refusal) => {
+            // A body that nobody reads must not pass for the next request.
+            let is_closing = is_closing || framing != Framing::Empty;
+            return refuse(conn, shared, &id, &refusal, is_closing).await;
+        }
+    };
+    if expects_continue && conn.write(CONTINUE).await.is_err() {
+        return Next::Close;
+    }
+    let end = execute(conn, shared, &bundle, &ex).await;
+    let latency = shared.clock.now().since(ex.arrived_at);
+    log_end(&ex, &bundle, &end, latency);
+    shared
+        .metrics
+        .on_request(&bundle.routes[ex.route].id, end.result, latency);
+    end.next
+}
+
+async fn refuse_malformed(conn: &mut Conn, shared: &Shared, id: &str, error: &HttpError) -> Next {
+    let Some(refusal) = answer::malformed(error) else {
+        return Next::Close;
+    };
+    refuse(conn, shared, id, &refusal, true).await
+}
+
+async fn refuse(
+    conn: &mut Conn,
+    shared: &Shared,
+    id: &str,
+    refusal: &Refusal,
+    is_closing: bool,
+) -> Next {
+    tracing::info!(
+        kind = "refusal",
+        request = id,
+        status = refusal.status,
+        code = refusal.code
+    );
+    shared.metrics.on_request("-", refusal.code, Duration::ZERO);
+    let bytes = refusal.encode(id, shared.clock.unix(), is_closing);
+    match answer::send(conn, &bytes, is_closing).await {
+        Ok(()) if !is_closing => Next::KeepAlive,
+        _ => Next::Close,
+    }
+}
+
+/// What is known of a request beside its head.
+struct Arrival {
+    id: String,
+    framing: Framing,
+    caller: IpAddr,
+    arrived_at: MonoTime,
+    is_closing: bool,
+}
+
+/// Routes, identifies and admits a request.
+async fn prepare(
+    shared: &Shared,
+    mut head: RequestHead,
+    arrival: Arrival,
+) -> Result<(Arc<Bundle>, Exchange), Refusal> {
+    if matches!(arrival.framing, Framing::Length(len) if len > MAX_BODY_BYTES) {
+        return Err(Refusal::not_run(
+            413,
+            "body_too_large",
+            "send a smaller body",
+        ));
+    }
+    let wait_until = arrival.arrived_at.after(MAX_WAIT);
+    let mut waiter = None;
+    let (bundle, route, account) = loop {
+        let view = shared.view.load();
+        let bundle = view.bundle.clone().ok_or(NO_BUNDLE)?;
+        let route = bundle.route(head.path()).ok_or(NO_ROUTE)?;
+        let account = identify(&view, &bundle.routes[route], &head).map_err(unidentified)?;
+        let Some(account) = account else {
+            break (bundle, route, None);
+        };
+        match shared.gate.admit(&bundle, account, shared.clock.now()) {
+            Ok(()) => break (bundle, route, Some(account)),
+            Err(NotAdmitted::OtherBundle) => {}
+            Err(NotAdmitted::OverRate { retry_at }) => {
+                waiter = waiter.or_else(|| shared.waiting.enter(account));
+                if waiter.is_none() || retry_at > wait_until {
+                    return Err(over_rate(shared, retry_at));
+                }
+                task::sleep(shared.clock.left(retry_at)).await;
+            }
+        }
+    };
+    head.headers.remove("authorization");
+    let order = order::named(&bundle.routes[route], account, &head)?;
+    let timeout = Duration::from_millis(bundle.routes[route].timeout_ms.into());
+    let deadline = arrival.arrived_at.after(timeout);
+    let deadline_us = shared.clock.to_unix(deadline).0;
+    let ex = Exchange {
+        head: backend_head(head, arrival.framing, &arrival.id, deadline_us),
+        id: arrival.id,
+        framing: arrival.framing,
+        route,
+        account,
+        order,
+        is_closing: arrival.is_closing,
+        caller: arrival.caller,
+        arrived_at: arrival.arrived_at,
+        deadline,
+    };
+    Ok((bundle, ex))
+}
+
+fn over_rate(shared: &Shared, retry_at: MonoTime) -> Refusal {
+    let mut refusal = Refusal::not_run(429, "over_rate", "come again when told");
+    refusal.retry_at = Some(shared.clock.to_unix(retry_at));
+    refusal
+}
+
+fn unidentified(why: Unidentified) -> Refusal {
+    match why {
+        Unidentified::Missing => {
+            Refusal::not_run(401, "no_key", "send `authorization: Bearer ID.SECRET`")
+        }
+        Unidentified::Unknown => Refusal::not_run(401, "unknown_key", "check the key"),
+        Unidentified::Withdrawn => {
+            Refusal::not_run(401, "withdrawn_key", "ask the operators for a new key")
+        }
+        Unidentified::Repeated => {
+            Refusal::not_run(400, "repeated_key", "send the key in `authorization` only")
+        }
+    }
+}
+
+fn backend_head(
+    mut head: RequestHead,
+    framing: Framing,
+    id: &str,
+    deadline_us: u64,
+) -> RequestHead {
+    head.headers.remove_hop_by_hop();
+    head.headers.remove("expect");
+    head.headers.remove(REQUEST_ID_HEADER);
+    head.headers.remove(DEADLINE_HEADER);
+    head.headers.push(REQUEST_ID_HEADER, id);
+    head.headers.push(DEADLINE_HEADER, deadline_us.to_string());
+    framing.announce(&mut head.headers);
+    head
+}
+
+/// Runs an admitted request, or answers a repeat of its order from memory.
+async fn execute(conn: &mut Conn, shared: &Shared, bundle: &Arc<Bundle>, ex: &Exchange) -> End {
+    let mut body = RequestBody::new(BodyReader::new(ex.framing, MAX_BODY_BYTES));
+    match order::claim(shared, bundle, ex, &mut body, conn).await {
+        Claimed::Run => match run::obtain(shared, bundle, ex, &mut body, Some(&mut *conn)).await {
+            Ok(obtained) => settle::answered(conn, shared, ex, obtained).await,
+            Err(end) => settle::unanswered(conn, shared, ex, &body, end).await,
+        },
+        Claimed::Repeat(answer) => settle::repeated(conn, shared, ex, &body, &answer).await,
+        Claimed::Refuse(refusal) => settle::refused(conn, shared, ex, &body, &refusal, 0).await,
+    }
+}
