--- a/crates/apricotlug-policy/tests/moves_evidence.rs
+++ b/crates/apricotlug-policy/tests/moves_evidence.rs
@@ -169,7 +169,7 @@
                 let (s, fault) = judge(seed, share, answer).expect(name);
                 assert_eq!(fault.signal, signal, "{name}");
                 assert!(
-                    (from..from + 20).contains(&s),
+                    (from..from + 10).contains(&s),
                     "{name} at {share}: after {s} s"
                 );
             }
