Version moves: the old version's last counts support the comparison at the same time

Ruled out: lowering the share in doubt from a half on, where a fault under load heals and returns. Change: conclusive last counts need weaker evidence at the same time, while the old version is well.

--- a/crates/apricotlug-policy/src/moves/detector.rs
+++ b/crates/apricotlug-policy/src/moves/detector.rs
@@ -8,9 +8,10 @@
 //! the start. The probability that one sum passes its threshold `t` within `n` bad answers of a
 //! version no worse than tolerated is at most `n · exp(-t)`.
 //!
-//! Where the old version has little traffic left, bad answers at the same time tell little.
-//! There the old version's last counts raise a doubt, and the guard lowers the share so that the
-//! versions can be compared again.
+//! At large shares bad answers tell little, since most come from the new version anyway. There the
+//! old version's last counts help: when they are conclusive, weaker evidence at the same time is
+//! enough, unless the old version is worse than it was as well. Where it has hardly any traffic
+//! left, they raise a doubt, and the guard lowers the share so that both can be compared again.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -31,7 +32,7 @@
 /// Risk of a slow answer, as a multiple of the old version's, that is tolerated.
 const TOLERATED_SLOW: f64 = 2.0;
 
-/// Share from which on bad answers tell little, since most come from the new version anyway.
+/// Share from which on the old version has too little traffic left to compare with.
 const LONE_SHARE: f64 = 0.8;
 
 /// What is wrong with a version.
@@ -80,21 +81,23 @@
         }
         self.is_doubtful = false;
         self.is_old_troubled = false;
+        let mut fault = None;
         for (route, step) in &steps {
             let test = self.routes.entry(route.clone()).or_default();
             for pair in step {
                 test.compare(pair, &mut self.all);
             }
-            self.is_doubtful |= test.take_doubt();
             self.is_old_troubled |= test.old_alone.is_suspect();
+            fault = fault.or(test.fault(route));
+            self.is_doubtful |= test.take_doubt();
         }
-        self.fault()
+        fault.or_else(|| self.fault())
     }
 
     /// Tells whether the evidence leans against the new version without being conclusive.
     #[must_use]
     pub fn is_suspect(&self) -> bool {
-        self.scores().any(|(_, scores)| scores.is_suspect())
+        self.scores().any(Scores::is_suspect)
     }
 
     /// Tells whether the latest step was far worse than the old version's last counts, at a share
@@ -130,19 +133,17 @@
         steps
     }
 
-    fn scores(&self) -> impl Iterator<Item = (Option<&String>, &Scores)> {
-        let routes = self.routes.iter();
-        routes
-            .map(|(route, test)| (Some(route), &test.scores))
-            .chain([(None, &self.all)])
+    fn scores(&self) -> impl Iterator<Item = &Scores> {
+        let routes = self.routes.values().map(|test| &test.scores);
+        routes.chain([&self.all])
     }
 
+    /// Returns the fault that only all routes together show.
     fn fault(&self) -> Option<Fault> {
-        self.scores().find_map(|(route, scores)| {
-            Some(Fault {
-                route: route.cloned(),
-                signal: scores.signal()?,
-            })
+        let signal = self.all.signal()?;
+        Some(Fault {
+            route: None,
+            signal,
         })
     }
 }
@@ -189,6 +190,14 @@
         is_slow.then_some(Signal::Slow)
     }
 
+    /// Tells whether the sums for a signal lean against the new version.
+    fn supports(&self, signal: Signal) -> bool {
+        match signal {
+            Signal::Errors => self.errors.is_supporting(),
+            Signal::Slow => self.slow.iter().any(Score::is_supporting),
+        }
+    }
+
     fn is_suspect(&self) -> bool {
         self.errors.is_suspect() || self.slow.iter().any(Score::is_suspect)
     }
@@ -201,6 +210,7 @@
     scores: Scores,
     alone: Scores,
     old_alone: Scores,
+    is_lone: bool,
 }
 
 impl RouteTest {
@@ -220,16 +230,28 @@
         all.compare(step, limits);
         self.old_alone
             .compare_with_last(&step.old, &self.baseline, limits);
-        if step.share() >= LONE_SHARE {
-            self.alone
-                .compare_with_last(&step.new, &self.baseline, limits);
-        }
+        self.alone
+            .compare_with_last(&step.new, &self.baseline, limits);
+        self.is_lone = step.share() >= LONE_SHARE;
+    }
+
+    /// Returns the fault that this route shows.
+    fn fault(&self, route: &str) -> Option<Fault> {
+        let is_supported =
+            |signal: &Signal| self.scores.supports(*signal) && !self.old_alone.is_suspect();
+        let signal = self.scores.signal();
+        let signal = signal.or_else(|| self.alone.signal().filter(is_supported))?;
+        Some(Fault {
+            route: Some(route.to_owned()),
+            signal,
+        })
     }
 
-    /// Returns whether the comparison with the last counts is conclusive, and starts it again.
+    /// Returns whether the comparison with the last counts is conclusive where nothing else can
+    /// be. It starts again then, and also while the old version is in trouble itself.
     fn take_doubt(&mut self) -> bool {
-        let is_doubtful = self.alone.signal().is_some();
-        if is_doubtful {
+        let is_doubtful = self.alone.signal().is_some() && self.is_lone;
+        if is_doubtful || self.old_alone.is_suspect() {
             self.alone = Scores::default();
         }
         is_doubtful
--- a/crates/apricotlug-policy/src/moves/score.rs
+++ b/crates/apricotlug-policy/src/moves/score.rs
@@ -6,6 +6,10 @@
 /// Sum from which the evidence leans against the new version.
 const SUSPECT: f64 = 6.0;
 
+/// Sum that, together with a conclusive one from the old version's last counts, is conclusive:
+/// odds of 1 to 3000 in one step.
+const SUPPORTING: f64 = 8.0;
+
 /// Risks of a bad answer, as multiples of the tolerated one, that the sums test for.
 const RISKS: [f64; 3] = [3.0, 10.0, 50.0];
 
@@ -38,13 +42,14 @@
     }
 
     /// Adds answers of the new version alone, given the highest rate of bad ones that the old
-    /// version had before.
+    /// version had before. The sums stop at the threshold, so that a passing trouble is soon
+    /// forgotten.
     pub(super) fn add_historical(&mut self, bad: u64, good: u64, rate: f64) {
         for (sum, grade) in self.0.iter_mut().zip(RATES) {
             let worse = rate + (1.0 - rate) * grade;
             let ratio = bad as f64 * (worse / rate).ln()
                 + good as f64 * ((1.0 - worse) / (1.0 - rate)).ln();
-            *sum = (*sum + ratio).max(0.0);
+            *sum = (*sum + ratio).clamp(0.0, THRESHOLD);
         }
     }
 
@@ -52,6 +57,10 @@
         self.highest() >= THRESHOLD
     }
 
+    pub(super) fn is_supporting(&self) -> bool {
+        self.highest() >= SUPPORTING
+    }
+
     pub(super) fn is_suspect(&self) -> bool {
         self.highest() >= SUSPECT
     }
