--- a/crates/apricotlug-peer/tests/tcp.rs
+++ b/crates/apricotlug-peer/tests/tcp.rs
@@ -146,6 +146,24 @@
     });
 }
 
+#[test]
+fn a_node_without_seeds_finds_its_peers_by_the_platforms_list() {
+    block_on(async {
+        let (a, _) = start("a", 1, "x", &[], None);
+        let (b, _) = start("b", 2, "x", &[], None);
+        a.set_listed(vec![a.addr(), b.addr()]);
+        until_all_ready(&[a.clone(), b.clone()]).await;
+        b.set_load(700);
+        until("the load is seen", || {
+            let members = a.members();
+            members
+                .iter()
+                .any(|m| m.record.id == *b.id() && m.load == Some(700))
+        })
+        .await;
+    });
+}
+
 #[test]
 fn transfers_are_applied_once_and_orders_answered_by_their_run_only() {
     block_on(async {
