--- a/crates/apricotlug-peer/tests/membership.rs
+++ b/crates/apricotlug-peer/tests/membership.rs
@@ -68,6 +68,24 @@
     }
 }
 
+/// Makes an instance fail.
+type Fail = fn(&mut Fleet, usize);
+
+#[test]
+fn silence_makes_an_instance_suspect_before_it_is_declared_dead() {
+    let cases: [(&str, Fail, u32); 2] = [("crash", Fleet::crash, 4), ("pause", Fleet::pause, 5)];
+    for (name, fail, seconds) in cases {
+        let mut fleet = settled(&[10, 2], 33);
+        fail(&mut fleet, 1);
+        let mates = [0, 2, 3, 4, 5, 6, 7, 8, 9];
+        within(&mut fleet, SECOND * seconds, name, |f| {
+            is_unnamed(f, &mates, 1)
+        });
+        let states = mates.map(|mate| fleet.state(mate, 1));
+        assert_eq!(states, [Some(State::Suspect); 9], "{name}");
+    }
+}
+
 #[test]
 fn a_crashed_lone_instance_of_a_data_centre_stops_being_named() {
     let mut fleet = settled(&SITES_OF_9, 4);
