--- a/crates/apricotlug-policy/src/lookup/directory.rs
+++ b/crates/apricotlug-policy/src/lookup/directory.rs
@@ -12,20 +12,24 @@
     charge::ChargeRing,
     entry::InstanceEntry,
     overflow::Overflow,
-    pool::{Member, Pool},
+    pool::{Member, MemberIndex, Pool},
 };
 use crate::limit::DelayedLimit;
 
 /// Instances that an answer names at most.
 const MAX_INSTANCES: usize = 3;
-/// Time for which callers may use an answer of their home region.
-const HOME_TTL: Duration = Duration::from_secs(10);
+/// Time for which callers may use an answer of their home region; below the ring of charges.
+const HOME_TTL: Duration = Duration::from_secs(5);
 /// Time for which callers may use an answer of another region.
 const SHIFTED_TTL: Duration = Duration::from_secs(5);
+/// Shortest time of an answer, in hundredths of the longest.
+const JITTER_MIN_PERCENT: u32 = 80;
 /// Time after which what a lost or restarted instance answered has expired.
 const SHIFT_SETTLE_TIME: Duration = Duration::from_secs(8);
-/// Time after which to ask again where no region has room.
+/// Time after which to ask again where no other region has room.
 const REFUSED_TTL: Duration = Duration::from_secs(1);
+/// Part of a shift cap, in hundredths, up to which the nearest region is filled before others.
+const FIRST_FILL_PERCENT: u64 = 60;
 /// Slots that one answer's caller is taken to occupy before anything was measured, in thousandths.
 const ASSUMED_MILLI_SLOTS: u64 = 100;
 /// Largest such estimate, in thousandths.
@@ -51,7 +55,7 @@
 pub enum AnswerReason {
     /// The home region serves.
     Home,
-    /// The home region has no instance.
+    /// The home region has no instance, or no usable backend slot.
     HomeDown,
     /// The home region is over its cap.
     HomeOver,
@@ -65,16 +69,27 @@
     own: DataCentreKey,
     home_of_site: Vec<DataCentreKey>,
     region_of: Vec<RegionKey>,
-    data_centres: Vec<Pool>,
+    data_centres: Vec<DataCentre>,
     regions: Vec<Region>,
+    members: Vec<Member>,
+    /// Slots that one answer's caller is taken to occupy, in thousandths, over the number of
+    /// answering instances.
     milli_slots: u64,
 }
 
+/// Data centre as the look-up knows it.
+#[derive(Clone, Debug, Default)]
+struct DataCentre {
+    pool: Pool,
+    overflow: Overflow,
+}
+
 /// Region as the look-up knows it.
 #[derive(Clone, Debug, Default)]
 struct Region {
     pool: Pool,
     nearest: Vec<RegionKey>,
+    has_slots: bool,
     shift_cap: DelayedLimit<u64, UnixTime>,
     charged: ChargeRing,
     home_answers: ChargeRing,
@@ -95,6 +110,7 @@
             region_of: Vec::new(),
             data_centres: Vec::new(),
             regions: Vec::new(),
+            members: Vec::new(),
             milli_slots: ASSUMED_MILLI_SLOTS,
         };
         directory.follow_bundle(bundle);
@@ -110,14 +126,7 @@
         }
         self.follow_entries(new, entries, now);
         self.learn_cost(entries, now);
-        for (key, region) in new.regions.keys().zip(&mut self.regions) {
-            let local = entries
-                .iter()
-                .filter(|e| new.data_centres[e.data_centre].region == key);
-            let named = local.filter(|e| e.is_named());
-            let (outstanding, slots) = load(named);
-            region.overflow.observe(outstanding, slots, now);
-        }
+        self.follow_load(new, entries, now);
     }
 
     /// Answers a look-up.
@@ -133,20 +142,20 @@
         let region = self.region_of[usize::from(home)];
         let state = &mut self.regions[usize::from(region)];
         let reason = match state.overflow.permille() {
-            _ if state.pool.is_empty() => AnswerReason::HomeDown,
+            _ if state.pool.is_empty() || !state.has_slots => AnswerReason::HomeDown,
             0 => AnswerReason::Home,
             permille if !rng.random_ratio(permille.into(), 1000) => AnswerReason::Home,
             _ => AnswerReason::HomeOver,
         };
         if reason == AnswerReason::Home {
-            return self.answer_home(home, region, now, rng);
+            return self.answer_home(home, HOME_TTL, now, rng);
         }
-        if let Some(other) = self.find_room(region, now) {
+        if let Some(other) = self.find_room(region, reason, now) {
             return self.answer_shifted(other, reason, now, rng);
         }
-        match reason {
-            AnswerReason::HomeOver => self.answer_home(home, region, now, rng),
-            _ => refusal(now),
+        match self.regions[usize::from(region)].pool.is_empty() {
+            true => refusal(now),
+            false => self.answer_home(home, REFUSED_TTL, now, rng),
         }
     }
 
@@ -163,6 +172,38 @@
         self.regions[usize::from(region)].shift_cap.at(now)
     }
 
+    /// Names the less loaded of two instances of the first data centre, or of the region, then
+    /// others of the region, in data centres apart.
+    fn name(
+        &mut self,
+        first: Option<DataCentreKey>,
+        region: RegionKey,
+        rng: &mut impl Rng,
+    ) -> Vec<SocketAddr> {
+        let pool = &self.regions[usize::from(region)].pool;
+        let first = first.and_then(|key| {
+            let data_centre = &self.data_centres[usize::from(key)];
+            data_centre.pool.pick(&self.members, rng)
+        });
+        let mut taken = Vec::with_capacity(MAX_INSTANCES);
+        taken.extend(first.or_else(|| pool.pick(&self.members, rng)));
+        while taken.len() < MAX_INSTANCES {
+            let Some(member) = pool.draw_other(&self.members, &taken, rng) else {
+                break;
+            };
+            taken.push(member);
+        }
+        if let Some(first) = taken.first() {
+            let answering = self.members.len() as u64;
+            let member = &mut self.members[*first as usize];
+            member.milli_slots_used += self.milli_slots * answering;
+        }
+        taken
+            .iter()
+            .map(|member| self.members[*member as usize].addr)
+            .collect()
+    }
+
     fn home(&self, site: SiteKey) -> Option<DataCentreKey> {
         self.home_of_site.get(usize::from(site)).copied()
     }
@@ -170,15 +211,18 @@
     fn answer_home(
         &mut self,
         home: DataCentreKey,
-        region: RegionKey,
+        ttl: Duration,
         now: UnixTime,
         rng: &mut impl Rng,
     ) -> Answer {
+        let region = self.region_of[usize::from(home)];
+        let expires_at = now.after(jitter(ttl, rng));
         let state = &mut self.regions[usize::from(region)];
-        let expires_at = now.after(HOME_TTL);
         state.home_answers.add(0, expires_at, now);
+        let overflow = self.data_centres[usize::from(home)].overflow;
+        let is_elsewhere = rng.random_ratio(overflow.permille().into(), 1000);
         Answer {
-            instances: name(&self.data_centres[usize::from(home)], &state.pool, rng),
+            instances: self.name((!is_elsewhere).then_some(home), region, rng),
             expires_at,
             region: Some(region),
             reason: AnswerReason::Home,
@@ -192,11 +236,11 @@
         now: UnixTime,
         rng: &mut impl Rng,
     ) -> Answer {
+        let expires_at = now.after(jitter(SHIFTED_TTL, rng));
         let state = &mut self.regions[usize::from(region)];
-        let expires_at = now.after(SHIFTED_TTL);
         state.charged.add(self.milli_slots, expires_at, now);
         Answer {
-            instances: name(&Pool::default(), &state.pool, rng),
+            instances: self.name(None, region, rng),
             expires_at,
             region: Some(region),
             reason,
@@ -204,15 +248,25 @@
     }
 
     /// Returns the nearest region that has instances and room within its shift cap.
-    fn find_room(&mut self, home: RegionKey, now: UnixTime) -> Option<RegionKey> {
+    ///
+    /// A region that sends its own callers elsewhere takes only those that have no other place.
+    fn find_room(
+        &mut self,
+        home: RegionKey,
+        reason: AnswerReason,
+        now: UnixTime,
+    ) -> Option<RegionKey> {
+        let is_home_down = reason == AnswerReason::HomeDown;
         let nearest = std::mem::take(&mut self.regions[usize::from(home)].nearest);
-        let found = nearest.iter().copied().find(|region| {
-            let state = &mut self.regions[usize::from(*region)];
+        let has_room = |region: RegionKey, percent: u64| {
+            let state = &mut self.regions[usize::from(region)];
             let charged = state.charged.live(now).milli_slots + self.milli_slots;
             !state.pool.is_empty()
-                && !state.overflow.is_over()
-                && charged <= state.shift_cap.at(now)
-        });
+                && state.has_slots
+                && (is_home_down || !state.overflow.is_over())
+                && charged * 100 <= state.shift_cap.at(now) * percent
+        };
+        let found = find_nearest(&nearest, has_room);
         self.regions[usize::from(home)].nearest = nearest;
         found
     }
@@ -222,6 +276,7 @@
         self.home_of_site = sites.map(|site| site.data_centre).collect();
         let data_centres = bundle.data_centres.values();
         self.region_of = data_centres.map(|dc| dc.region).collect();
+        self.data_centres = vec![DataCentre::default(); bundle.data_centres.len()];
         self.regions
             .resize_with(bundle.regions.len(), Region::default);
         for (key, region) in bundle.regions.keys().zip(&mut self.regions) {
@@ -246,19 +301,26 @@
     }
 
     fn follow_entries(&mut self, bundle: &Bundle, entries: &[InstanceEntry], now: UnixTime) {
-        self.data_centres = vec![Pool::default(); bundle.data_centres.len()];
+        for data_centre in &mut self.data_centres {
+            data_centre.pool = Pool::default();
+        }
         for region in &mut self.regions {
             region.pool = Pool::default();
         }
+        self.members.clear();
         for entry in entries.iter().filter(|entry| entry.is_named()) {
-            let member = Member {
+            let index = MemberIndex::try_from(self.members.len()).unwrap_or(MemberIndex::MAX);
+            let weight = entry.weight();
+            self.members.push(Member {
                 addr: entry.addr,
                 data_centre: entry.data_centre,
-                weight: entry.weight(),
-            };
-            let region = self.region_of[usize::from(entry.data_centre)];
-            self.data_centres[usize::from(entry.data_centre)].push(member);
-            self.regions[usize::from(region)].pool.push(member);
+                weight,
+                milli_slots_used: u64::from(entry.load.outstanding) * 1000,
+            });
+            let data_centre = usize::from(entry.data_centre);
+            let region = usize::from(self.region_of[data_centre]);
+            self.data_centres[data_centre].pool.push(index, weight);
+            self.regions[region].pool.push(index, weight);
         }
         let answering = entries.iter().filter(|entry| entry.is_named()).count();
         for (key, region) in bundle.regions.keys().zip(&mut self.regions) {
@@ -269,6 +331,20 @@
         }
     }
 
+    fn follow_load(&mut self, bundle: &Bundle, entries: &[InstanceEntry], now: UnixTime) {
+        let named = || entries.iter().filter(|entry| entry.is_named());
+        for (key, region) in bundle.regions.keys().zip(&mut self.regions) {
+            let is_local = |e: &&InstanceEntry| bundle.data_centres[e.data_centre].region == key;
+            let (outstanding, slots) = load(named().filter(is_local));
+            region.has_slots = slots > 0;
+            region.overflow.observe(outstanding, slots, now);
+        }
+        for (key, data_centre) in bundle.data_centres.keys().zip(&mut self.data_centres) {
+            let (outstanding, slots) = load(named().filter(|e| e.data_centre == key));
+            data_centre.overflow.observe(outstanding, slots, now);
+        }
+    }
+
     /// Estimates the slots that one answer's caller occupies: all slots in use over all live
     /// answers, taking the other instances to have given as many as this one.
     fn learn_cost(&mut self, entries: &[InstanceEntry], now: UnixTime) {
@@ -288,17 +364,22 @@
     }
 }
 
-/// Names one instance of the first pool, then others of the second, in data centres apart.
-fn name(first: &Pool, then: &Pool, rng: &mut impl Rng) -> Vec<SocketAddr> {
-    let mut taken = Vec::with_capacity(MAX_INSTANCES);
-    taken.extend(first.draw(rng).or_else(|| then.draw(rng)));
-    while taken.len() < MAX_INSTANCES {
-        let Some(member) = then.draw_other(&taken, rng) else {
-            break;
-        };
-        taken.push(member);
-    }
-    taken.iter().map(|member| member.addr).collect()
+/// Returns the nearest region with room. One that is filled up to a part comes after all others.
+fn find_nearest(
+    nearest: &[RegionKey],
+    mut has_room: impl FnMut(RegionKey, u64) -> bool,
+) -> Option<RegionKey> {
+    [FIRST_FILL_PERCENT, 100].into_iter().find_map(|percent| {
+        nearest
+            .iter()
+            .copied()
+            .find(|region| has_room(*region, percent))
+    })
+}
+
+/// Shortens a time by up to a fifth at random, so that callers don't ask all at once.
+fn jitter(ttl: Duration, rng: &mut impl Rng) -> Duration {
+    ttl * rng.random_range(JITTER_MIN_PERCENT..=100) / 100
 }
 
 fn refusal(now: UnixTime) -> Answer {
--- a/crates/apricotlug-policy/src/placement/engine.rs
+++ b/crates/apricotlug-policy/src/placement/engine.rs
@@ -95,7 +95,9 @@
     pub fn update(&mut self, old: &Bundle, new: &Bundle, now: MonoTime) {
         self.bundle_version = new.version;
         self.follow_home(old, new);
+        let known = self.states.len();
         self.bring_in_endpoints(Some(old), new, now);
+        self.open_new_endpoints(new, known, now);
         self.apply_shares(new, now.after(BUNDLE_SETTLE_TIME), now);
     }
 
@@ -135,6 +137,25 @@
         }
     }
 
+    /// Returns the endpoints whose ejection has ended. Probes bring them back without requests.
+    #[must_use]
+    pub fn due_probes(&self, now: MonoTime) -> Vec<EndpointKey> {
+        let states = self.state_of.iter().map(|i| &self.states[*i as usize]);
+        let due = states.filter(|state| state.is_probe_due(now) && !state.is_leaving());
+        due.map(|state| state.key).collect()
+    }
+
+    /// Takes in the outcome of a probe that occupied no slot.
+    pub fn settle_probe(&mut self, endpoint: EndpointKey, outcome: Outcome, now: MonoTime) {
+        let Some(&index) = self.state_of.get(usize::from(endpoint)) else {
+            return;
+        };
+        let fault = self.states[index as usize].settle_probe(outcome, now);
+        if let Some(fault) = fault {
+            self.eject(index, fault, now);
+        }
+    }
+
     /// Takes in an endpoint's word on its own state.
     ///
     /// A wish to drain counts until a later report takes it back. Health counts while own
@@ -258,6 +279,18 @@
         index
     }
 
+    /// Opens the share of endpoints that no instance has used before. States from `known` on are
+    /// theirs.
+    fn open_new_endpoints(&mut self, bundle: &Bundle, known: usize, now: MonoTime) {
+        if self.states.len() == known {
+            return;
+        }
+        let shares = SlotShares::split(bundle, &self.holders, &self.own);
+        for state in &mut self.states[known..] {
+            state.limit.set(shares.slots(state.key), now, now);
+        }
+    }
+
     fn apply_shares(&mut self, bundle: &Bundle, usable_at: MonoTime, now: MonoTime) {
         let shares = SlotShares::split(bundle, &self.holders, &self.own);
         for (key, index) in bundle.endpoints.keys().zip(&self.state_of) {
--- a/crates/apricotlug-policy/src/placement/health.rs
+++ b/crates/apricotlug-policy/src/placement/health.rs
@@ -17,8 +17,10 @@
 const UNHEALTHY_REPORT_PENALTY: f32 = 3.0;
 /// Failure average from which an endpoint may be ejected.
 const EJECT_FAILURE_RATE: f32 = 0.5;
-/// Failures in a row from which an endpoint may be ejected.
-const EJECT_FAILURES_IN_ROW: u8 = 3;
+/// Failures in a row from which an endpoint that answers may be ejected.
+const EJECT_ERRORS_IN_ROW: u8 = 3;
+/// Failures in a row from which an endpoint that doesn't answer may be ejected.
+const EJECT_UNREACHABLE_IN_ROW: u8 = 2;
 /// First ejection's duration; each further one takes twice as long.
 const EJECT_BASE: Duration = Duration::from_secs(1);
 /// Longest ejection.
@@ -118,6 +120,11 @@
         self.fault
     }
 
+    /// Tells whether own outcomes don't speak against the endpoint, ejected or not.
+    pub(super) fn is_well(&self, now: MonoTime) -> bool {
+        self.fault.is_none() && self.failure_rate * self.aging(now) < EJECT_FAILURE_RATE
+    }
+
     /// Returns the end of the present ejection.
     pub(super) fn ejected_until(&self) -> MonoTime {
         self.ejected_until
@@ -148,8 +155,8 @@
             true => self.latency_us * age,
             false => typical_us,
         };
-        let share = f32::from(self.open_slots(now).max(1));
-        let load = f32::from(self.outstanding + 1) / share;
+        let share = f32::from(self.limit.at(now).max(1));
+        let load = 1.0 + f32::from(self.outstanding) / share;
         let failure = 1.0 + FAILURE_PENALTY * self.failure_rate * age;
         latency * load * failure * self.report_factor(now)
     }
@@ -157,6 +164,35 @@
     /// Takes in how a request ended. Returns whether the endpoint now ought to be ejected.
     pub(super) fn settle(&mut self, outcome: Outcome, now: MonoTime) -> Option<Fault> {
         self.outstanding = self.outstanding.saturating_sub(1);
+        self.learn(outcome, now)
+    }
+
+    /// Takes in the outcome of a probe. An answer proves that an unreachable endpoint can be
+    /// reached again, not that one with errors serves requests.
+    pub(super) fn settle_probe(&mut self, outcome: Outcome, now: MonoTime) -> Option<Fault> {
+        match (outcome, self.fault) {
+            (
+                Outcome::Answered {
+                    server_error: false,
+                    ..
+                },
+                Some(Fault::Unreachable),
+            ) => {
+                self.recover(now);
+                None
+            }
+            (
+                Outcome::Answered {
+                    server_error: false,
+                    ..
+                },
+                _,
+            ) => None,
+            _ => self.learn(outcome, now),
+        }
+    }
+
+    fn learn(&mut self, outcome: Outcome, now: MonoTime) -> Option<Fault> {
         match outcome {
             Outcome::Answered {
                 latency,
@@ -217,20 +253,30 @@
         self.failure_rate *= self.aging(now) * (1.0 - SAMPLE_WEIGHT);
         self.failures_in_row = 0;
         self.sampled_at = now;
-        if self.fault.take().is_some() {
-            self.failure_rate = 0.0;
-            self.cold_since = Some(now);
+        if self.fault.is_some() {
+            self.recover(now);
         }
     }
 
+    fn recover(&mut self, now: MonoTime) {
+        self.fault = None;
+        self.failure_rate = 0.0;
+        self.failures_in_row = 0;
+        self.cold_since = Some(now);
+    }
+
     fn fail(&mut self, fault: Fault, now: MonoTime) -> Option<Fault> {
         let rate = self.failure_rate * self.aging(now);
         self.latency_us *= self.aging(now);
         self.failure_rate = rate + SAMPLE_WEIGHT * (1.0 - rate);
         self.failures_in_row = self.failures_in_row.saturating_add(1);
         self.sampled_at = now;
+        let limit = match fault {
+            Fault::Errors => EJECT_ERRORS_IN_ROW,
+            Fault::Unreachable => EJECT_UNREACHABLE_IN_ROW,
+        };
         let is_bad = self.fault.is_some()
-            || self.failures_in_row >= EJECT_FAILURES_IN_ROW
+            || self.failures_in_row >= limit
             || self.failure_rate >= EJECT_FAILURE_RATE;
         let is_known = self.fault.is_some() && self.ejected_until > now;
         (is_bad && !is_known).then_some(fault)
--- a/crates/apricotlug-policy/tests/support/fleet.rs
+++ b/crates/apricotlug-policy/tests/support/fleet.rs
@@ -34,6 +34,7 @@
     Report(Report),
     Allotments(Allotments),
     Transfer(Transfer),
+    Acknowledgement(Transfer),
 }
 
 struct Envelope {
@@ -46,6 +47,7 @@
     pub id: InstanceId,
     pub data_centre: usize,
     pub budgets: Budgets,
+    pub bundle: Bundle,
     pub is_alive: bool,
     pub paused_until: u64,
     started: u64,
@@ -203,6 +205,7 @@
         self.instances.push(Instance {
             budgets: Budgets::new(id.clone(), &self.bundle, MonoTime(0)),
             id,
+            bundle: self.bundle.clone(),
             data_centre,
             is_alive: true,
             paused_until: 0,
@@ -274,7 +277,13 @@
                     instance.budgets.install(&allotments, now);
                 }
                 Message::Transfer(transfer) => {
-                    instance.budgets.receive(&transfer, now);
+                    if instance.budgets.receive(&transfer, now).is_acknowledged() {
+                        let to = transfer.id.from.clone();
+                        self.send(&to, &Message::Acknowledgement(transfer));
+                    }
+                }
+                Message::Acknowledgement(transfer) => {
+                    instance.budgets.acknowledge(&transfer, now.mono);
                 }
             }
         }
@@ -334,7 +343,7 @@
         let next = step_shares(
             shares.as_ref(),
             &name,
-            &self.bundle,
+            &self.instances[writer].bundle,
             seats.as_ref(),
             &reports,
             self.terms,
@@ -397,14 +406,16 @@
         self.late.push(LateWrite { at, shares, seats });
     }
 
-    /// Lets an instance give a part to another one.
-    pub fn pass(&mut self, from: usize, to: usize, account: AccountKey, part: Part) {
+    /// Lets an instance give tokens to another one and returns how many.
+    pub fn pass(&mut self, from: usize, to: usize, account: AccountKey, tokens: u64) -> u64 {
         let now = self.instances[from].now(self.time);
         let to = self.instances[to].id.clone();
-        let transfer = self.instances[from].budgets.give(account, &to, part, now);
+        let transfer = self.instances[from].budgets.give(account, &to, tokens, now);
+        let given = transfer.as_ref().map_or(0, |transfer| transfer.tokens);
         if let Some(transfer) = transfer {
             self.send(&to, &Message::Transfer(transfer));
         }
+        given
     }
 
     /// Returns what all live processes may spend of an account, paused ones included.
@@ -416,10 +427,11 @@
             .sum()
     }
 
-    /// Lets all running instances take over a bundle.
+    /// Lets an instance take over a bundle.
     pub fn install_bundle(&mut self, i: usize, bundle: &Bundle) {
         let now = self.instances[i].now(self.time);
         self.instances[i].budgets.set_bundle(bundle, now.mono);
+        self.instances[i].bundle = bundle.clone();
     }
 }
 
