--- a/crates/apricotlug-edge/src/board.rs
+++ b/crates/apricotlug-edge/src/board.rs
@@ -2,18 +2,22 @@
 //! says about the version.
 
 use std::{
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use apricotlug_model::{
-    Bundle, EndpointKey, HashMap, InstanceId, MonoTime, Move, ServiceKey, UnixTime, VersionKey,
+    Bundle, EndpointKey, HashMap, InstanceId, MonoTime, Move, RouteKey, ServiceKey, UnixTime,
+    VersionKey,
 };
 use apricotlug_policy::moves::{
-    ActiveMove, Guard, MoveId, MoveRecord, Report, Sample, Side, Totals, pick_version, share,
+    ActiveMove, LocalMove, MoveId, MoveRecord, Report, Sample, Side, Summary, pick_version,
 };
 use rand::Rng;
 
+/// Share of all traffic, in thousandths.
+const WHOLE: u16 = 1_000;
+
 /// Answers of an endpoint during which it counts as cold.
 const COLD_ANSWERS: u32 = 20;
 
@@ -69,36 +73,10 @@
     pub has_cut: bool,
 }
 
-#[derive(Debug)]
-struct Followed {
-    id: MoveId,
-    service: ServiceKey,
-    to: VersionKey,
-    cfg: Move,
-    record: Option<MoveRecord>,
-    guard: Guard,
-    totals: Totals,
-    sequence: u64,
-}
-
-impl Followed {
-    fn share(&self, now: MonoTime, unix: UnixTime) -> u16 {
-        share(&self.cfg, self.record.as_ref(), self.guard.limit(now), unix)
-    }
-
-    fn report(&self, own: &InstanceId) -> Report {
-        Report {
-            instance: own.clone(),
-            sequence: self.sequence,
-            has_cut: self.guard.has_cut(),
-            totals: self.totals.clone(),
-        }
-    }
-}
-
 #[derive(Debug, Default)]
 struct State {
-    moves: Vec<Followed>,
+    bundle: Option<Arc<Bundle>>,
+    moves: Vec<LocalMove>,
     answers: HashMap<EndpointKey, u32>,
 }
 
@@ -112,42 +90,20 @@
     }
 
     /// Follows a change of the bundle. Moves that stay keep their records and their evidence.
-    pub fn set_bundle(&self, bundle: &Bundle) {
+    pub fn set_bundle(&self, bundle: &Arc<Bundle>, own: &InstanceId) {
         let mut state = self.lock();
         state.answers.clear();
-        let mut former = std::mem::take(&mut state.moves);
-        for (to, version) in bundle.versions.iter() {
-            let Some(cfg) = &version.incoming else {
-                continue;
-            };
-            let id = MoveId {
-                service: bundle.services[version.service].id.clone(),
-                version: version.id.clone(),
-                deadline: cfg.deadline,
-            };
-            let kept = former
-                .iter()
-                .position(|it| it.id == id)
-                .map(|i| former.swap_remove(i));
-            let (service, cfg) = (version.service, cfg.clone());
-            state.moves.push(match kept {
-                Some(kept) => Followed {
-                    service,
-                    to,
-                    cfg,
-                    ..kept
-                },
-                None => Followed {
-                    id,
-                    service,
-                    to,
-                    cfg,
-                    record: None,
-                    guard: Guard::default(),
-                    totals: Totals::new(),
-                    sequence: 0,
-                },
-            });
+        let former = std::mem::take(&mut state.moves);
+        let old = state.bundle.replace(Arc::clone(bundle));
+        if let Some(old) = old {
+            let kept = former.into_iter().filter_map(|it| it.follow(&old, bundle));
+            state.moves = kept.collect();
+        }
+        for to in bundle.versions.keys() {
+            let is_followed = state.moves.iter().any(|it| it.to() == to);
+            if !is_followed {
+                state.moves.extend(LocalMove::new(bundle, to, own.clone()));
+            }
         }
     }
 
@@ -161,14 +117,11 @@
         rng: &mut impl Rng,
     ) -> Draw {
         let state = self.lock();
-        let moves = state.moves.iter().filter(|it| it.service == service);
-        let active: Vec<ActiveMove> = moves
-            .map(|it| ActiveMove {
-                from: it.cfg.from,
-                to: it.to,
-                share: it.share(now, unix),
-            })
-            .collect();
+        let moves = state
+            .moves
+            .iter()
+            .filter(|it| service_of(bundle, it) == Some(service));
+        let active: Vec<ActiveMove> = moves.map(|it| it.active(now, unix)).collect();
         let none = Draw {
             version: None,
             fallback: None,
@@ -189,7 +142,7 @@
         };
         let is_moved = active
             .iter()
-            .any(|it| it.to == version && it.share >= 1_000);
+            .any(|it| it.to == version && it.share >= WHOLE);
         let fallback = if is_moved { version } else { from };
         Draw {
             version: Some(version),
@@ -200,88 +153,113 @@
     }
 
     /// Takes in how a request ended that went to its drawn version at the first attempt.
-    pub fn settle(&self, draw: &Draw, route: &str, ended: Ended, own: &InstanceId, now: MonoTime) {
+    pub fn settle(
+        &self,
+        bundle: &Bundle,
+        draw: &Draw,
+        route: RouteKey,
+        ended: Ended,
+        now: MonoTime,
+    ) {
         let Some((side, share)) = draw.drawn else {
             return;
         };
         let mut state = self.lock();
+        if state
+            .bundle
+            .as_ref()
+            .is_none_or(|known| known.version != bundle.version)
+        {
+            return;
+        }
         let answers = state.answers.entry(ended.endpoint).or_default();
         *answers = answers.saturating_add(1);
         let is_cold = *answers <= COLD_ANSWERS;
-        let Some(it) = state.moves.iter_mut().find(|it| it.service == draw.service) else {
-            return;
-        };
+        let it = state
+            .moves
+            .iter_mut()
+            .find(|it| service_of(bundle, it) == Some(draw.service));
+        let Some(it) = it else { return };
         let sample = Sample {
             is_error: ended.is_error,
             is_cold,
             latency: ended.latency,
         };
-        it.totals
-            .entry(route.to_owned())
-            .or_default()
-            .record(side, share, sample);
-        it.sequence += 1;
-        if side == Side::New {
-            let report = it.report(own);
-            if it.guard.observe_own(&report, now) {
-                tracing::info!(
-                    kind = "move_cut",
-                    service = it.id.service,
-                    version = it.id.version
-                );
-            }
+        it.count(route, side, share, sample);
+        // Errors of the new version are judged at once, all else with the next report.
+        if side == Side::New && ended.is_error {
+            it.look_at_own(bundle, now);
         }
     }
 
     /// Takes in a record that arrived from a peer or from the platform. Older ones change nothing.
     pub fn set_record(&self, record: MoveRecord) {
         let mut state = self.lock();
-        let Some(it) = state.moves.iter_mut().find(|it| it.id == record.id) else {
-            return;
-        };
-        if it
-            .record
-            .as_ref()
-            .is_none_or(|known| known.is_replaced_by(&record))
+        let line = (
+            record.id.clone(),
+            record.state,
+            record.stage,
+            record.sequence,
+        );
+        if state
+            .moves
+            .iter_mut()
+            .any(|it| it.hear_record(record.clone()))
         {
-            tracing::info!(
-                kind = "move",
-                service = record.id.service,
-                version = record.id.version,
-                state = ?record.state,
-                stage = record.stage,
-                sequence = record.sequence,
-            );
-            it.record = Some(record);
+            let (id, state, stage, sequence) = line;
+            let (service, version) = (id.service, id.version);
+            tracing::info!(kind = "move", service, version, ?state, stage, sequence);
+        }
+    }
+
+    /// Takes in the report of another instance.
+    pub fn hear_report(&self, id: &MoveId, report: Report, now: MonoTime) {
+        let mut state = self.lock();
+        if let Some(it) = state.moves.iter_mut().find(|it| it.id() == id) {
+            it.hear_report(report, now);
         }
     }
 
     /// Judges what was counted here, and returns a report for each move.
-    pub fn reports(&self, own: &InstanceId, now: MonoTime) -> Vec<(MoveId, Report)> {
+    pub fn reports(&self, now: MonoTime) -> Vec<(MoveId, Report)> {
         let mut state = self.lock();
+        let Some(bundle) = state.bundle.clone() else {
+            return Vec::new();
+        };
         let moves = state.moves.iter_mut();
         moves
-            .map(|it| {
-                let report = it.report(own);
-                it.guard.observe_own(&report, now);
-                (it.id.clone(), it.report(own))
-            })
+            .map(|it| (it.id().clone(), it.look_at_own(&bundle, now)))
             .collect()
     }
 
+    /// Judges a move by the reports of all instances.
+    pub fn judge_all(&self, id: &MoveId, alive: u16, now: MonoTime) -> Option<Summary> {
+        let mut state = self.lock();
+        let it = state.moves.iter_mut().find(|it| it.id() == id)?;
+        it.look_at_all(now);
+        Some(it.summary(alive, now))
+    }
+
     /// Returns the moves as this instance sees them.
-    pub fn views(&self, bundle: &Bundle, now: MonoTime, unix: UnixTime) -> Vec<MoveView> {
+    pub fn views(&self, now: MonoTime, unix: UnixTime) -> Vec<MoveView> {
         let state = self.lock();
+        let Some(bundle) = &state.bundle else {
+            return Vec::new();
+        };
         let moves = state.moves.iter();
         moves
             .map(|it| MoveView {
-                id: it.id.clone(),
-                from: bundle.versions[it.cfg.from].id.clone(),
-                cfg: it.cfg.clone(),
-                record: it.record.clone(),
-                share: it.share(now, unix),
-                has_cut: it.guard.has_cut(),
+                id: it.id().clone(),
+                from: bundle.versions[it.cfg().from].id.clone(),
+                cfg: it.cfg().clone(),
+                record: it.record().cloned(),
+                share: it.active(now, unix).share,
+                has_cut: it.guard().has_cut(),
             })
             .collect()
     }
 }
+
+fn service_of(bundle: &Bundle, it: &LocalMove) -> Option<ServiceKey> {
+    bundle.versions.get(it.to()).map(|version| version.service)
+}
--- a/crates/apricotlug-edge/src/run.rs
+++ b/crates/apricotlug-edge/src/run.rs
@@ -184,10 +184,8 @@
     ended: Ended,
 ) {
     if tried.attempts == 1 {
-        let route = &bundle.routes[route].id;
-        shared
-            .board
-            .settle(draw, route, ended, &shared.identity, shared.clock.now());
+        let now = shared.clock.now();
+        shared.board.settle(bundle, draw, route, ended, now);
     }
 }
 
--- a/crates/apricotlug-edge/src/shared.rs
+++ b/crates/apricotlug-edge/src/shared.rs
@@ -109,7 +109,7 @@
         self.gate
             .set_bundle(old.as_deref(), &bundle, home, now, |placement| {
                 self.holders.apply(&self.identity, &bundle, placement, now);
-                self.board.set_bundle(&bundle);
+                self.board.set_bundle(&bundle, &self.identity);
                 self.view.install(Arc::clone(&bundle));
             });
         let wanted = |addr: SocketAddr| bundle.endpoints.values().any(|e| e.addr == addr);
--- a/crates/apricotlug-node/examples/control_cost/budgets.rs
+++ b/crates/apricotlug-node/examples/control_cost/budgets.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     mean_us,
-    messages::SeatMessage,
+    messages::Message,
     text::{self, DATA_CENTRES, FULL, Sizes},
 };
 
@@ -70,8 +70,8 @@
     println!(
         "{:8} | {share_us:13.0}  {share_bytes:10} | {seat_us:12.0}  {seat_bytes:10} | {:12} | {:16}",
         bundle.accounts.keys().count(),
-        SeatMessage::Report(reports[0].clone()).encode().len(),
-        SeatMessage::Allotments(granted).encode().len(),
+        Message::Report(reports[0].clone()).encode().len(),
+        Message::Allotments(granted).encode().len(),
     );
     Ok(())
 }
--- a/crates/apricotlug-node/src/moves.rs
+++ b/crates/apricotlug-node/src/moves.rs
@@ -1,79 +1,26 @@
 //! Advances version moves: every instance reports what it counted, the leader of moves decides by
 //! all reports and writes the record, and everybody follows the record.
 
-use std::{
-    collections::BTreeMap,
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use apricotlug_edge::{MoveView, Shared};
-use apricotlug_model::{InstanceId, MonoTime, UnixTime};
+use apricotlug_model::UnixTime;
 use apricotlug_peer::{NamedRecord, PeerHandle, State};
 use apricotlug_platform::{Client, Entry, Error, Leadership, Swap};
-use apricotlug_policy::moves::{
-    Evidence, Guard, MoveId, MoveRecord, MoveRecordWire, Report, Summary, advance,
-};
+use apricotlug_policy::moves::{MoveId, MoveRecord, MoveRecordWire, MoveState, advance};
 use async_std::task;
 
+use crate::messages::{self, Message};
+
 /// Pause between two steps.
 const PERIOD: Duration = Duration::from_millis(500);
 
-/// Time after which an instance counts as not reporting.
-const REPORT_LIFE: Duration = Duration::from_secs(5);
-
 /// Lease of the leadership of moves.
 const LEADERSHIP: Duration = Duration::from_secs(5);
 
 /// Name of the leadership of moves.
 const LEADER_NAME: &str = "moves";
 
-/// Reports of all instances on one move, and the guard that judges them.
-#[derive(Debug, Default)]
-struct Collected {
-    evidence: Evidence,
-    heard: BTreeMap<InstanceId, MonoTime>,
-    guard: Guard,
-}
-
-/// Reports that this instance has received.
-#[derive(Debug, Default)]
-pub struct MoveReports(Mutex<BTreeMap<MoveId, Collected>>);
-
-impl MoveReports {
-    /// Takes a report in.
-    pub fn put(&self, id: MoveId, report: Report, now: MonoTime) {
-        let mut moves = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let collected = moves.entry(id).or_default();
-        collected
-            .heard
-            .insert(report.instance.clone(), now.after(REPORT_LIFE));
-        collected.evidence.merge(report);
-    }
-
-    fn summary(&self, id: &MoveId, alive: u16, now: MonoTime) -> Summary {
-        let mut moves = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let collected = moves.entry(id.clone()).or_default();
-        let is_faulty = collected.guard.observe_fleet(&collected.evidence, now);
-        let reporting = collected
-            .heard
-            .values()
-            .filter(|until| !until.is_past(now))
-            .count();
-        Summary {
-            is_faulty,
-            is_suspect: collected.guard.is_suspect(now),
-            reporting: u16::try_from(reporting).unwrap_or(u16::MAX),
-            alive,
-        }
-    }
-
-    fn retain(&self, views: &[MoveView]) {
-        let mut moves = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        moves.retain(|id, _| views.iter().any(|view| view.id == *id));
-    }
-}
-
 /// Keeps the moves going.
 #[derive(Clone, Debug)]
 pub struct MoveKeeper {
@@ -83,8 +30,6 @@
     pub peers: PeerHandle,
     /// Client of the platform.
     pub client: Client,
-    /// Reports received.
-    pub reports: Arc<MoveReports>,
 }
 
 /// Why a step on a move failed.
@@ -109,7 +54,6 @@
             task::sleep(PERIOD).await;
             self.follow_records();
             let views = self.views();
-            self.reports.retain(&views);
             if views.is_empty() {
                 continue;
             }
@@ -123,11 +67,8 @@
     /// Returns the moves as this instance sees them.
     #[must_use]
     pub fn views(&self) -> Vec<MoveView> {
-        let Some(bundle) = self.shared.view.load().bundle.clone() else {
-            return Vec::new();
-        };
         let (now, unix) = (self.shared.clock.now(), self.shared.clock.unix());
-        self.shared.board.views(&bundle, now, unix)
+        self.shared.board.views(now, unix)
     }
 
     fn follow_records(&self) {
@@ -147,19 +88,16 @@
     async fn report(&self) -> bool {
         let now = self.shared.clock.now();
         let own = &self.shared.identity;
-        let reports = self.shared.board.reports(own, now);
+        let reports = self.shared.board.reports(now);
         let members = self.peers.members();
         let live = members.iter().filter(|member| member.state == State::Ready);
         let leader = live.map(|member| &member.record.id).min();
         let Some(leader) = leader.filter(|leader| *leader < own) else {
-            reports
-                .into_iter()
-                .for_each(|(id, report)| self.reports.put(id, report, now));
             return true;
         };
         for (id, report) in reports {
-            let message = crate::messages::Message::Evidence(id, report);
-            crate::messages::send(&self.shared, &self.peers, leader, &message).await;
+            let message = Message::Evidence(id, report);
+            messages::send(&self.shared, &self.peers, leader, &message).await;
         }
         false
     }
@@ -187,9 +125,10 @@
             {
                 continue;
             }
-            let summary = self
-                .reports
-                .summary(&view.id, alive, self.shared.clock.now());
+            let now = self.shared.clock.now();
+            let Some(summary) = self.shared.board.judge_all(&view.id, alive, now) else {
+                continue;
+            };
             let unix = self.shared.clock.unix();
             let Some(record) = &view.record else {
                 self.begin(view, fencing, unix).await?;
@@ -271,11 +210,7 @@
     ///
     /// # Errors
     /// Returns an error where the platform cannot be asked or another writer was first.
-    pub async fn change(
-        &self,
-        id: &MoveId,
-        state: apricotlug_policy::moves::MoveState,
-    ) -> Result<bool, MoveError> {
+    pub async fn change(&self, id: &MoveId, state: MoveState) -> Result<bool, MoveError> {
         let Some(entry) = self.read(id).await? else {
             return Ok(false);
         };
--- a/crates/apricotlug-node/src/node.rs
+++ b/crates/apricotlug-node/src/node.rs
@@ -18,7 +18,7 @@
     fleet,
     keeper::SeatKeeper,
     lookups::{self, LookupPages, Lookups},
-    moves::{MoveKeeper, MoveReports},
+    moves::MoveKeeper,
     pages::{self, AdminPages},
     peers::{Inbound, Outbound},
     seats::Reports,
@@ -92,11 +92,9 @@
             seed: seed.rotate_left(2),
             ..ClientConfig::default()
         });
-        let move_reports = Arc::new(MoveReports::default());
         let inbound = Inbound {
             shared: Arc::clone(&shared),
             reports: Arc::clone(&reports),
-            move_reports: Arc::clone(&move_reports),
         };
         let peers = start_peers(&settings, &shared, inbound, addrs)?;
         let addrs = Addrs {
@@ -124,7 +122,6 @@
             shared: Arc::clone(&shared),
             peers: peers.clone(),
             client: client.clone(),
-            reports: move_reports,
         };
         let pages = LookupPages {
             shared: Arc::clone(&shared),
--- a/crates/apricotlug-node/src/peers.rs
+++ b/crates/apricotlug-node/src/peers.rs
@@ -9,7 +9,6 @@
 
 use crate::{
     messages::Message,
-    moves::MoveReports,
     seats::{self, Reports},
 };
 
@@ -23,8 +22,6 @@
     pub shared: Arc<Shared>,
     /// Reports that this instance collects as a delegate.
     pub reports: Arc<Reports>,
-    /// Reports on version moves that this instance collects as their leader.
-    pub move_reports: Arc<MoveReports>,
 }
 
 impl PeerHandler for Inbound {
@@ -35,7 +32,8 @@
             }
             Some(Message::Allotments(granted)) => seats::install(&self.shared, &granted),
             Some(Message::Evidence(id, report)) => {
-                self.move_reports.put(id, report, self.shared.clock.now());
+                let now = self.shared.clock.now();
+                self.shared.board.hear_report(&id, report, now);
             }
             None => tracing::warn!("a peer sent a malformed message"),
         }
--- a/crates/apricotlug-policy/src/moves/local.rs
+++ b/crates/apricotlug-policy/src/moves/local.rs
@@ -54,12 +54,42 @@
         })
     }
 
+    /// Carries the state over to another bundle, or returns `None` where that has no such move.
+    #[must_use]
+    pub fn follow(self, old: &Bundle, new: &Bundle) -> Option<Self> {
+        let (to, version) = new.versions.iter().find(|(_, version)| {
+            version.id == self.id.version
+                && new.services[version.service].id == self.id.service
+                && version
+                    .incoming
+                    .as_ref()
+                    .is_some_and(|cfg| cfg.deadline == self.id.deadline)
+        })?;
+        let cfg = version.incoming.clone()?;
+        let pairs = self.pairs.into_iter().filter_map(|(route, pair)| {
+            let id = &old.routes[route].id;
+            Some((new.routes.find(|route| route.id == *id)?, pair))
+        });
+        Some(Self {
+            to,
+            cfg,
+            pairs: pairs.collect(),
+            ..self
+        })
+    }
+
     /// Returns the identity of the move.
     #[must_use]
     pub fn id(&self) -> &MoveId {
         &self.id
     }
 
+    /// Returns the version that the move brings in.
+    #[must_use]
+    pub fn to(&self) -> VersionKey {
+        self.to
+    }
+
     /// Returns the move as the bundle describes it.
     #[must_use]
     pub fn cfg(&self) -> &Move {
