Look-ups take load on any scale; placement that starts without a share

Cause: loads on a scale of thousandths were taken for slots, so that one shifted answer was charged a hundred times too much and hardly any caller found room; a process that starts beside others began with every slot. Change: slots in use follow from the region's slots and the reported part; `without_share`. Measured: the charge of an answer is the same at scales 1 and 100 (test).

--- a/crates/apricotlug-policy/src/lookup/directory.rs
+++ b/crates/apricotlug-policy/src/lookup/directory.rs
@@ -91,13 +91,33 @@
 struct Region {
     pool: Pool,
     nearest: Vec<RegionKey>,
-    has_slots: bool,
+    /// Slots of the region's endpoints.
+    slots: u64,
+    /// Load of the region's instances, on whatever scale they report.
+    outstanding: u64,
+    /// Slots of the region's instances, on the same scale.
+    reported_slots: u64,
     shift_cap: DelayedLimit<u64, UnixTime>,
     charged: ChargeRing,
     home_answers: ChargeRing,
     overflow: Overflow,
 }
 
+impl Region {
+    /// Tells whether any instance has a usable slot.
+    fn has_slots(&self) -> bool {
+        self.reported_slots > 0
+    }
+
+    /// Converts load as reported to thousandths of the region's slots.
+    fn milli_slots_of(&self, outstanding: u64) -> u64 {
+        match self.reported_slots {
+            0 => 0,
+            reported => self.slots * 1000 * outstanding / reported,
+        }
+    }
+}
+
 impl Directory {
     /// Returns a directory without instances. Since an earlier run of this instance may have given
     /// answers that still live, shifted answers begin some seconds after the first update.
@@ -126,9 +146,9 @@
             self.keep_charges(old, new);
             self.follow_bundle(new);
         }
-        self.follow_entries(new, entries, now);
-        self.learn_cost(entries, now);
         self.follow_load(new, entries, now);
+        self.follow_entries(new, entries, now);
+        self.learn_cost(now);
     }
 
     /// Answers a look-up.
@@ -144,7 +164,7 @@
         let region = self.region_of[usize::from(home)];
         let state = &mut self.regions[usize::from(region)];
         let reason = match state.overflow.permille() {
-            _ if state.pool.is_empty() || !state.has_slots => AnswerReason::HomeDown,
+            _ if state.pool.is_empty() || !state.has_slots() => AnswerReason::HomeDown,
             0 => AnswerReason::Home,
             permille if !rng.random_ratio(permille.into(), 1000) => AnswerReason::Home,
             _ => AnswerReason::HomeOver,
@@ -281,7 +301,7 @@
             let state = &mut self.regions[usize::from(region)];
             let charged = state.charged.live(now).milli_slots + self.milli_slots;
             !state.pool.is_empty()
-                && state.has_slots
+                && state.has_slots()
                 && (is_home_down || !state.overflow.is_over())
                 && charged * 100 <= state.shift_cap.at(now) * percent
         };
@@ -300,6 +320,7 @@
             .resize_with(bundle.regions.len(), Region::default);
         for (key, region) in bundle.regions.keys().zip(&mut self.regions) {
             region.nearest = nearest(bundle, key);
+            region.slots = slots(bundle, key);
         }
     }
 
@@ -330,20 +351,23 @@
         for entry in entries.iter().filter(|entry| entry.is_named()) {
             let index = MemberIndex::try_from(self.members.len()).unwrap_or(MemberIndex::MAX);
             let weight = entry.weight();
+            let region = self.region_of[usize::from(entry.data_centre)];
+            let region = &mut self.regions[usize::from(region)];
             self.members.push(Member {
                 addr: entry.addr,
                 data_centre: entry.data_centre,
                 weight,
-                milli_slots_used: u64::from(entry.load.outstanding) * 1000,
+                milli_slots_used: region.milli_slots_of(entry.load.outstanding.into()),
             });
-            let data_centre = usize::from(entry.data_centre);
-            let region = usize::from(self.region_of[data_centre]);
-            self.data_centres[data_centre].pool.push(index, weight);
-            self.regions[region].pool.push(index, weight);
+            self.data_centres[usize::from(entry.data_centre)]
+                .pool
+                .push(index, weight);
+            region.pool.push(index, weight);
         }
         let answering = entries.iter().filter(|entry| entry.is_named()).count();
         for (key, region) in bundle.regions.keys().zip(&mut self.regions) {
-            let part = shift_cap(bundle, key) / answering.max(1) as u64;
+            let percent = u64::from(bundle.regions[key].shift_cap_percent);
+            let part = region.slots * percent * 1000 / 100 / answering.max(1) as u64;
             region
                 .shift_cap
                 .set(part, now.after(SHIFT_SETTLE_TIME), now);
@@ -355,7 +379,8 @@
         for (key, region) in bundle.regions.keys().zip(&mut self.regions) {
             let is_local = |e: &&InstanceEntry| bundle.data_centres[e.data_centre].region == key;
             let (outstanding, slots) = load(named().filter(is_local));
-            region.has_slots = slots > 0;
+            region.outstanding = outstanding;
+            region.reported_slots = slots;
             region.overflow.observe(outstanding, slots, now);
         }
         for (key, data_centre) in bundle.data_centres.keys().zip(&mut self.data_centres) {
@@ -366,18 +391,18 @@
 
     /// Estimates the slots that one answer's caller occupies: all slots in use over all live
     /// answers, taking the other instances to have given as many as this one.
-    fn learn_cost(&mut self, entries: &[InstanceEntry], now: UnixTime) {
-        let named = entries.iter().filter(|entry| entry.is_named());
-        let (outstanding, _) = load(named.clone());
+    fn learn_cost(&mut self, now: UnixTime) {
+        let in_use = |region: &Region| region.milli_slots_of(region.outstanding);
+        let in_use: u64 = self.regions.iter().map(in_use).sum();
         let live = |region: &mut Region| {
             region.home_answers.live(now).answers + region.charged.live(now).answers
         };
         let own_answers: u64 = self.regions.iter_mut().map(live).sum();
-        let answers = own_answers * named.count() as u64;
-        if answers == 0 || outstanding == 0 {
+        let answers = own_answers * self.members.len() as u64;
+        if answers == 0 || in_use == 0 {
             return;
         }
-        let sample = (outstanding * 1000 / answers).clamp(1, MAX_MILLI_SLOTS);
+        let sample = (in_use / answers).clamp(1, MAX_MILLI_SLOTS);
         let sum = self.milli_slots * ESTIMATE_MEMORY + sample;
         self.milli_slots = sum.div_ceil(ESTIMATE_MEMORY + 1);
     }
@@ -419,11 +444,10 @@
     })
 }
 
-fn shift_cap(bundle: &Bundle, region: RegionKey) -> u64 {
+fn slots(bundle: &Bundle, region: RegionKey) -> u64 {
     let endpoints = bundle.endpoints.iter();
     let local = endpoints.filter(|(key, _)| bundle.region_of(*key) == region);
-    let slots: u64 = local.map(|(_, endpoint)| u64::from(endpoint.slots)).sum();
-    slots * u64::from(bundle.regions[region].shift_cap_percent) * 1000 / 100
+    local.map(|(_, endpoint)| u64::from(endpoint.slots)).sum()
 }
 
 fn nearest(bundle: &Bundle, from: RegionKey) -> Vec<RegionKey> {
--- a/crates/apricotlug-policy/src/lookup/entry.rs
+++ b/crates/apricotlug-policy/src/lookup/entry.rs
@@ -35,7 +35,7 @@
     Dead,
 }
 
-/// Load of an instance, in backend slots.
+/// Load of an instance, in backend slots or on any scale that all instances share.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct InstanceLoad {
     /// Slots that its requests occupy.
--- a/crates/apricotlug-policy/src/placement/engine.rs
+++ b/crates/apricotlug-policy/src/placement/engine.rs
@@ -57,14 +57,23 @@
     /// first request wherever others are.
     #[must_use]
     pub fn new(bundle: &Bundle, home: DataCentreKey, now: MonoTime) -> Self {
+        let mut placement = Self::without_share(bundle, home, now);
+        placement.holders = vec![ShareHolder {
+            id: placement.own.clone(),
+            data_centre: home,
+        }];
+        placement.apply_shares(bundle, now, now);
+        placement
+    }
+
+    /// Returns the state of an instance that holds no slot until `set_slot_share` is called. A
+    /// process that starts beside others begins with it: they may hold every slot still.
+    #[must_use]
+    pub fn without_share(bundle: &Bundle, home: DataCentreKey, now: MonoTime) -> Self {
         let own = InstanceId {
             name: String::new(),
             incarnation: 0,
         };
-        let holder = ShareHolder {
-            id: own.clone(),
-            data_centre: home,
-        };
         let mut placement = Self {
             bundle_version: bundle.version,
             states: Vec::new(),
@@ -76,7 +85,7 @@
             shifted_in_limit: DelayedLimit::default(),
             shifted_in: 0,
             home,
-            holders: vec![holder],
+            holders: Vec::new(),
             own,
             state_of: Vec::new(),
             state_by_id: HashMap::default(),
--- a/crates/apricotlug-policy/tests/lookup_answers.rs
+++ b/crates/apricotlug-policy/tests/lookup_answers.rs
@@ -215,3 +215,43 @@
         }
     }
 }
+
+#[test]
+fn the_scale_on_which_instances_report_load_does_not_matter() {
+    let charge_of_one_answer = |scale: u32| {
+        let mut bed = Bed::new(9);
+        for entry in &mut bed.entries {
+            entry.load = InstanceLoad {
+                outstanding: entry.load.outstanding * scale,
+                slots: entry.load.slots * scale,
+            };
+        }
+        for _ in 0..20 {
+            for site in 0..6 {
+                bed.lookup(site);
+            }
+            bed.pass(500);
+            bed.update();
+        }
+        bed.set_region(0, InstanceState::Dead, 0);
+        let region = bed.lookup(0).region.unwrap();
+        bed.directory.charged_milli_slots(region, bed.now)
+    };
+    let charge = charge_of_one_answer(1);
+    assert!((80..=160).contains(&charge), "{charge}");
+    assert_eq!(charge_of_one_answer(100), charge);
+}
+
+#[test]
+fn a_region_without_usable_slots_counts_as_down_but_is_named_where_no_other_has_room() {
+    let mut bed = Bed::new(9);
+    for entry in &mut bed.entries[..3] {
+        entry.load.slots = 0;
+    }
+    bed.update();
+    let answers: Vec<_> = (0..5_000).map(|_| bed.lookup(0)).collect();
+    assert_eq!(answers[0].reason, AnswerReason::HomeDown);
+    let last = answers.last().unwrap();
+    assert_eq!(last.region, Some(RegionKey(0)));
+    assert!(last.expires_at <= bed.now.after(Duration::from_secs(1)));
+}
--- a/crates/apricotlug-policy/tests/placement_rules.rs
+++ b/crates/apricotlug-policy/tests/placement_rules.rs
@@ -141,6 +141,20 @@
     assert_eq!(choice.unwrap().reason, PlaceReason::Shift);
 }
 
+#[test]
+fn an_instance_that_starts_beside_others_waits_for_its_share() {
+    let mut bed = Bed::new();
+    bed.placement = Placement::without_share(&bed.bundle, DataCentreKey(0), bed.now);
+    assert_eq!(bed.place().unwrap_err().reason, Refusal::NoEndpoint);
+    let holders = CAISSES.holders();
+    let usable_at = bed.now.after(Duration::from_secs(3));
+    bed.placement
+        .set_slot_share(&bed.bundle, &holders, &holders[0].id, usable_at, bed.now);
+    assert_eq!(bed.place().unwrap_err().reason, Refusal::Full);
+    bed.pass(3_000);
+    assert!(bed.place().is_ok());
+}
+
 #[test]
 fn an_excluded_endpoint_is_not_chosen() {
     let mut bed = Bed::new();
