Placement: removed endpoints stay known until every instance has the bundle

Cause: an endpoint removed and brought back within seconds opened its new shares at once, while instances with the first bundle still used the old ones. Change: its state is kept for the settling time; property over rolling bundles, drains and removals.

--- a/crates/apricotlug-policy/src/placement/follow.rs
+++ b/crates/apricotlug-policy/src/placement/follow.rs
@@ -29,7 +29,7 @@
         self.bundle_version = new.version;
         self.follow_home(old, new);
         let added = self.bring_in_endpoints(Some(old), new, now);
-        self.close_removed_endpoints(new);
+        self.close_removed_endpoints(new, now);
         self.open_new_endpoints(new, &added, now);
         self.apply_shares(new, now.after(BUNDLE_SETTLE_TIME), now);
         if old.versions != new.versions {
@@ -114,6 +114,7 @@
             state.region = region;
             state.version = endpoint.version.into();
             state.is_draining = endpoint.is_draining;
+            state.removed_at = None;
             self.state_of.push(index);
         }
         added
@@ -141,9 +142,9 @@
         index
     }
 
-    /// Takes the share of endpoints that left the bundle, and frees the states of those without
-    /// requests. The others wait for their tickets.
-    fn close_removed_endpoints(&mut self, bundle: &Bundle) {
+    /// Takes the share of endpoints that left the bundle, and frees their states once all tickets
+    /// are settled and no instance uses the earlier bundle any more.
+    fn close_removed_endpoints(&mut self, bundle: &Bundle, now: MonoTime) {
         let ids: HashSet<&str> = bundle.endpoints.values().map(|e| e.id.as_str()).collect();
         let (states, free_states) = (&mut self.states, &mut self.free_states);
         self.state_by_id.retain(|id, index| {
@@ -152,10 +153,12 @@
             }
             let state = &mut states[*index as usize];
             state.limit = DelayedLimit::default();
-            if state.outstanding == 0 {
+            let removed_at = *state.removed_at.get_or_insert(now);
+            let is_kept = state.outstanding > 0 || now < removed_at.after(BUNDLE_SETTLE_TIME);
+            if !is_kept {
                 free_states.push(*index);
             }
-            state.outstanding > 0
+            is_kept
         });
     }
 
--- a/crates/apricotlug-policy/src/placement/health.rs
+++ b/crates/apricotlug-policy/src/placement/health.rs
@@ -62,6 +62,8 @@
     pub(super) outstanding: u16,
     /// Whether operators drain it.
     pub(super) is_draining: bool,
+    /// Point at which it left the bundle.
+    pub(super) removed_at: Option<MonoTime>,
     latency_us: f32,
     failure_rate: f32,
     sampled_at: MonoTime,
@@ -84,6 +86,7 @@
             limit: DelayedLimit::default(),
             outstanding: 0,
             is_draining: false,
+            removed_at: None,
             latency_us: 0.0,
             failure_rate: 0.0,
             sampled_at: now,
--- a/crates/apricotlug-policy/tests/slot_shares.rs
+++ b/crates/apricotlug-policy/tests/slot_shares.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use apricotlug_model::{Bundle, EndpointKey, MonoTime, RegionKey};
+use apricotlug_model::{Bundle, BundleVersion, EndpointKey, MonoTime, RegionKey};
 use apricotlug_policy::placement::{Choice, Outcome, Placement, ShareHolder, SlotShares, Want};
 use proptest::{prelude::*, test_runner::RngSeed};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -266,3 +266,133 @@
         }
     }
 }
+
+/// Fleet whose instances install each bundle at another time.
+struct Rollout {
+    bundles: Vec<Bundle>,
+    /// Bundle of each instance, as an index, and its placement.
+    instances: Vec<(usize, Placement)>,
+    placed: Vec<(usize, Choice, String, MonoTime)>,
+    due: Vec<(MonoTime, usize, usize)>,
+    now: MonoTime,
+    rng: StdRng,
+}
+
+impl Rollout {
+    fn new(seed: u64) -> Self {
+        let bundle = CAISSES.bundle();
+        let holders = CAISSES.holders();
+        let start = MonoTime::default();
+        let instance = |holder: &ShareHolder| {
+            let mut placement = Placement::new(&bundle, holder.data_centre, start);
+            placement.set_slot_share(&bundle, &holders, &holder.id, start, start);
+            (0, placement)
+        };
+        Self {
+            instances: holders.iter().map(instance).collect(),
+            bundles: vec![bundle],
+            placed: Vec::new(),
+            due: Vec::new(),
+            now: start,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Signs off a bundle that drains, removes or brings back endpoints.
+    fn sign_off(&mut self) {
+        let first = &self.bundles[0];
+        let mut bundle = first.clone();
+        bundle.version = BundleVersion(self.bundles.len() as u64 + 1);
+        let mut endpoints: Vec<_> = first.endpoints.values().cloned().collect();
+        endpoints.retain(|_| self.rng.random_bool(0.9));
+        for endpoint in &mut endpoints {
+            endpoint.is_draining = self.rng.random_bool(0.1);
+        }
+        bundle.endpoints = endpoints.into_iter().collect();
+        self.bundles.push(bundle);
+        for instance in 0..self.instances.len() {
+            let delay = Duration::from_millis(self.rng.random_range(0..NEWS.as_millis() as u64));
+            self.due
+                .push((self.now.after(delay), instance, self.bundles.len() - 1));
+        }
+    }
+
+    fn install(&mut self) {
+        let now = self.now;
+        self.due.sort_unstable();
+        let count = self.due.iter().filter(|(at, ..)| at.is_past(now)).count();
+        for (_, i, target) in self.due.drain(..count) {
+            let (installed, placement) = &mut self.instances[i];
+            if target > *installed {
+                placement.update(&self.bundles[*installed], &self.bundles[target], now);
+                *installed = target;
+            }
+        }
+    }
+
+    fn step(&mut self) -> Result<(), TestCaseError> {
+        self.now = self
+            .now
+            .after(Duration::from_millis(self.rng.random_range(1..20)));
+        if self.rng.random_ratio(1, 150) {
+            self.sign_off();
+        }
+        self.install();
+        let now = self.now;
+        for i in (0..self.placed.len()).rev() {
+            if self.placed[i].3.is_past(now) || self.rng.random_ratio(1, 50) {
+                let (instance, choice, ..) = self.placed.swap_remove(i);
+                self.instances[instance]
+                    .1
+                    .settle(choice.ticket, Outcome::Cancelled, now);
+            }
+        }
+        for _ in 0..4 {
+            self.place()?;
+        }
+        Ok(())
+    }
+
+    fn place(&mut self) -> Result<(), TestCaseError> {
+        let i = self.rng.random_range(0..self.instances.len());
+        let service = self.rng.random_range(0..2usize).into();
+        let want = Want {
+            service,
+            version: None,
+            exclude: &[],
+        };
+        let (installed, placement) = &mut self.instances[i];
+        let bundle = &self.bundles[*installed];
+        let Ok(choice) = placement.place(bundle, &want, self.now, &mut self.rng) else {
+            return Ok(());
+        };
+        let endpoint = &bundle.endpoints[choice.endpoint];
+        prop_assert!(!endpoint.is_draining, "{} drains", endpoint.id);
+        let run_ends_at = self.now.after(RUN);
+        self.placed
+            .push((i, choice, endpoint.id.clone(), run_ends_at));
+        let count = self
+            .placed
+            .iter()
+            .filter(|(.., id, _)| *id == endpoint.id)
+            .count();
+        prop_assert!(
+            count <= usize::from(endpoint.slots),
+            "{count} at {}",
+            endpoint.id
+        );
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(config(16))]
+
+    #[test]
+    fn outstanding_stays_within_slots_while_bundles_roll_and_endpoints_drain(seed in any::<u64>()) {
+        let mut rollout = Rollout::new(seed);
+        for _ in 0..1_500 {
+            rollout.step()?;
+        }
+    }
+}
