--- a/crates/apricotlug-node/src/peers.rs
+++ b/crates/apricotlug-node/src/peers.rs
@@ -8,7 +8,7 @@
 use apricotlug_platform::{Client, Swap};
 
 use crate::{
-    messages::SeatMessage,
+    messages::Message,
     seats::{self, Reports},
 };
 
@@ -26,12 +26,16 @@
 
 impl PeerHandler for Inbound {
     fn apply_transfer(&self, transfer: Transfer) {
-        match SeatMessage::decode(&transfer.payload) {
-            Some(SeatMessage::Report(report)) => {
+        match Message::decode(&transfer.payload) {
+            Some(Message::Report(report)) => {
                 self.reports.put(report, self.shared.clock.now());
             }
-            Some(SeatMessage::Allotments(granted)) => seats::install(&self.shared, &granted),
-            None => tracing::warn!("a peer sent a malformed budget message"),
+            Some(Message::Allotments(granted)) => seats::install(&self.shared, &granted),
+            Some(Message::Evidence(id, report)) => {
+                let now = self.shared.clock.now();
+                self.shared.board.hear_report(&id, report, now);
+            }
+            None => tracing::warn!("a peer sent a malformed message"),
         }
     }
 
--- a/crates/apricotlug-policy/tests/support/fleet.rs
+++ b/crates/apricotlug-policy/tests/support/fleet.rs
@@ -25,6 +25,8 @@
     pub late_write: f64,
     pub lost_answer: f64,
     pub old_read: f64,
+    /// Whether loss, duplication and delay strike only transfers and their acknowledgements.
+    pub is_lending_only: bool,
     pub max_delay: Duration,
     pub skew: Duration,
 }
@@ -234,12 +236,18 @@
     }
 
     pub fn send(&mut self, to: &InstanceId, message: &Message) {
-        let copies = 1 + u32::from(self.rng.random_bool(self.faults.duplication));
+        let is_lending = matches!(message, Message::Transfer(_) | Message::Acknowledgement(_));
+        let faults = if self.faults.is_lending_only && !is_lending {
+            Faults::default()
+        } else {
+            self.faults
+        };
+        let copies = 1 + u32::from(self.rng.random_bool(faults.duplication));
         for _ in 0..copies {
-            if self.rng.random_bool(self.faults.loss) {
+            if self.rng.random_bool(faults.loss) {
                 continue;
             }
-            let delay = self.faults.max_delay.as_micros() as u64;
+            let delay = faults.max_delay.as_micros() as u64;
             let at = self.time + self.rng.random_range(0..=delay);
             self.mail.push(Envelope {
                 at,
@@ -277,10 +285,7 @@
                     instance.budgets.install(&allotments, now);
                 }
                 Message::Transfer(transfer) => {
-                    if instance.budgets.receive(&transfer, now).is_acknowledged() {
-                        let to = transfer.id.from.clone();
-                        self.send(&to, &Message::Acknowledgement(transfer));
-                    }
+                    instance.budgets.receive(&transfer, now);
                 }
                 Message::Acknowledgement(transfer) => {
                     instance.budgets.acknowledge(&transfer, now.mono);
@@ -418,6 +423,16 @@
         given
     }
 
+    /// Lets an instance acknowledge the transfers that it has spent, and returns how many.
+    pub fn acknowledge(&mut self, i: usize) -> u64 {
+        let spent = self.instances[i].budgets.take_spent();
+        for transfer in &spent {
+            let to = transfer.id.from.clone();
+            self.send(&to, &Message::Acknowledgement(transfer.clone()));
+        }
+        spent.len() as u64
+    }
+
     /// Returns what all live processes may spend of an account, paused ones included.
     pub fn held(&self, account: AccountKey) -> Part {
         self.instances
--- a/crates/apricotlug-standins/src/backend/server.rs
+++ b/crates/apricotlug-standins/src/backend/server.rs
@@ -95,6 +95,18 @@
         self.addr
     }
 
+    /// Returns its name.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.state.cfg.id
+    }
+
+    /// Returns the version that it runs.
+    #[must_use]
+    pub fn version(&self) -> &str {
+        &self.state.cfg.version
+    }
+
     /// Replaces the faults that it shows.
     pub fn set_faults(&self, faults: Vec<FaultRule>) {
         *lock(&self.state.faults) = faults;
