Version moves: two conditions that no test could show are gone, tests of the last counts

Cause: the check that the old version is well, and forgetting while it is not, changed no test when removed: the tolerated risk and the limit of the sums cover them. Change: both removed; tests for the help of the last counts and for a trouble that has passed.

--- a/crates/apricotlug-policy/src/moves/detector.rs
+++ b/crates/apricotlug-policy/src/moves/detector.rs
@@ -10,8 +10,8 @@
 //!
 //! At large shares bad answers tell little, since most come from the new version anyway. There the
 //! old version's last counts help: when they are conclusive, weaker evidence at the same time is
-//! enough, unless the old version is worse than it was as well. Where it has hardly any traffic
-//! left, they raise a doubt, and the guard lowers the share so that both can be compared again.
+//! enough. Where the old version has hardly any traffic left, they raise a doubt, and the guard
+//! lowers the share so that both can be compared again.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -237,8 +237,7 @@
 
     /// Returns the fault that this route shows.
     fn fault(&self, route: &str) -> Option<Fault> {
-        let is_supported =
-            |signal: &Signal| self.scores.supports(*signal) && !self.old_alone.is_suspect();
+        let is_supported = |signal: &Signal| self.scores.supports(*signal);
         let signal = self.scores.signal();
         let signal = signal.or_else(|| self.alone.signal().filter(is_supported))?;
         Some(Fault {
@@ -248,10 +247,10 @@
     }
 
     /// Returns whether the comparison with the last counts is conclusive where nothing else can
-    /// be. It starts again then, and also while the old version is in trouble itself.
+    /// be; it starts again then.
     fn take_doubt(&mut self) -> bool {
         let is_doubtful = self.alone.signal().is_some() && self.is_lone;
-        if is_doubtful || self.old_alone.is_suspect() {
+        if is_doubtful {
             self.alone = Scores::default();
         }
         is_doubtful
--- a/crates/apricotlug-policy/tests/moves_evidence.rs
+++ b/crates/apricotlug-policy/tests/moves_evidence.rs
@@ -214,6 +214,39 @@
     }
 }
 
+#[test]
+fn at_half_share_the_last_counts_help_a_small_route() {
+    for seed in 0..10 {
+        let mut traffic = Traffic::new(seed);
+        let mut guard = Guard::default();
+        let mut s = 0;
+        while !guard.has_cut() {
+            traffic.serve("a", 10, 500, |side, drawn| match side {
+                Side::New if s >= 60 && drawn < 0.5 => ERROR,
+                _ => usual(drawn),
+            });
+            guard.observe_own(&traffic.report(), at(s));
+            s += 1;
+        }
+        assert!((60..75).contains(&s), "seed {seed}: after {s} s");
+    }
+}
+
+#[test]
+fn a_passed_trouble_of_both_versions_raises_no_doubt_later() {
+    let mut traffic = Traffic::new(1);
+    let mut guard = Guard::default();
+    for s in 0..90 {
+        let share = if s < 41 { 500 } else { 1000 };
+        traffic.serve("a", 100, share, |_, drawn| match s {
+            30..40 if drawn < 0.5 => ERROR,
+            _ => usual(drawn),
+        });
+        guard.observe_own(&traffic.report(), at(s));
+        assert_eq!(guard.limit(at(s)), 1000, "at {s} s");
+    }
+}
+
 #[test]
 fn cold_endpoints_do_not_count_as_slow() {
     let found = judge(1, 100, |side, _, _, drawn| match side {
