--- /dev/null
+++ b/crates/apricotlug-edge/src/run.rs
@@ -0,0 +1,282 @@
+//! Places a request, sends it, and sends it again where that is allowed.
+
+use std::{sync::Arc, time::Duration};
+
+use apricotlug_http::Conn;
+use apricotlug_model::{Bundle, EndpointKey, MonoTime, Repeat, RouteKey};
+use apricotlug_policy::{
+    order::{AttemptState, Disposition},
+    placement::{self, NoPlace, Outcome},
+};
+
+use crate::{
+    answer::{self, Refusal},
+    attempt::{self, Answer, Failure, Target},
+    board::{Draw, Ended},
+    exchange::{Exchange, RequestBody},
+    order::unknown,
+    place::{Permit, Wanted, place},
+    shared::Shared,
+};
+
+/// Part of the time left that a first attempt may take where another could follow.
+const FIRST_ATTEMPT_PART: u32 = 2;
+
+/// Shortest time left with which another attempt is worthwhile.
+const MIN_LEFT: Duration = Duration::from_millis(20);
+
+/// Time after which a caller may try again where nothing tells a better one.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Answer whose body is still to be read, and the slot that it occupies until then.
+#[derive(Debug)]
+pub struct Obtained<'a> {
+    /// Answer.
+    pub answer: Answer,
+    /// Slot.
+    pub permit: Permit<'a>,
+    /// Attempts made.
+    pub attempts: u32,
+}
+
+/// Request that got no answer from a backend server.
+#[derive(Debug)]
+pub struct Unanswered {
+    /// What the caller is told.
+    pub refusal: Refusal,
+    /// What is known about all attempts together.
+    pub state: AttemptState,
+    /// Attempts made.
+    pub attempts: u32,
+}
+
+/// What is known about the attempts made so far.
+struct Tried {
+    state: AttemptState,
+    attempts: u32,
+    used: Vec<EndpointKey>,
+}
+
+impl Tried {
+    fn give_up(&self, refusal: Refusal) -> Unanswered {
+        Unanswered {
+            refusal,
+            state: self.state,
+            attempts: self.attempts,
+        }
+    }
+}
+
+/// Runs a request until an answer begins. `caller` is the connection that brings the rest of the
+/// body; `None` where the whole body is kept already.
+///
+/// # Errors
+/// Returns what the caller is told where no answer began.
+pub async fn obtain<'a>(
+    shared: &'a Shared,
+    bundle: &Arc<Bundle>,
+    ex: &Exchange,
+    body: &mut RequestBody,
+    mut caller: Option<&mut Conn>,
+) -> Result<Obtained<'a>, Unanswered> {
+    let mut tried = Tried {
+        state: AttemptState::NotSent,
+        attempts: 0,
+        used: Vec::new(),
+    };
+    let mut bundle = Arc::clone(bundle);
+    let mut route = ex.route;
+    let repeat = bundle.routes[route].repeat;
+    let mut draw = draw_version(shared, &bundle, route);
+    shared.gate.on_request(shared.clock.now());
+    loop {
+        let version = if tried.attempts == 0 {
+            draw.version
+        } else {
+            draw.fallback
+        };
+        let wanted = Wanted {
+            bundle: &bundle,
+            route: &bundle.routes[route],
+            version,
+        };
+        let mut permit = match place(shared, wanted, ex, &tried.used).await {
+            Ok(permit) => permit,
+            Err(no_place) if no_place.reason == placement::Refusal::OtherBundle => {
+                let rerouted = reroute(shared, ex);
+                let refusal = || tried.give_up(no_place_refusal(shared, &tried, no_place));
+                (bundle, route) = rerouted.ok_or_else(refusal)?;
+                tried.used.clear();
+                draw = draw_version(shared, &bundle, route);
+                continue;
+            }
+            Err(no_place) if version != draw.fallback => {
+                // The drawn version has no place; what follows says nothing about it.
+                tracing::debug!(request = ex.id, reason = ?no_place.reason, "fallback version");
+                draw = draw.fall_back();
+                continue;
+            }
+            Err(no_place) => {
+                return Err(tried.give_up(no_place_refusal(shared, &tried, no_place)));
+            }
+        };
+        tried.attempts += 1;
+        let sent_at = shared.clock.now();
+        let target = target(shared, &bundle, ex, &permit, repeat, sent_at);
+        let conn = caller.as_deref_mut();
+        match attempt::run(ex, body, conn, target, &shared.pool, &shared.clock).await {
+            Ok(answer) => {
+                shared.metrics.on_attempt("answered");
+                let latency = shared.clock.now().since(sent_at);
+                let server_error = answer.head.status >= 500;
+                let ended = Ended {
+                    endpoint: permit.endpoint(),
+                    is_error: server_error,
+                    latency,
+                };
+                judge(shared, &bundle, route, &draw, &tried, ended);
+                permit.outcome = Outcome::Answered {
+                    latency,
+                    server_error,
+                };
+                return Ok(Obtained {
+                    answer,
+                    permit,
+                    attempts: tried.attempts,
+                });
+            }
+            Err(failure) => {
+                shared.metrics.on_attempt(failure.why);
+                permit.outcome = failure.outcome;
+                let latency = shared.clock.now().since(sent_at);
+                let is_error = !matches!(failure.outcome, Outcome::Cancelled | Outcome::Shed);
+                let ended = Ended {
+                    endpoint: permit.endpoint(),
+                    is_error,
+                    latency,
+                };
+                judge(shared, &bundle, route, &draw, &tried, ended);
+                tried.state = tried.state.and(failure.state);
+                tried.used.push(permit.endpoint());
+                drop(permit);
+                log_failure(&bundle, ex, &tried, &failure);
+                if let Some(refusal) = final_refusal(shared, ex, body, &tried, &failure, repeat) {
+                    return Err(tried.give_up(refusal));
+                }
+            }
+        }
+    }
+}
+
+fn draw_version(shared: &Shared, bundle: &Bundle, route: RouteKey) -> Draw {
+    let service = bundle.routes[route].service;
+    let (now, unix) = (shared.clock.now(), shared.clock.unix());
+    shared.gate.draw(&shared.board, bundle, service, now, unix)
+}
+
+/// Counts how the first attempt ended for or against its version.
+fn judge(
+    shared: &Shared,
+    bundle: &Bundle,
+    route: RouteKey,
+    draw: &Draw,
+    tried: &Tried,
+    ended: Ended,
+) {
+    if tried.attempts == 1 {
+        let route = &bundle.routes[route].id;
+        shared
+            .board
+            .settle(draw, route, ended, &shared.identity, shared.clock.now());
+    }
+}
+
+/// Returns the bundle in force and the route of the request in it.
+fn reroute(shared: &Shared, ex: &Exchange) -> Option<(Arc<Bundle>, RouteKey)> {
+    let bundle = shared.view.load().bundle.clone()?;
+    let route = bundle.route(ex.head.path())?;
+    Some((bundle, route))
+}
+
+fn target(
+    shared: &Shared,
+    bundle: &Bundle,
+    ex: &Exchange,
+    permit: &Permit<'_>,
+    repeat: Repeat,
+    now: MonoTime,
+) -> Target {
+    let may_repeat = repeat == Repeat::Idempotent;
+    let left = shared.clock.left(ex.deadline);
+    let deadline = if may_repeat {
+        now.after(left / FIRST_ATTEMPT_PART)
+    } else {
+        ex.deadline
+    };
+    Target {
+        addr: bundle.endpoints[permit.endpoint()].addr,
+        deadline,
+        // A fresh connection leaves fewer outcomes unknown than an idle one that may be dead.
+        may_reuse: may_repeat,
+    }
+}
+
+/// Returns the refusal that ends the request, or `None` where another attempt is allowed.
+fn final_refusal(
+    shared: &Shared,
+    ex: &Exchange,
+    body: &RequestBody,
+    tried: &Tried,
+    failure: &Failure,
+    repeat: Repeat,
+) -> Option<Refusal> {
+    if let Some(e) = &failure.caller {
+        let cut = Refusal::unknown(400, "request_cut", "send the whole request");
+        let refusal = answer::malformed(e).unwrap_or(cut);
+        return Some(Refusal {
+            outcome: answer::Outcome::Unknown,
+            ..refusal
+        });
+    }
+    let now = shared.clock.now();
+    let is_allowed = failure.state.disposition(repeat) == Disposition::MayRetry
+        && body.is_replayable
+        && ex.deadline.since(now) > MIN_LEFT
+        && shared
+            .gate
+            .may_retry(now, ex.deadline, tried.attempts, repeat, failure.state);
+    if is_allowed {
+        return None;
+    }
+    Some(match tried.state {
+        AttemptState::NotSent => {
+            let mut refusal = Refusal::not_run(503, "no_backend_server", "come again when told");
+            refusal.retry_at = Some(shared.clock.unix().after(RETRY_AFTER));
+            refusal
+        }
+        AttemptState::PerhapsRun | AttemptState::Answered => unknown(),
+    })
+}
+
+fn no_place_refusal(shared: &Shared, tried: &Tried, no_place: NoPlace) -> Refusal {
+    let mut refusal = match tried.state {
+        AttemptState::NotSent => Refusal::not_run(503, "no_place", "come again when told"),
+        AttemptState::PerhapsRun | AttemptState::Answered => unknown(),
+    };
+    refusal.retry_at = Some(shared.clock.to_unix(no_place.retry_at));
+    refusal
+}
+
+fn log_failure(bundle: &Bundle, ex: &Exchange, tried: &Tried, failure: &Failure) {
+    let endpoint = tried
+        .used
+        .last()
+        .map_or("-", |key| bundle.endpoints[*key].id.as_str());
+    tracing::info!(
+        kind = "attempt_failed",
+        request = ex.id,
+        endpoint,
+        why = failure.why,
+        state = ?failure.state,
+    );
+}
--- /dev/null
+++ b/crates/apricotlug-node/src/messages.rs
@@ -0,0 +1,152 @@
+//! Messages from one instance to another: demand and allotments with the delegate of a data
+//! centre, evidence on version moves to their leader.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use apricotlug_edge::Shared;
+use apricotlug_model::{InstanceId, UnixTime};
+use apricotlug_peer::{PeerHandle, Transfer, TransferId};
+use apricotlug_policy::{
+    budget::{Allotment, Allotments, Part, Report},
+    moves::{self, MoveId},
+};
+use serde::{Deserialize, Serialize};
+
+/// Time after which a message is not applied any more.
+const LIFE: Duration = Duration::from_secs(10);
+
+/// Rate in thousandths per second, and burst.
+type PartWire = (u64, u64);
+
+/// Message from one instance to another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Message {
+    /// What an instance tells the delegate.
+    Report(Report),
+    /// What the delegate grants an instance.
+    Allotments(Allotments),
+    /// What an instance tells the leader of moves.
+    Evidence(MoveId, moves::Report),
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum MessageWire {
+    Report {
+        instance: InstanceId,
+        confirmed: Option<u64>,
+        is_leaving: bool,
+        demand_milli: BTreeMap<String, u64>,
+    },
+    Allotments {
+        holder: InstanceId,
+        generation: u64,
+        floor_until: UnixTime,
+        surplus_until: UnixTime,
+        accounts: Vec<(String, PartWire, PartWire, PartWire)>,
+    },
+    Evidence(MoveId, moves::Report),
+}
+
+fn part_to_wire(part: Part) -> PartWire {
+    (part.rate_milli, part.burst)
+}
+
+fn part_from_wire((rate_milli, burst): PartWire) -> Part {
+    Part { rate_milli, burst }
+}
+
+impl From<&Message> for MessageWire {
+    fn from(message: &Message) -> Self {
+        match message.clone() {
+            Message::Report(report) => Self::Report {
+                instance: report.instance,
+                confirmed: report.confirmed,
+                is_leaving: report.is_leaving,
+                demand_milli: report.demand_milli,
+            },
+            Message::Evidence(id, report) => Self::Evidence(id, report),
+            Message::Allotments(granted) => Self::Allotments {
+                holder: granted.holder,
+                generation: granted.generation,
+                floor_until: granted.floor_until,
+                surplus_until: granted.surplus_until,
+                accounts: granted.accounts.into_iter().map(row_to_wire).collect(),
+            },
+        }
+    }
+}
+
+fn row_to_wire(row: Allotment) -> (String, PartWire, PartWire, PartWire) {
+    let [budget, floor, surplus] = [row.budget, row.floor, row.surplus].map(part_to_wire);
+    (row.account, budget, floor, surplus)
+}
+
+impl From<MessageWire> for Message {
+    fn from(wire: MessageWire) -> Self {
+        match wire {
+            MessageWire::Evidence(id, report) => Self::Evidence(id, report),
+            MessageWire::Report {
+                instance,
+                confirmed,
+                is_leaving,
+                demand_milli,
+            } => Self::Report(Report {
+                instance,
+                confirmed,
+                is_leaving,
+                demand_milli,
+            }),
+            MessageWire::Allotments {
+                holder,
+                generation,
+                floor_until,
+                surplus_until,
+                accounts,
+            } => {
+                let rows = accounts
+                    .into_iter()
+                    .map(|(account, budget, floor, surplus)| Allotment {
+                        account,
+                        budget: part_from_wire(budget),
+                        floor: part_from_wire(floor),
+                        surplus: part_from_wire(surplus),
+                    });
+                Self::Allotments(Allotments {
+                    holder,
+                    generation,
+                    floor_until,
+                    surplus_until,
+                    accounts: rows.collect(),
+                })
+            }
+        }
+    }
+}
+
+impl Message {
+    /// Encodes the message.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(&MessageWire::from(self)).unwrap_or_default()
+    }
+
+    /// Decodes a message; `None` where the bytes are none.
+    #[must_use]
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        serde_json::from_slice::<MessageWire>(bytes)
+            .ok()
+            .map(Self::from)
+    }
+}
+
+/// Sends a message to one run of an instance. One that is lost is made good by the next.
+pub async fn send(shared: &Shared, peers: &PeerHandle, to: &InstanceId, message: &Message) {
+    let transfer = Transfer {
+        id: TransferId(rand::random()),
+        expires: shared.clock.unix().after(LIFE),
+        payload: message.encode(),
+    };
+    if let Err(e) = peers.send_transfer(to, transfer).await {
+        tracing::debug!(to = %to, error = %e, "message not sent");
+    }
+}
