Moves: records in the platform and a mover's view of the reports; the doubled local state is gone

Cause: the entry's board holds a move's local state; LocalMove held it a second time, with what a mover needs besides. A cut that came with a report of a known number was lost. Change: LocalMove and its tests removed; FleetView keeps the mover's part, with tests of its own for the age of reports and for cuts; MoveStore reads, writes under the fence, pauses and watches records.

--- a/crates/apricotlug-platform/tests/movers.rs
+++ b/crates/apricotlug-platform/tests/movers.rs
@@ -5,14 +5,13 @@
 use std::time::Duration;
 
 use apricotlug_model::{Move, UnixTime, VersionKey};
-use apricotlug_platform::{Client, ClientConfig, Clock, Entry, Leadership, Swap};
+use apricotlug_platform::{Client, ClientConfig, Clock, Leadership, MoveStore, StoredMove, Swap};
 use apricotlug_policy::moves::{
-    MoveId, MoveRecord, MoveRecordWire, MoveState, Summary, TakeBackReason, advance, share,
+    MoveId, MoveRecord, MoveState, Summary, TakeBackReason, advance, share,
 };
 use apricotlug_standins::platform::{Outage, PlatformStandIn};
 use common::{config, stand_in};
 
-const KEY: &str = "move/stock/v2";
 const TTL: Duration = Duration::from_secs(8);
 const START: UnixTime = UnixTime(1_000_000_000_000);
 
@@ -31,6 +30,14 @@
     }
 }
 
+fn id() -> MoveId {
+    MoveId {
+        service: "stock".to_owned(),
+        version: "v2".to_owned(),
+        deadline: cfg().deadline,
+    }
+}
+
 /// Mover with its own view of the clock, which may stand still.
 struct Mover {
     client: Client,
@@ -57,36 +64,31 @@
         self.leadership.is_some()
     }
 
-    async fn read(&self) -> Option<(Entry, MoveRecord)> {
-        let entry = self.client.get(KEY).await.unwrap()?;
-        let wire: MoveRecordWire = serde_json::from_slice(&entry.value).unwrap();
-        Some((entry, wire.try_into().unwrap()))
+    async fn read(&self) -> Option<StoredMove> {
+        self.store().read(&id()).await.unwrap()
+    }
+
+    fn store(&self) -> MoveStore {
+        MoveStore::new(self.client.clone())
     }
 
-    async fn write(&self, expected: Option<&Entry>, record: &MoveRecord) -> Swap {
-        let value = serde_json::to_vec(&MoveRecordWire::from(record.clone())).unwrap();
-        let fence = &self.leadership.as_ref().unwrap().fence;
-        let swap = self
-            .client
-            .compare_and_swap_fenced(KEY, expected, &value, fence);
-        swap.await.unwrap()
+    async fn write(&self, expected: Option<&StoredMove>, record: &MoveRecord) -> Swap {
+        let leadership = self.leadership.as_ref().unwrap();
+        let written = self.store().write(expected, record, leadership).await;
+        written.unwrap()
     }
 
     async fn begin(&self) -> Swap {
-        let id = MoveId {
-            service: "stock".to_owned(),
-            version: "v2".to_owned(),
-            deadline: cfg().deadline,
-        };
-        self.write(None, &MoveRecord::begin(id, self.fencing(), self.now()))
-            .await
+        let record = MoveRecord::begin(id(), self.fencing(), self.now());
+        self.write(None, &record).await
     }
 
     /// Returns what the mover would write, and on top of what.
-    async fn decide(&self) -> Option<(Entry, MoveRecord)> {
-        let (entry, record) = self.read().await?;
-        let next = advance(&cfg(), &record, INFORMED, self.fencing(), self.now())?;
-        Some((entry, next))
+    async fn decide(&self) -> Option<(StoredMove, MoveRecord)> {
+        let stored = self.read().await?;
+        let fencing = self.fencing();
+        let next = advance(&cfg(), &stored.record, INFORMED, fencing, self.now())?;
+        Some((stored, next))
     }
 
     fn fencing(&self) -> u64 {
@@ -118,7 +120,7 @@
         two.write(Some(&entry), &next).await,
         Swap::Written { .. }
     ));
-    let (_, record) = one.read().await.unwrap();
+    let record = one.read().await.unwrap().record;
     assert_eq!((record.stage, record.fencing), (1, two.fencing()));
 }
 
@@ -143,7 +145,7 @@
             next.write(Some(&entry), &record).await;
         }
     }
-    let (_, record) = next.read().await.unwrap();
+    let record = next.read().await.unwrap().record;
     assert_eq!(record.state, MoveState::Finished);
 }
 
@@ -154,7 +156,7 @@
     let mut mover = Mover::new(&platform, &clock, 1);
     assert!(mover.lead().await);
     mover.begin().await;
-    let (_, heard) = mover.read().await.unwrap();
+    let heard = mover.read().await.unwrap().record;
     platform.set_faults(|faults| faults.outage = Outage::Close);
     for (s, expected) in [(1, 5), (400, 5), (600, 0), (900, 0)] {
         let now = START.after(Duration::from_secs(s));
@@ -168,5 +170,39 @@
     let back = MoveState::TakenBack(TakeBackReason::Deadline);
     assert_eq!(record.state, back);
     mover.write(Some(&entry), &record).await;
-    assert_eq!(mover.read().await.unwrap().1.state, back);
+    assert_eq!(mover.read().await.unwrap().record.state, back);
+}
+
+#[async_std::test]
+async fn of_an_operator_and_a_mover_one_wins_and_watchers_see_each_record() {
+    let clock = Clock::manual();
+    let platform = stand_in(&clock).await;
+    let mut mover = Mover::new(&platform, &clock, 1);
+    assert!(mover.lead().await);
+    mover.begin().await;
+    let operator = MoveStore::new(Client::new(config(&platform, 2)));
+    let (moves, from) = operator.list().await.unwrap();
+    let mut watch = operator.watch(from);
+    clock.advance(Duration::from_secs(5));
+    let paused = operator.set_state(&moves[0], MoveState::Paused, mover.now());
+    assert!(matches!(paused.await.unwrap(), Some(Swap::Written { .. })));
+    let next = moves[0]
+        .record
+        .with_state(MoveState::Finished, mover.fencing(), mover.now());
+    let late = mover.write(Some(&moves[0]), &next.unwrap()).await;
+    let Swap::Conflict {
+        current: Some(entry),
+    } = late
+    else {
+        panic!("{late:?}")
+    };
+    let standing = StoredMove::try_from(entry).unwrap();
+    assert_eq!(standing.record.state, MoveState::Paused);
+    let events = watch.next().await.unwrap();
+    assert_eq!(
+        MoveStore::records_in(events).unwrap(),
+        vec![standing.clone()]
+    );
+    let again = operator.set_state(&standing, MoveState::Paused, mover.now());
+    assert_eq!(again.await.unwrap(), None);
 }
--- a/crates/apricotlug-policy/src/moves/evidence.rs
+++ b/crates/apricotlug-policy/src/moves/evidence.rs
@@ -147,19 +147,25 @@
 }
 
 impl Evidence {
-    /// Takes a report in unless a later one of the same instance is here. Returns whether it
-    /// was news.
-    pub fn merge(&mut self, report: Report) -> bool {
+    /// Takes a report in unless a later one of the same instance is here; a cut stands whatever
+    /// report brought it. Returns whether it was news.
+    pub fn merge(&mut self, mut report: Report) -> bool {
         match self.reports.entry(report.instance.clone()) {
             Entry::Vacant(entry) => {
                 entry.insert(report);
                 true
             }
-            Entry::Occupied(mut entry) if entry.get().sequence < report.sequence => {
-                entry.insert(report);
+            Entry::Occupied(mut entry) => {
+                let known = entry.get_mut();
+                let is_cut_news = report.has_cut && !known.has_cut;
+                known.has_cut |= report.has_cut;
+                if known.sequence >= report.sequence {
+                    return is_cut_news;
+                }
+                report.has_cut = known.has_cut;
+                *known = report;
                 true
             }
-            Entry::Occupied(_) => false,
         }
     }
 
--- a/crates/apricotlug-policy/src/moves/mod.rs
+++ b/crates/apricotlug-policy/src/moves/mod.rs
@@ -10,16 +10,16 @@
 mod evidence;
 mod guard;
 mod histogram;
-mod local;
 mod record;
 mod score;
 mod share;
+mod view;
 
 pub use advance::{FINISH_MARGIN, MIN_DWELL, Summary, advance, stage_due};
 pub use detector::{Detector, Fault, Signal};
 pub use evidence::{Counts, Evidence, Pair, Report, Sample, Side, Totals};
 pub use guard::Guard;
 pub use histogram::LogHistogram;
-pub use local::LocalMove;
 pub use record::{MoveId, MoveRecord, MoveRecordWire, MoveState, RecordError, TakeBackReason};
 pub use share::{ActiveMove, pick_version, share};
+pub use view::FleetView;
--- /dev/null
+++ b/crates/apricotlug-policy/tests/moves_view.rs
@@ -0,0 +1,57 @@
+//! What a mover knows from the reports that it has heard.
+
+use std::time::Duration;
+
+use apricotlug_model::{InstanceId, MonoTime};
+use apricotlug_policy::moves::{FleetView, Guard, Report, Totals};
+
+fn report(name: &str, sequence: u64, has_cut: bool) -> Report {
+    Report {
+        instance: InstanceId {
+            name: name.to_owned(),
+            incarnation: 1,
+        },
+        sequence,
+        has_cut,
+        totals: Totals::new(),
+    }
+}
+
+fn at(s: u64) -> MonoTime {
+    MonoTime::default().after(Duration::from_secs(s))
+}
+
+#[test]
+fn only_recent_news_counts_as_reporting() {
+    let mut view = FleetView::default();
+    assert!(view.hear(report("e1", 1, false), at(1)));
+    assert!(view.hear(report("e2", 1, false), at(5)));
+    assert!(!view.hear(report("e1", 1, false), at(6)), "no news");
+    for (s, reporting) in [(5, 2), (6, 2), (7, 1), (11, 0)] {
+        let summary = view.summary(&Guard::default(), 2, at(s));
+        assert_eq!(summary.reporting, reporting, "at {s} s");
+    }
+}
+
+#[test]
+fn a_cut_is_heard_whatever_its_report_counts() {
+    let rows = [
+        ("with a later report", report("e1", 2, true)),
+        ("with the same report again", report("e1", 1, true)),
+        (
+            "with an earlier one that arrives late",
+            report("e1", 0, true),
+        ),
+    ];
+    for (name, cut) in rows {
+        let mut view = FleetView::default();
+        view.hear(report("e1", 1, false), at(1));
+        assert!(view.hear(cut, at(1)), "{name}");
+        assert!(
+            view.summary(&Guard::default(), 1, at(1)).is_faulty,
+            "{name}"
+        );
+        view.hear(report("e1", 3, false), at(1));
+        assert!(view.evidence().has_cut(), "{name}: a cut is not taken back");
+    }
+}
