--- a/crates/apricotlug-edge/src/place.rs
+++ b/crates/apricotlug-edge/src/place.rs
@@ -1,21 +1,31 @@
 //! Places a request on a backend server, and waits a little where no slot is free.
 
-use apricotlug_model::{Bundle, EndpointKey, Route, ServiceKey, VersionKey};
-use apricotlug_policy::placement::{Choice, NoPlace, Outcome, Refusal, Want};
+use apricotlug_model::{Bundle, EndpointKey, Route, VersionKey};
+use apricotlug_policy::placement::{Choice, NoPlace, Outcome, Refusal, Traffic, Want};
 
-use crate::{exchange::Exchange, shared::Shared, slots::SlotQueues};
+use crate::{
+    exchange::Exchange,
+    shared::Shared,
+    slots::{Queue, SlotQueues},
+};
 
 /// Slot of a backend server, settled when dropped.
 #[derive(Debug)]
 pub struct Permit<'a> {
     shared: &'a Shared,
     choice: Choice,
-    service: ServiceKey,
+    queue: Queue,
     /// How the attempt ended; a cancelled one unless set.
     pub outcome: Outcome,
 }
 
 impl Permit<'_> {
+    /// Charges bytes that were moved to the links between regions.
+    pub fn account_bytes(&self, traffic: Traffic) {
+        let now = self.shared.clock.now();
+        self.shared.gate.account_bytes(&self.choice, traffic, now);
+    }
+
     /// Returns the endpoint.
     #[must_use]
     pub fn endpoint(&self) -> EndpointKey {
@@ -27,7 +37,7 @@
     fn drop(&mut self) {
         let now = self.shared.clock.now();
         self.shared.gate.settle(&self.choice, self.outcome, now);
-        self.shared.slots.wake(self.service);
+        self.shared.slots.wake(self.queue);
     }
 }
 
@@ -52,21 +62,24 @@
     ex: &Exchange,
     used: &[EndpointKey],
 ) -> Result<Permit<'a>, NoPlace> {
-    let service = wanted.route.service;
-    if !shared.slots.is_waited_for(service) {
-        match place_now(shared, wanted, ex, used) {
+    let queue = Queue {
+        service: wanted.route.service,
+        is_shifted_in: is_shifted_in(shared, wanted.bundle, ex),
+    };
+    if !shared.slots.is_waited_for(queue) {
+        match place_now(shared, wanted, ex, used, queue) {
             Err(no_place) if is_worth_waiting(no_place.reason) => {}
             placed => return placed.inspect_err(|no_place| log_refusal(ex, no_place)),
         }
     }
     let give_up_at = SlotQueues::give_up_at(ex.arrived_at, ex.deadline);
-    let mut turn = shared.slots.join(service, give_up_at);
+    let mut turn = shared.slots.join(queue, give_up_at);
     loop {
         let has_time = match &mut turn {
             Some(turn) => shared.slots.wait(turn, &shared.clock).await,
             None => false,
         };
-        match place_now(shared, wanted, ex, used) {
+        match place_now(shared, wanted, ex, used, queue) {
             Err(no_place) if has_time && is_worth_waiting(no_place.reason) => {}
             placed => return placed.inspect_err(|no_place| log_refusal(ex, no_place)),
         }
@@ -89,6 +102,7 @@
     wanted: Wanted<'_>,
     ex: &Exchange,
     used: &[EndpointKey],
+    queue: Queue,
 ) -> Result<Permit<'a>, NoPlace> {
     let Wanted {
         bundle,
@@ -100,7 +114,7 @@
         version,
         exclude: used,
     };
-    let is_shifted_in = is_shifted_in(shared, bundle, ex);
+    let is_shifted_in = queue.is_shifted_in;
     let now = shared.clock.now();
     let choice = shared
         .gate
@@ -117,7 +131,7 @@
     Ok(Permit {
         shared,
         choice,
-        service: route.service,
+        queue,
         outcome: Outcome::Cancelled,
     })
 }
--- a/crates/apricotlug-edge/src/slots.rs
+++ b/crates/apricotlug-edge/src/slots.rs
@@ -23,20 +23,30 @@
 /// Longest pause between two tries of a waiting request.
 const RETRY: Duration = Duration::from_millis(20);
 
-/// Requests that wait for a slot, by service.
+/// Requests that wait for the same slots. Those of other regions' clients wait apart: one that
+/// waits for the shift cap must not hold up a local one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Queue {
+    /// Service.
+    pub service: ServiceKey,
+    /// Whether the clients' home is another region.
+    pub is_shifted_in: bool,
+}
+
+/// Requests that wait for a slot, by queue.
 #[derive(Debug, Default)]
-pub struct SlotQueues(Mutex<HashMap<ServiceKey, WaitQueue<Sender<()>>>>);
+pub struct SlotQueues(Mutex<HashMap<Queue, WaitQueue<Sender<()>>>>);
 
 /// Place of a request in a queue; given up when dropped.
 #[derive(Debug)]
 pub struct Place {
-    service: ServiceKey,
+    queue: Queue,
     give_up_at: MonoTime,
     rx: Receiver<()>,
 }
 
 impl SlotQueues {
-    fn lock(&self) -> MutexGuard<'_, HashMap<ServiceKey, WaitQueue<Sender<()>>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<Queue, WaitQueue<Sender<()>>>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -47,16 +57,16 @@
     }
 
     /// Joins the queue of a service; `None` where it is full.
-    pub fn join(&self, service: ServiceKey, give_up_at: MonoTime) -> Option<Place> {
+    pub fn join(&self, queue: Queue, give_up_at: MonoTime) -> Option<Place> {
         let (tx, rx) = bounded(1);
         let mut queues = self.lock();
-        let queue = queues
-            .entry(service)
+        let waiting = queues
+            .entry(queue)
             .or_insert_with(|| WaitQueue::new(CAPACITY));
-        drop_gone(queue);
-        queue.push(tx, give_up_at).ok()?;
+        drop_gone(waiting);
+        waiting.push(tx, give_up_at).ok()?;
         Some(Place {
-            service,
+            queue,
             give_up_at,
             rx,
         })
@@ -81,7 +91,7 @@
         let (tx, rx) = bounded(1);
         let mut queues = self.lock();
         let queue = queues
-            .entry(place.service)
+            .entry(place.queue)
             .or_insert_with(|| WaitQueue::new(CAPACITY));
         queue.push_front(Waiting {
             request: tx,
@@ -90,25 +100,32 @@
         place.rx = rx;
     }
 
-    /// Wakes the request that has waited longest for a slot of the service.
-    pub fn wake(&self, service: ServiceKey) {
-        let mut queues = self.lock();
-        let Some(queue) = queues.get_mut(&service) else {
-            return;
+    /// Wakes the request that has waited longest for a slot of the service: of the queue given, or
+    /// else of its twin.
+    pub fn wake(&self, queue: Queue) {
+        let twin = Queue {
+            is_shifted_in: !queue.is_shifted_in,
+            ..queue
         };
-        while let Some(waiting) = queue.pop() {
-            // A request that has gone on or given up has dropped its end.
-            if waiting.request.try_send(()).is_ok() {
-                return;
+        let mut queues = self.lock();
+        for queue in [queue, twin] {
+            let Some(waiting) = queues.get_mut(&queue) else {
+                continue;
+            };
+            while let Some(first) = waiting.pop() {
+                // A request that has gone on or given up has dropped its end.
+                if first.request.try_send(()).is_ok() {
+                    return;
+                }
             }
         }
     }
 
-    /// Tells whether requests wait for the service: a new one must not overtake them.
+    /// Tells whether requests wait in the queue: a new one must not overtake them.
     #[must_use]
-    pub fn is_waited_for(&self, service: ServiceKey) -> bool {
+    pub fn is_waited_for(&self, queue: Queue) -> bool {
         let mut queues = self.lock();
-        queues.get_mut(&service).is_some_and(|queue| {
+        queues.get_mut(&queue).is_some_and(|queue| {
             drop_gone(queue);
             !queue.is_empty()
         })
--- a/crates/apricotlug-node/src/lib.rs
+++ b/crates/apricotlug-node/src/lib.rs
@@ -10,6 +10,7 @@
 mod node;
 mod pages;
 mod peers;
+mod probes;
 mod release;
 mod reports;
 mod seats;
--- a/crates/apricotlug-node/src/node.rs
+++ b/crates/apricotlug-node/src/node.rs
@@ -21,6 +21,7 @@
     moves::MoveKeeper,
     pages::{self, AdminPages},
     peers::{Inbound, Outbound},
+    probes,
     seats::Reports,
     sync::{self, Links},
 };
@@ -143,6 +144,7 @@
             task::spawn(sync::follow_withdrawals(links)),
             task::spawn(seats.clone().keep()),
             task::spawn(moves.keep()),
+            task::spawn(probes::run(Arc::clone(&shared))),
             task::spawn(fleet::follow(Arc::clone(&shared), lookups, peers.clone())),
         ];
         let accept = task::spawn(accept(caller.0, Arc::clone(&shared)));
--- a/crates/apricotlug-policy/src/moves/mod.rs
+++ b/crates/apricotlug-policy/src/moves/mod.rs
@@ -14,6 +14,7 @@
 mod record;
 mod score;
 mod share;
+mod view;
 
 pub use advance::{FINISH_MARGIN, MIN_DWELL, Summary, advance, stage_due};
 pub use detector::{Detector, Fault, Signal};
@@ -23,3 +24,4 @@
 pub use local::LocalMove;
 pub use record::{MoveId, MoveRecord, MoveRecordWire, MoveState, RecordError, TakeBackReason};
 pub use share::{ActiveMove, pick_version, share};
+pub use view::FleetView;
