--- a/crates/apricotlug-peer/src/gossip.rs
+++ b/crates/apricotlug-peer/src/gossip.rs
@@ -75,6 +75,9 @@
         self.membership.set_progress(self.news.progress());
         self.membership.fill_request(&mut msg, target, now);
         msg.news = self.news.digest();
+        if target.talk == Talk::Push {
+            self.news.fill_push(&mut msg);
+        }
         msg
     }
 
--- a/crates/apricotlug-peer/src/membership/entry.rs
+++ b/crates/apricotlug-peer/src/membership/entry.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Returns the silence after which the member counts as dead.
+    pub fn lifetime(&self) -> Duration {
+        self.patience() * 2
+    }
+
     pub fn pulse(&self, id: NameHash) -> Pulse {
         Pulse {
             id,
--- a/crates/apricotlug-peer/src/membership/merge.rs
+++ b/crates/apricotlug-peer/src/membership/merge.rs
@@ -5,8 +5,7 @@
 use super::{MAX_DATA_CENTRES, MAX_MEMBERS, Membership, SUSPECT_AFTER, entry::Beat, entry::Entry};
 use crate::{MemberRecord, NameHash, State};
 
-/// Messages that a changed record is part of, beyond half of the logarithm of the number of
-/// members; anti-entropy does the rest.
+/// Messages that a changed record is part of, beyond the logarithm of the number of members.
 const EXTRA_REPEATS: u32 = 2;
 
 impl Membership {
@@ -102,7 +101,7 @@
     }
 
     fn spread(&mut self, id: NameHash) {
-        let repeats = EXTRA_REPEATS + self.entries.len().ilog2() / 2;
+        let repeats = EXTRA_REPEATS + self.entries.len().ilog2();
         self.hot
             .insert(id, u8::try_from(repeats).unwrap_or(u8::MAX));
         self.has_changed = true;
--- a/crates/apricotlug-peer/src/membership/mod.rs
+++ b/crates/apricotlug-peer/src/membership/mod.rs
@@ -38,8 +38,6 @@
 const SUSPECT_AFTER: Duration = Duration::from_secs(3);
 /// Silence after which it is suspect where a call to it has failed as well.
 const SUSPECT_AFTER_FAILED_CALL: Duration = Duration::from_millis(1500);
-/// Time that a suspect member has to show that it is alive.
-const DEAD_AFTER_SUSPECT: Duration = Duration::from_secs(3);
 /// Silence after which all members of another data centre are suspect.
 const SITE_SUSPECT_AFTER: Duration = Duration::from_secs(6);
 /// Silence after which all members of another data centre count as dead in the view.
@@ -219,7 +217,7 @@
         let is_overdue = |(_, entry): &(&NameHash, &Entry)| {
             let is_local = entry.data_centre == self.home;
             let silence = now.since(entry.advanced_at);
-            is_local && !entry.is_dead() && silence > entry.patience() + DEAD_AFTER_SUSPECT
+            is_local && !entry.is_dead() && silence > entry.lifetime()
         };
         let overdue: Vec<NameHash> = self
             .entries
--- a/crates/apricotlug-peer/src/membership/pulse.rs
+++ b/crates/apricotlug-peer/src/membership/pulse.rs
@@ -12,7 +12,7 @@
 /// Most beats of data centres in one message.
 const MAX_BEATS: usize = 128;
 /// Data centres that a message within a data centre sums up beside the own one.
-const LOCAL_SUMMARIES: usize = 2;
+const LOCAL_SUMMARIES: usize = 4;
 /// Data centres that a message to another data centre sums up.
 const REMOTE_SUMMARIES: usize = 64;
 /// Stands for sets of withdrawn keys that differ within a data centre.
--- a/crates/apricotlug-peer/src/membership/select.rs
+++ b/crates/apricotlug-peer/src/membership/select.rs
@@ -43,8 +43,12 @@
     /// Returns whom to call at once where there is news.
     pub fn push_targets(&self, now: MonoTime, rng: &mut impl Rng) -> Vec<Target> {
         let mut targets = Vec::new();
-        for _ in 0..LOCAL_CALLS_PER_PUSH {
-            targets.extend(self.local_target(false, now, rng));
+        let locals = self.others().filter(|(_, e)| e.data_centre == self.home);
+        let live = locals.filter(|(id, entry)| self.state_of(*id, entry, now) < State::Suspect);
+        let mut live: Vec<_> = live.collect();
+        while targets.len() < LOCAL_CALLS_PER_PUSH && !live.is_empty() {
+            let (id, entry) = live.swap_remove(rng.random_range(0..live.len()));
+            targets.push(target(id, entry));
         }
         if self.has_remote_turn(REMOTE_CALLS_PER_PUSH, now, rng) {
             targets.extend(self.remote_target(now, rng));
@@ -89,7 +93,10 @@
         } else {
             silent
         };
-        pick(&choice, rng).map(|(id, entry)| target(*id, entry))
+        // Of two, the one that has been silent for longer: it keeps the longest silence short.
+        let pair = [pick(&choice, rng)?, pick(&choice, rng)?];
+        let (id, entry) = pair.into_iter().min_by_key(|(_, e)| e.advanced_at)?;
+        Some(target(*id, entry))
     }
 
     /// Draws whether this instance is among those of its data centre that call others now.
--- a/crates/apricotlug-peer/src/news/exchange.rs
+++ b/crates/apricotlug-peer/src/news/exchange.rs
@@ -5,6 +5,11 @@
 use super::News;
 use crate::{Exchange, NewsDigest};
 
+/// Newest withdrawals that a push carries.
+const KEYS_PER_PUSH: usize = 8;
+/// Largest head that a push carries, in bytes.
+const MAX_PUSHED_HEAD_BYTES: usize = 2048;
+
 impl News {
     /// Returns what this instance holds, in short.
     #[must_use]
@@ -15,6 +20,16 @@
         }
     }
 
+    /// Adds to a push what its receiver most likely lacks, so that it need not ask first.
+    pub fn fill_push(&self, msg: &mut Exchange) {
+        msg.withdrawn = self.recent_withdrawals();
+        msg.withdrawn.truncate(KEYS_PER_PUSH);
+        let head = self.bundle.as_ref().map(|bundle| &bundle.head);
+        msg.head = head
+            .filter(|head| head.bytes.len() <= MAX_PUSHED_HEAD_BYTES)
+            .cloned();
+    }
+
     /// Merges a message and fills the reply to it.
     pub fn handle(&mut self, msg: &Exchange, reply: &mut Exchange, now: MonoTime) {
         for key in &msg.withdrawn {
--- a/crates/apricotlug-peer/tests/news.rs
+++ b/crates/apricotlug-peer/tests/news.rs
@@ -106,6 +106,18 @@
     }
 }
 
+#[test]
+fn news_is_pushed_before_the_next_periodic_exchange() {
+    for seed in 20..24 {
+        let mut fleet = settled(&[10], seed);
+        fleet.withdraw(0, "key-1");
+        fleet.run(Duration::from_millis(400));
+        let knows = |i: &usize| fleet.has_withdrawn(&[*i], "key-1");
+        let informed = fleet.all().iter().filter(|i| knows(i)).count();
+        assert!(informed >= 8, "{informed} of 10 after 400 ms");
+    }
+}
+
 #[test]
 fn news_reaches_all_that_can_be_reached_while_others_are_dead_or_cut_off() {
     let mut fleet = settled(&SITES_OF_9, 10);
