--- a/crates/apricotlug-peer/tests/membership.rs
+++ b/crates/apricotlug-peer/tests/membership.rs
@@ -281,6 +281,61 @@
     within(&mut fleet, SECOND * 30, "heal", |f| f.are_all_named(&all));
 }
 
+#[test]
+fn partitions_heal_while_no_seed_is_alive() {
+    let cases = [
+        (
+            "between data centres",
+            &[2, 3, 3][..],
+            [2, 3, 4],
+            [5, 6, 7],
+            34,
+        ),
+        (
+            "within a data centre",
+            &[2, 6][..],
+            [2, 3, 4],
+            [5, 6, 7],
+            35,
+        ),
+    ];
+    for (name, sites, left, right, seed) in cases {
+        let mut fleet = settled(sites, seed);
+        fleet.crash(0);
+        fleet.crash(1);
+        fleet.cut(&left, &right);
+        fleet.cut(&right, &left);
+        fleet.run(SECOND * 60);
+        assert!(
+            is_unnamed(&fleet, &left, 6),
+            "{name}: the cut went unnoticed"
+        );
+        fleet.heal();
+        let live = [left, right].concat();
+        within(&mut fleet, SECOND * 20, name, |f| f.are_all_named(&live));
+    }
+}
+
+#[test]
+fn one_that_was_cut_off_alone_brings_no_deaths_along() {
+    let mut fleet = settled(&[4, 4], 36);
+    let others = others(&fleet, 0);
+    fleet.cut(&[0], &others);
+    fleet.cut(&others, &[0]);
+    fleet.run(SECOND * 60);
+    fleet.heal();
+    let all = fleet.all();
+    let mut has_doubt = false;
+    within(&mut fleet, SECOND * 20, "heal", |f| {
+        has_doubt |= !f.are_all_named(&others);
+        f.are_all_named(&all)
+    });
+    assert!(
+        !has_doubt,
+        "the others lost each other through the one that came back"
+    );
+}
+
 #[test]
 fn stale_gossip_does_not_bring_a_dead_instance_back() {
     let mut fleet = settled(&SITES_OF_9, 31);
