At most 64 rumours of members at once

Cause: 80 s after 1,500 daemons started at once, each still sent and received 25,901 B/s (max 40,608; virtual time), as each member repeated each other's record in 12 messages. Change: beyond 64 records anti-entropy alone does the rest.

--- a/crates/apricotlug-peer/examples/gossip_traffic.rs
+++ b/crates/apricotlug-peer/examples/gossip_traffic.rs
@@ -19,7 +19,7 @@
 /// Bytes that the RPC layer and TCP/IP add to each message: call, return and finish frames, two
 /// packet headers and their acknowledgements.
 const ENVELOPE_BYTES: f64 = 320.0;
-const SETTLE: Duration = Duration::from_secs(60);
+const SETTLE: Duration = Duration::from_secs(90);
 const STEADY: Duration = Duration::from_secs(20);
 const NEWS: Duration = Duration::from_secs(10);
 
--- a/crates/apricotlug-peer/src/membership/merge.rs
+++ b/crates/apricotlug-peer/src/membership/merge.rs
@@ -8,6 +8,9 @@
 /// Messages that a changed record is part of, beyond the logarithm of the number of members.
 const EXTRA_REPEATS: u32 = 2;
 
+/// Most records that spread at once; where the whole fleet starts, anti-entropy does the rest.
+const MAX_RUMOURS: usize = 64;
+
 impl Membership {
     /// Merges a record. Returns whether this instance's own copy is newer, so that it is to be
     /// sent back. A rumour is spread further; what anti-entropy brings is not.
@@ -95,7 +98,7 @@
         }
         self.entries.insert(id, entry);
         self.changes += 1;
-        if is_rumour {
+        if is_rumour && self.hot.len() < MAX_RUMOURS {
             self.spread(id);
         }
     }
--- a/crates/apricotlug-peer/tests/membership.rs
+++ b/crates/apricotlug-peer/tests/membership.rs
@@ -382,6 +382,33 @@
     );
 }
 
+#[test]
+fn rumours_of_a_whole_fleets_start_run_dry_soon() {
+    let mut fleet = settled(&[3, 3], 37);
+    let now = fleet.now;
+    let target = fleet.nodes[0]
+        .gossip
+        .membership
+        .target(apricotlug_peer::NameHash::of("entry-0001"));
+    let gossip = &mut fleet.nodes[0].gossip;
+    for batch in 0..100 {
+        let record = |i| support::fleet::record(10_000 + batch * 10 + i, 1, 1);
+        let msg = apricotlug_peer::Exchange {
+            members: (0..10).map(record).collect(),
+            ..Default::default()
+        };
+        gossip
+            .membership
+            .handle(&msg, &mut apricotlug_peer::Exchange::default(), now);
+    }
+    let mut repeats = || gossip.request(&target.unwrap(), now).members.len();
+    let sent: usize = (0..100).map(|_| repeats()).sum();
+    assert!(
+        sent > 0 && repeats() == 0,
+        "{sent} records sent, and more to come"
+    );
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 24,
