--- a/crates/apricotlug-peer/tests/membership.rs
+++ b/crates/apricotlug-peer/tests/membership.rs
@@ -391,7 +391,7 @@
         .membership
         .target(apricotlug_peer::NameHash::of("entry-0001"));
     let gossip = &mut fleet.nodes[0].gossip;
-    for batch in 0..100 {
+    for batch in 0..100_usize {
         let record = |i| support::fleet::record(10_000 + batch * 10 + i, 1, 1);
         let msg = apricotlug_peer::Exchange {
             members: (0..10).map(record).collect(),
