--- a/crates/apricotlug-peer/src/membership/merge.rs
+++ b/crates/apricotlug-peer/src/membership/merge.rs
@@ -5,10 +5,12 @@
 use super::{MAX_DATA_CENTRES, MAX_MEMBERS, Membership, SUSPECT_AFTER, entry::Beat, entry::Entry};
 use crate::{MemberRecord, NameHash, State};
 
-/// Messages that a changed record is part of, beyond half of the logarithm of the number of
-/// members; anti-entropy does the rest.
+/// Messages that a changed record is part of, beyond the logarithm of the number of members.
 const EXTRA_REPEATS: u32 = 2;
 
+/// Most records that spread at once; where the whole fleet starts, anti-entropy does the rest.
+const MAX_RUMOURS: usize = 64;
+
 impl Membership {
     /// Merges a record. Returns whether this instance's own copy is newer, so that it is to be
     /// sent back. A rumour is spread further; what anti-entropy brings is not.
@@ -96,13 +98,13 @@
         }
         self.entries.insert(id, entry);
         self.changes += 1;
-        if is_rumour {
+        if is_rumour && self.hot.len() < MAX_RUMOURS {
             self.spread(id);
         }
     }
 
     fn spread(&mut self, id: NameHash) {
-        let repeats = EXTRA_REPEATS + self.entries.len().ilog2() / 2;
+        let repeats = EXTRA_REPEATS + self.entries.len().ilog2();
         self.hot
             .insert(id, u8::try_from(repeats).unwrap_or(u8::MAX));
         self.has_changed = true;
