--- a/crates/apricotlug-node/examples/control_cost/budgets.rs
+++ b/crates/apricotlug-node/examples/control_cost/budgets.rs
@@ -22,7 +22,7 @@
 
 pub fn measure() -> Result<(), Box<dyn Error>> {
     println!(
-        "\naccounts | share step us  plan bytes | seat step us  plan bytes | report bytes | allotments bytes"
+        "\naccounts | share step us  plan bytes | seat step us  plan bytes | read both us | report bytes | allotments bytes"
     );
     for accounts in [10, 100, 300, 1_000] {
         let sizes = Sizes {
@@ -62,14 +62,22 @@
             now,
         ));
     });
-    let share_bytes = serde_json::to_vec(&PlanWire::from(&shares))?.len();
-    let seat_bytes = serde_json::to_vec(&PlanWire::from(&seats))?.len();
+    let share_bytes = serde_json::to_vec(&PlanWire::from(&shares))?;
+    let seat_bytes = serde_json::to_vec(&PlanWire::from(&seats))?;
+    let read_us = mean_us(|| {
+        let shares = serde_json::from_slice::<PlanWire<String>>(&share_bytes);
+        let seats = serde_json::from_slice::<PlanWire<InstanceId>>(&seat_bytes);
+        assert!(shares.is_ok_and(|wire| SharePlan::try_from(wire).is_ok()));
+        assert!(seats.is_ok_and(|wire| SeatPlan::try_from(wire).is_ok()));
+    });
     let granted = seats
         .allotments(&reports[0].instance)
         .ok_or("no allotments")?;
     println!(
-        "{:8} | {share_us:13.0}  {share_bytes:10} | {seat_us:12.0}  {seat_bytes:10} | {:12} | {:16}",
+        "{:8} | {share_us:13.0}  {:10} | {seat_us:12.0}  {:10} | {read_us:12.0} | {:12} | {:16}",
         bundle.accounts.keys().count(),
+        share_bytes.len(),
+        seat_bytes.len(),
         SeatMessage::Report(reports[0].clone()).encode().len(),
         SeatMessage::Allotments(granted).encode().len(),
     );
