--- a/crates/apricotlug-node/examples/control_cost/budgets.rs
+++ b/crates/apricotlug-node/examples/control_cost/budgets.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     mean_us,
-    messages::SeatMessage,
+    messages::Message,
     text::{self, DATA_CENTRES, FULL, Sizes},
 };
 
@@ -78,8 +78,8 @@
         bundle.accounts.keys().count(),
         share_bytes.len(),
         seat_bytes.len(),
-        SeatMessage::Report(reports[0].clone()).encode().len(),
-        SeatMessage::Allotments(granted).encode().len(),
+        Message::Report(reports[0].clone()).encode().len(),
+        Message::Allotments(granted).encode().len(),
     );
     Ok(())
 }
--- a/crates/apricotlug-policy/src/retry.rs
+++ b/crates/apricotlug-policy/src/retry.rs
@@ -7,7 +7,9 @@
 
 use apricotlug_model::{MonoTime, Repeat};
 
-use crate::order::{AttemptState, Disposition};
+use crate::order::Disposition;
+
+pub use crate::order::AttemptState;
 
 /// Retries and hedges per hundred requests of the window.
 const RETRY_PERCENT: u32 = 8;
