Commands over the administration API, why and report

Cause: status sent no operator's key and was answered 401; sign-off at the platform recorded any name; nothing read decision logs.

--- a/src/commands/bundle.rs
+++ b/src/commands/bundle.rs
@@ -2,27 +2,30 @@
 
 use std::{fs, net::SocketAddr, process::ExitCode, time::Duration};
 
-use anyhow::{Context, bail};
+use anyhow::Context;
 use apricotlug_config::{
     chunk::{Manifest, join},
     parse_bundle,
 };
 use apricotlug_model::{Findings, UnixTime};
-use apricotlug_node::sign_off;
-use apricotlug_platform::{BundleStore, ChunkHash, Client, ClientConfig, Head, SignOff};
+use apricotlug_platform::{BundleStore, ChunkHash, Client, ClientConfig, Head};
 use argh::FromArgs;
 
-use super::bundle_diff::Diff;
+use super::{bundle_diff::Diff, bundle_history::ShowHistory, bundle_sign_off::Sign};
 
 /// Exit code of a command that refused its input.
 pub const REFUSED: u8 = 2;
 
 /// Exit code of a command that lost a race.
-const CONFLICT: u8 = 3;
+pub const CONFLICT: u8 = 3;
 
-/// Check, compare, sign off or show a bundle.
+/// Check, compare, sign off or show a bundle; list the versions.
 #[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "bundle")]
+#[argh(
+    subcommand,
+    name = "bundle",
+    example = "apricotlug bundle check examples/caisses-armor.toml"
+)]
 pub struct Bundle {
     #[argh(subcommand)]
     verb: Verb,
@@ -33,6 +36,7 @@
 enum Verb {
     Check(Check),
     Diff(Diff),
+    History(ShowHistory),
     SignOff(Sign),
     Show(Show),
 }
@@ -50,25 +54,6 @@
     file: String,
 }
 
-/// Put a bundle in force, unless another operator was first.
-#[derive(Debug, FromArgs)]
-#[argh(
-    subcommand,
-    name = "sign-off",
-    example = "apricotlug bundle sign-off examples/caisses-armor.toml --platform 127.0.0.1:7100 --operator armor-signer"
-)]
-struct Sign {
-    /// bundle file
-    #[argh(positional)]
-    file: String,
-    /// address of the platform's key-value service
-    #[argh(option)]
-    platform: SocketAddr,
-    /// id of the operator, for the history
-    #[argh(option)]
-    operator: String,
-}
-
 /// Show the bundle in force.
 #[derive(Debug, FromArgs)]
 #[argh(
@@ -97,6 +82,7 @@
         match self.verb {
             Verb::Check(check) => check.run(),
             Verb::Diff(diff) => diff.run(),
+            Verb::History(history) => history.run().await,
             Verb::SignOff(sign) => sign.run().await,
             Verb::Show(show) => show.run().await,
         }
@@ -116,31 +102,6 @@
     }
 }
 
-impl Sign {
-    async fn run(self) -> anyhow::Result<ExitCode> {
-        let text = read(&self.file)?;
-        let bundle = match parse_bundle(&self.file, &text, UnixTime::now()) {
-            Ok(bundle) => bundle,
-            Err(findings) => return Ok(refused(&findings)),
-        };
-        let store = store(self.platform);
-        match sign_off(&store, &text, bundle.version, &self.operator).await? {
-            SignOff::Accepted => {
-                println!("version {} is in force", bundle.version);
-                Ok(ExitCode::SUCCESS)
-            }
-            SignOff::Conflict { winner } => {
-                let winner = winner
-                    .as_deref()
-                    .map_or("another bundle".to_owned(), describe);
-                eprintln!("conflict: {winner} is in force; compare, raise the version, try again");
-                Ok(ExitCode::from(CONFLICT))
-            }
-            SignOff::Unknown => bail!("the platform's answer was lost; run `bundle show`"),
-        }
-    }
-}
-
 impl Show {
     async fn run(self) -> anyhow::Result<ExitCode> {
         let store = store(self.platform);
@@ -161,7 +122,8 @@
     }
 }
 
-fn describe(head: &Head) -> String {
+/// Describes a head in words.
+pub fn describe(head: &Head) -> String {
     let manifest: Option<Manifest> = serde_json::from_slice(&head.manifest).ok();
     let signer = manifest.map_or("unknown".to_owned(), |manifest| manifest.signed_by);
     format!("version {} signed off by {signer}", head.version)
@@ -175,7 +137,8 @@
     fs::read_to_string(file).with_context(|| format!("cannot read {file}"))
 }
 
-fn store(platform: SocketAddr) -> BundleStore {
+/// Opens the store of bundles.
+pub fn store(platform: SocketAddr) -> BundleStore {
     let cfg = ClientConfig {
         addrs: vec![platform],
         seed: rand::random(),
--- a/src/commands/key.rs
+++ b/src/commands/key.rs
@@ -1,4 +1,4 @@
-//! `apricotlug key`: makes keys for client accounts and operators.
+//! `apricotlug key`: makes, lists and withdraws keys.
 
 use std::process::ExitCode;
 
@@ -6,9 +6,15 @@
 use apricotlug_config::credential;
 use argh::FromArgs;
 
-/// Make keys for client accounts and operators.
+use super::{key_list::List, key_withdraw::Withdraw};
+
+/// Make, list and withdraw keys of client accounts and operators.
 #[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "key")]
+#[argh(
+    subcommand,
+    name = "key",
+    example = "apricotlug key new armor-depots-2"
+)]
 pub struct Key {
     #[argh(subcommand)]
     verb: Verb,
@@ -17,7 +23,9 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Verb {
+    List(List),
     New(New),
+    Withdraw(Withdraw),
 }
 
 /// Draw a key; print it once, and its row for the bundle.
@@ -37,9 +45,19 @@
     /// Runs the command.
     ///
     /// # Errors
-    /// Returns an error where the id is no name.
-    pub fn run(self) -> anyhow::Result<ExitCode> {
-        let Verb::New(New { id }) = self.verb;
+    /// Returns an error where the id is no name, or the instance cannot be asked.
+    pub async fn run(self) -> anyhow::Result<ExitCode> {
+        match self.verb {
+            Verb::List(list) => list.run().await,
+            Verb::New(new) => new.run(),
+            Verb::Withdraw(withdraw) => withdraw.run().await,
+        }
+    }
+}
+
+impl New {
+    fn run(self) -> anyhow::Result<ExitCode> {
+        let id = self.id;
         if !credential::is_id(&id) {
             bail!("{id:?} is no id of a key; use 1 to 64 letters, digits, `-` or `_`");
         }
--- a/src/commands/lookup.rs
+++ b/src/commands/lookup.rs
@@ -7,7 +7,7 @@
 
 use argh::FromArgs;
 
-use super::status::get;
+use crate::client::page;
 
 /// Ask an entry instance which entry instances a caller should use.
 #[derive(Debug, FromArgs)]
@@ -35,6 +35,7 @@
             Some(client) => format!("/v1/lookup?client={client}"),
             None => "/v1/lookup".to_owned(),
         };
-        get(self.addr, &target).await
+        print!("{}", page(self.addr, &target).await?);
+        Ok(ExitCode::SUCCESS)
     }
 }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -2,11 +2,19 @@
 
 mod bundle;
 mod bundle_diff;
+mod bundle_history;
+mod bundle_sign_off;
 mod dev;
 mod entry;
+mod fleet;
 mod key;
+mod key_list;
+mod key_withdraw;
 mod lookup;
+mod moves;
+mod report;
 mod status;
+mod why;
 
 use std::process::ExitCode;
 
@@ -25,9 +33,13 @@
     Bundle(bundle::Bundle),
     Dev(dev::Dev),
     Entry(entry::Entry),
+    Fleet(fleet::Fleet),
     Key(key::Key),
     Lookup(lookup::Lookup),
+    Move(moves::Move),
+    Report(report::MakeReport),
     Status(status::Status),
+    Why(why::Why),
 }
 
 impl TopLevel {
@@ -40,9 +52,13 @@
             Command::Bundle(command) => command.run().await,
             Command::Dev(command) => command.run().await,
             Command::Entry(command) => command.run().await,
-            Command::Key(command) => command.run(),
+            Command::Fleet(command) => command.run().await,
+            Command::Key(command) => command.run().await,
             Command::Lookup(command) => command.run().await,
+            Command::Move(command) => command.run().await,
+            Command::Report(command) => command.run(),
             Command::Status(command) => command.run().await,
+            Command::Why(command) => command.run().await,
         }
     }
 }
--- a/src/commands/status.rs
+++ b/src/commands/status.rs
@@ -1,31 +1,36 @@
 //! `apricotlug status`: shows the state of an entry instance.
 
-use std::{net::SocketAddr, process::ExitCode, time::Duration};
+use std::{net::SocketAddr, process::ExitCode};
 
-use anyhow::Context;
-use apricotlug_http::{Headers, RequestHead, exchange};
+use apricotlug_admin::{Align, Operation, Table};
 use argh::FromArgs;
+use serde_json::{Map, Value};
 
-/// Largest page that is read, in bytes.
-const MAX_PAGE_BYTES: u64 = 16 * 1024 * 1024;
-
-/// Longest wait for a page.
-const WAIT: Duration = Duration::from_secs(5);
+use crate::{
+    client::{Api, Call, OperatorKey, page},
+    output::show,
+};
 
 /// Show the state of an entry instance.
 #[derive(Debug, FromArgs)]
 #[argh(
     subcommand,
     name = "status",
-    example = "apricotlug status 127.0.0.1:7002\napricotlug status 127.0.0.1:7002 --metrics"
+    example = "apricotlug status 127.0.0.1:7002 --key armor-viewer.try-armor-viewer\napricotlug status 127.0.0.1:7002 --metrics"
 )]
 pub struct Status {
     /// administration address of the instance
     #[argh(positional)]
     addr: SocketAddr,
-    /// show the counters
+    /// key of an operator; APRICOTLUG_KEY if absent
+    #[argh(option)]
+    key: Option<OperatorKey>,
+    /// show the counters, which takes no key
     #[argh(switch)]
     metrics: bool,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
 }
 
 impl Status {
@@ -34,38 +39,31 @@
     /// # Errors
     /// Returns an error where the instance cannot be asked.
     pub async fn run(self) -> anyhow::Result<ExitCode> {
-        get(
-            self.addr,
-            if self.metrics {
-                "/metrics"
-            } else {
-                "/v1/status"
-            },
-        )
-        .await
+        if self.metrics {
+            print!("{}", page(self.addr, "/metrics").await?);
+            return Ok(ExitCode::SUCCESS);
+        }
+        let api = Api::new(self.addr, self.key)?;
+        let value = api.call(Call::new(Operation::Status)).await?;
+        show(value, self.json, render)?;
+        Ok(ExitCode::SUCCESS)
     }
 }
 
-/// Prints a page of an entry instance.
-///
-/// # Errors
-/// Returns an error where the instance cannot be asked.
-pub async fn get(addr: SocketAddr, target: &str) -> anyhow::Result<ExitCode> {
-    let mut headers = Headers::default();
-    headers.push("host", addr.to_string());
-    let head = RequestHead {
-        method: "GET".to_owned(),
-        target: target.to_owned(),
-        minor: 1,
-        headers,
-    };
-    let reply = exchange(addr, head, b"", MAX_PAGE_BYTES, WAIT)
-        .await
-        .with_context(|| format!("cannot ask {addr}"))?;
-    print!("{}", String::from_utf8_lossy(&reply.body));
-    Ok(if reply.head.status == 200 {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    })
+fn render(status: &Map<String, Value>) -> String {
+    let mut table = Table::new(&[("FIELD", Align::Left), ("VALUE", Align::Left)]);
+    fill(&mut table, "", status);
+    table.to_string()
+}
+
+fn fill(table: &mut Table, prefix: &str, fields: &Map<String, Value>) {
+    for (name, value) in fields {
+        let name = format!("{prefix}{name}");
+        match value {
+            Value::Object(inner) => fill(table, &format!("{name}."), inner),
+            Value::String(text) => table.push([name, text.clone()]),
+            Value::Null => table.push([name, "-".to_owned()]),
+            value => table.push([name, value.to_string()]),
+        }
+    }
 }
