--- a/src/client.rs
+++ b/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::{env, fmt, net::SocketAddr, str::FromStr, time::Duration};
 
-use anyhow::{Context, bail, ensure};
+use anyhow::{Context, bail};
 use apricotlug_admin::{Operation, Problem, ProblemCode};
 use apricotlug_http::{Headers, Reply, RequestHead, exchange};
 use serde::de::DeserializeOwned;
@@ -84,8 +84,8 @@
     }
 
     fn target(&self) -> anyhow::Result<String> {
-        for param in self.params {
-            ensure!(is_name(param), "{param:?} is no id; correct the name");
+        if let Some(param) = self.params.iter().find(|param| !is_name(param)) {
+            return Err(anyhow::Error::msg(Problem::unknown("id", param)));
         }
         let target = self.operation.target(self.params);
         Ok(match self.query {
--- a/src/commands/status.rs
+++ b/src/commands/status.rs
@@ -3,6 +3,8 @@
 use std::{net::SocketAddr, process::ExitCode};
 
 use apricotlug_admin::{Align, Operation, Table};
+use apricotlug_config::datetime::rfc3339;
+use apricotlug_model::UnixTime;
 use argh::FromArgs;
 use serde_json::{Map, Value};
 
@@ -11,6 +13,9 @@
     output::show,
 };
 
+/// End of the names of fields that hold points in time, in microseconds since 1970.
+const POINT_SUFFIX: &str = "_at";
+
 /// Show the state of an entry instance.
 #[derive(Debug, FromArgs)]
 #[argh(
@@ -60,6 +65,10 @@
     for (name, value) in fields {
         let name = format!("{prefix}{name}");
         match value {
+            Value::Number(at) if name.ends_with(POINT_SUFFIX) => {
+                let at = UnixTime(at.as_u64().unwrap_or(0));
+                table.push([name, rfc3339(at)]);
+            }
             Value::Object(inner) => fill(table, &format!("{name}."), inner),
             Value::String(text) => table.push([name, text.clone()]),
             Value::Null => table.push([name, "-".to_owned()]),
--- a/src/plots.rs
+++ b/src/plots.rs
@@ -16,6 +16,9 @@
 /// Font of captions and its size in pixels.
 const CAPTION: (&str, u32) = ("sans-serif", 18);
 
+/// Font of labels and its size in pixels.
+const LABEL: (&str, u32) = ("sans-serif", 16);
+
 /// Microseconds in a millisecond.
 const US_PER_MS: f64 = 1_000.0;
 
@@ -80,6 +83,8 @@
             .map_err(failed)?;
         chart
             .configure_mesh()
+            .max_light_lines(1)
+            .label_style(LABEL)
             .x_desc("percentile")
             .y_desc("ms")
             .draw()
@@ -96,6 +101,7 @@
         }
         chart
             .configure_series_labels()
+            .label_font(LABEL)
             .background_style(WHITE)
             .draw()
             .map_err(failed)?;
@@ -128,6 +134,8 @@
         chart
             .configure_mesh()
             .disable_y_mesh()
+            .max_light_lines(1)
+            .label_style(LABEL)
             .y_labels(rows.len())
             .y_label_formatter(&name)
             .draw()
