--- /dev/null
+++ b/crates/apricotlug-edge/src/gate.rs
@@ -0,0 +1,230 @@
+//! Per-process decision state behind one lock; each call holds it for one decision.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use apricotlug_model::{
+    AccountKey, Bundle, BundleVersion, DataCentreKey, InstanceId, MonoTime, Repeat, ServiceKey,
+    UnixTime,
+};
+use apricotlug_policy::{
+    budget::{Admission, Budgets},
+    order::{AttemptState, OrderLimits, Orders},
+    placement::{Choice, NoPlace, Outcome, Placement, Refusal, Traffic, Want},
+    retry::RetryBudget,
+};
+use rand::rngs::SmallRng;
+
+use crate::board::{Board, Draw};
+
+/// Decision state that exists once a bundle is in force.
+#[derive(Debug)]
+struct Decisions {
+    budgets: Budgets,
+    placement: Placement,
+}
+
+#[derive(Debug)]
+struct State {
+    bundle: BundleVersion,
+    decisions: Option<Decisions>,
+    retries: RetryBudget,
+    rng: SmallRng,
+}
+
+/// Why a request is not admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotAdmitted {
+    /// Another bundle has come into force; its keys differ.
+    OtherBundle,
+    /// The client account has no token left here.
+    OverRate {
+        /// Point from which another try may succeed.
+        retry_at: MonoTime,
+    },
+}
+
+/// Decision state of a process.
+#[derive(Debug)]
+pub struct Gate {
+    identity: InstanceId,
+    state: Mutex<State>,
+    orders: Mutex<Orders>,
+    kept_answer_bytes: usize,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Gate {
+    /// Creates the state of a process that has no bundle yet.
+    #[must_use]
+    pub fn new(identity: InstanceId, rng: SmallRng) -> Self {
+        let limits = OrderLimits::default();
+        Self {
+            identity,
+            state: Mutex::new(State {
+                bundle: BundleVersion(0),
+                decisions: None,
+                retries: RetryBudget::default(),
+                rng,
+            }),
+            orders: Mutex::new(Orders::new(limits)),
+            kept_answer_bytes: limits.one_answer_bytes,
+        }
+    }
+
+    /// Follows a change of the bundle, and publishes it before any decision is made with it.
+    pub fn set_bundle(
+        &self,
+        old: Option<&Bundle>,
+        new: &Bundle,
+        home: DataCentreKey,
+        now: MonoTime,
+        publish: impl FnOnce(&mut Placement),
+    ) {
+        let mut state = lock(&self.state);
+        match (&mut state.decisions, old) {
+            (Some(decisions), Some(old)) => {
+                decisions.budgets.set_bundle(new, now);
+                decisions.placement.update(old, new, now);
+            }
+            (decisions, _) => {
+                *decisions = Some(Decisions {
+                    budgets: Budgets::new(self.identity.clone(), new, now),
+                    placement: Placement::without_share(new, home, now),
+                });
+            }
+        }
+        state.bundle = new.version;
+        if let Some(decisions) = &mut state.decisions {
+            publish(&mut decisions.placement);
+        }
+    }
+
+    /// Changes the budgets or reads them; returns `None` before the first bundle.
+    pub fn with_budgets<T>(&self, change: impl FnOnce(&mut Budgets) -> T) -> Option<T> {
+        lock(&self.state)
+            .decisions
+            .as_mut()
+            .map(|decisions| change(&mut decisions.budgets))
+    }
+
+    /// Changes the placement or reads it; returns `None` before the first bundle.
+    pub fn with_placement<T>(&self, change: impl FnOnce(&mut Placement) -> T) -> Option<T> {
+        lock(&self.state)
+            .decisions
+            .as_mut()
+            .map(|decisions| change(&mut decisions.placement))
+    }
+
+    /// Admits a request of a client account of the bundle.
+    ///
+    /// # Errors
+    /// Returns why it is not admitted.
+    pub fn admit(
+        &self,
+        bundle: &Bundle,
+        account: AccountKey,
+        now: MonoTime,
+    ) -> Result<(), NotAdmitted> {
+        let mut state = lock(&self.state);
+        if state.bundle != bundle.version {
+            return Err(NotAdmitted::OtherBundle);
+        }
+        let Some(decisions) = &mut state.decisions else {
+            return Err(NotAdmitted::OtherBundle);
+        };
+        match decisions.budgets.admit(account, now) {
+            Admission::Granted => Ok(()),
+            Admission::Refused { retry_at } => Err(NotAdmitted::OverRate { retry_at }),
+        }
+    }
+
+    /// Draws the version of a request for a service.
+    pub fn draw(
+        &self,
+        board: &Board,
+        bundle: &Bundle,
+        service: ServiceKey,
+        now: MonoTime,
+        unix: UnixTime,
+    ) -> Draw {
+        board.draw(bundle, service, now, unix, &mut lock(&self.state).rng)
+    }
+
+    /// Places a request on a backend server. One whose client is at home in another region
+    /// counts against the shift cap.
+    ///
+    /// # Errors
+    /// Returns why there is no place.
+    pub fn place(
+        &self,
+        bundle: &Bundle,
+        want: &Want<'_>,
+        arrived_at: MonoTime,
+        is_shifted_in: bool,
+        now: MonoTime,
+    ) -> Result<Choice, NoPlace> {
+        let mut state = lock(&self.state);
+        let State { decisions, rng, .. } = &mut *state;
+        let Some(decisions) = decisions else {
+            return Err(NoPlace {
+                reason: Refusal::NoEndpoint,
+                retry_at: now,
+            });
+        };
+        let placement = &mut decisions.placement;
+        match is_shifted_in {
+            true => placement.place_shifted_in(bundle, want, arrived_at, now, rng),
+            false => placement.place_or_wait(bundle, want, arrived_at, now, rng),
+        }
+    }
+
+    /// Frees the slot of a placed request.
+    pub fn settle(&self, choice: &Choice, outcome: Outcome, now: MonoTime) {
+        if let Some(decisions) = &mut lock(&self.state).decisions {
+            decisions.placement.settle(choice.ticket, outcome, now);
+        }
+    }
+
+    /// Charges the bytes of a placed request to the links between regions.
+    pub fn account_bytes(&self, choice: &Choice, traffic: Traffic, now: MonoTime) {
+        if let Some(decisions) = &mut lock(&self.state).decisions {
+            decisions
+                .placement
+                .account_bytes(choice.ticket, traffic, now);
+        }
+    }
+
+    /// Counts a request towards the retry budget.
+    pub fn on_request(&self, now: MonoTime) {
+        lock(&self.state).retries.on_request(now);
+    }
+
+    /// Tells whether a request may be sent again, and takes the retry from the budget.
+    pub fn may_retry(
+        &self,
+        now: MonoTime,
+        deadline: MonoTime,
+        attempt: u32,
+        repeat: Repeat,
+        attempt_state: AttemptState,
+    ) -> bool {
+        let retries = &mut lock(&self.state).retries;
+        retries
+            .may_retry(now, deadline, attempt, repeat, attempt_state)
+            .is_retry()
+    }
+
+    /// Returns the table of orders.
+    pub fn orders(&self) -> MutexGuard<'_, Orders> {
+        lock(&self.orders)
+    }
+
+    /// Returns the size of the largest answer that is kept, in bytes.
+    #[must_use]
+    pub fn kept_answer_bytes(&self) -> usize {
+        self.kept_answer_bytes
+    }
+}
