--- a/crates/apricotlug-peer/src/gossip.rs
+++ b/crates/apricotlug-peer/src/gossip.rs
@@ -1,12 +1,12 @@
 //! Membership and news together, driven by messages and points in time.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use apricotlug_model::MonoTime;
 use rand::{Rng, RngExt};
 
 pub use crate::membership::{Talk, Target};
-use crate::{Exchange, MemberRecord, Membership, NameHash, News, State, membership::PERIOD};
+use crate::{Exchange, MemberRecord, Membership, News, membership::PERIOD};
 
 /// Delay before news is pushed, within which further news joins in.
 const PUSH_DELAY: Duration = Duration::from_millis(20);
@@ -32,7 +32,7 @@
 impl Gossip {
     /// Returns the state of an instance that knows of nobody else.
     #[must_use]
-    pub fn new(record: MemberRecord, seeds: Vec<std::net::SocketAddr>, now: MonoTime) -> Self {
+    pub fn new(record: MemberRecord, seeds: Vec<SocketAddr>, now: MonoTime) -> Self {
         Self {
             membership: Membership::new(record, seeds, now),
             news: News::default(),
@@ -107,12 +107,6 @@
         }
     }
 
-    /// Returns the state of a member as seen from here.
-    #[must_use]
-    pub fn state_of(&self, name: &str, now: MonoTime) -> Option<State> {
-        self.membership.state(NameHash::of(name), now)
-    }
-
     fn schedule_push(&mut self, now: MonoTime) {
         let has_members = self.membership.take_change();
         let interval = match self.news.take_change() {
