--- a/crates/apricotlug-admin/src/lib.rs
+++ b/crates/apricotlug-admin/src/lib.rs
@@ -18,7 +18,7 @@
 pub use openapi::OPENAPI;
 pub use operation::{Method, Operation, Params, RouteError, resolve};
 pub use problem::{Problem, ProblemCode};
-pub use report::Report;
+pub use report::{Report, moves_table};
 pub use status::{
     AccountStatus, FleetStatus, InstanceState, InstanceStatus, MoveStage, MoveStatus, Moves,
     PlatformStatus, RegionStatus, Unconfirmed,
--- a/crates/apricotlug-admin/src/report.rs
+++ b/crates/apricotlug-admin/src/report.rs
@@ -5,7 +5,7 @@
 use apricotlug_config::datetime::rfc3339;
 use apricotlug_model::{BundleVersion, UnixTime};
 
-use crate::{Align, FleetStatus, PlatformStatus, Table};
+use crate::{Align, FleetStatus, MoveStatus, PlatformStatus, Table};
 
 /// Text report of the fleet's state.
 #[derive(Clone, Debug)]
@@ -96,27 +96,7 @@
     /// Returns the moves.
     #[must_use]
     pub fn moves(&self) -> Table {
-        let mut table = Table::new(&[
-            ("SERVICE", Align::Left),
-            ("FROM", Align::Left),
-            ("TO", Align::Left),
-            ("STAGE", Align::Left),
-            ("SHARE", Align::Right),
-            ("DEADLINE", Align::Left),
-            ("REASON", Align::Left),
-        ]);
-        for row in &self.status.moves {
-            table.push([
-                row.service.clone(),
-                row.from.clone(),
-                row.to.clone(),
-                row.stage.as_str().to_owned(),
-                percent(row.share.into(), 1000),
-                rfc3339(row.deadline),
-                row.reason.clone(),
-            ]);
-        }
-        table
+        moves_table(&self.status.moves)
     }
 
     fn unconfirmed(&self) -> Table {
@@ -131,6 +111,32 @@
     }
 }
 
+/// Returns moves as a table.
+#[must_use]
+pub fn moves_table(moves: &[MoveStatus]) -> Table {
+    let mut table = Table::new(&[
+        ("SERVICE", Align::Left),
+        ("FROM", Align::Left),
+        ("TO", Align::Left),
+        ("STAGE", Align::Left),
+        ("SHARE", Align::Right),
+        ("DEADLINE", Align::Left),
+        ("REASON", Align::Left),
+    ]);
+    for row in moves {
+        table.push([
+            row.service.clone(),
+            row.from.clone(),
+            row.to.clone(),
+            row.stage.as_str().to_owned(),
+            share(row.share),
+            rfc3339(row.deadline),
+            row.reason.clone(),
+        ]);
+    }
+    table
+}
+
 impl fmt::Display for Report<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let status = self.status;
@@ -181,6 +187,11 @@
     version.map_or("-".to_owned(), |version| version.to_string())
 }
 
+/// Returns thousandths in hundredths: the first stages of a move are below one of these.
+fn share(thousandths: u16) -> String {
+    format!("{}.{}%", thousandths / 10, thousandths % 10)
+}
+
 /// Returns a part of a whole in hundredths, rounded down.
 fn percent(part: u32, whole: u32) -> String {
     match (u64::from(part) * 100).checked_div(u64::from(whole)) {
--- a/crates/apricotlug-admin/tests/report.rs
+++ b/crates/apricotlug-admin/tests/report.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use apricotlug_admin::{Align, FleetStatus, PlatformStatus, Report, Table};
+use apricotlug_admin::{Align, FleetStatus, PlatformStatus, Report, Table, moves_table};
 use support::fleet;
 
 #[test]
@@ -30,6 +30,16 @@
     );
 }
 
+#[test]
+fn small_shares_of_moves_are_told_apart() {
+    let mut it = fleet().moves.remove(0);
+    for (share, text) in [(0, "0.0%"), (5, "0.5%"), (250, "25.0%"), (1000, "100.0%")] {
+        it.share = share;
+        let table = moves_table(std::slice::from_ref(&it)).to_string();
+        assert!(table.contains(&format!(" {text} ")), "{table}");
+    }
+}
+
 #[test]
 fn rows_of_any_length_fit_the_table() {
     let mut table = Table::new(&[("A", Align::Left), ("B", Align::Right)]);
--- a/src/commands/moves.rs
+++ b/src/commands/moves.rs
@@ -2,8 +2,7 @@
 
 use std::{net::SocketAddr, process::ExitCode};
 
-use apricotlug_admin::{Align, MoveStatus, Moves, Operation, Table};
-use apricotlug_config::datetime::rfc3339;
+use apricotlug_admin::{Moves, Operation, moves_table};
 use argh::FromArgs;
 
 use crate::{
@@ -11,9 +10,6 @@
     output::show,
 };
 
-/// Thousandths of a share in a hundredth.
-const THOUSANDTHS_PER_PERCENT: u16 = 10;
-
 /// List, pause, resume or take back moves to new versions.
 #[derive(Debug, FromArgs)]
 #[argh(
@@ -186,27 +182,5 @@
     if moves.moves.is_empty() {
         return "the bundle in force moves no service".to_owned();
     }
-    let mut table = Table::new(&[
-        ("SERVICE", Align::Left),
-        ("FROM", Align::Left),
-        ("TO", Align::Left),
-        ("STAGE", Align::Left),
-        ("SHARE", Align::Right),
-        ("DEADLINE", Align::Left),
-        ("REASON", Align::Left),
-    ]);
-    moves.moves.iter().for_each(|row| table.push(cells(row)));
-    table.to_string()
-}
-
-fn cells(row: &MoveStatus) -> [String; 7] {
-    [
-        row.service.clone(),
-        row.from.clone(),
-        row.to.clone(),
-        row.stage.as_str().to_owned(),
-        format!("{}%", row.share / THOUSANDTHS_PER_PERCENT),
-        rfc3339(row.deadline),
-        row.reason.clone(),
-    ]
+    moves_table(&moves.moves).to_string()
 }
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -126,7 +126,7 @@
             &["fleet", "--via", &via],
             "try-a\r\nx: y",
             4,
-            "no operator's key",
+            "no operator's key was given",
         ),
         (
             &["key", "withdraw", "armor-web-1", "--via", &via],
@@ -147,7 +147,7 @@
             "error[NotFound]",
         ),
         (
-            &["key", "withdraw", "a/../b", "--via", &via],
+            &["key", "withdraw", "armor-web-1/withdraw?", "--via", &via],
             RESPONDER,
             1,
             "error[NotFound]",
