--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -268,6 +268,15 @@
     let via = entries[0].admin.to_string();
     let change = |verb| run(&["move", verb, "stock", "--via", &via], RESPONDER);
     wait_until("the move is paused", || change("pause").status.success());
+    let pause = ["move", "pause", "stock", "--via", &via];
+    assert_fails(&pause, RESPONDER, 3, "error[Conflict]");
+    let set_outage = |outage| world.platform.set_faults(|faults| faults.outage = outage);
+    set_outage(Outage::Close);
+    let resume = ["move", "resume", "stock", "--via", &via];
+    assert_fails(&resume, RESPONDER, 5, "error[PlatformUnavailable]");
+    set_outage(Outage::None);
+    wait_until("the platform answers", || change("resume").status.success());
+    wait_until("it is paused again", || change("pause").status.success());
     for (verb, stage) in [("resume", "running"), ("take-back", "taken back")] {
         let output = change(verb);
         assert!(output.status.success(), "{verb}");
