--- a/crates/apricotlug-edge/src/settle.rs
+++ b/crates/apricotlug-edge/src/settle.rs
@@ -3,7 +3,7 @@
 use apricotlug_http::Conn;
 use apricotlug_policy::{
     order::{AttemptState, KeptAnswer},
-    placement::Outcome,
+    placement::{Outcome, Traffic},
 };
 
 use crate::{
@@ -80,6 +80,10 @@
         order::settle_unanswered(shared, ex, AttemptState::PerhapsRun);
         return End::closing(status, "answer_cut", attempts);
     }
+    permit.account_bytes(Traffic {
+        sent: ex.sent_bytes(),
+        received: delivered.bytes,
+    });
     order::settle_answered(shared, ex, delivered.kept);
     drop(permit);
     reuse(shared, answer).await;
--- a/crates/apricotlug-node/src/fleet.rs
+++ b/crates/apricotlug-node/src/fleet.rs
@@ -21,6 +21,9 @@
 /// Parts of the load scale on which peers report.
 const LOAD_SCALE: u32 = 1_000;
 
+/// Load that stands for an instance without a usable slot.
+const NO_SLOTS: u16 = u16::MAX;
+
 /// Follows the fleet for ever.
 pub async fn follow(shared: Arc<Shared>, lookups: Arc<Lookups>, peers: PeerHandle) {
     loop {
@@ -72,21 +75,30 @@
     }
 }
 
+/// Returns the load of this instance for its peers. Without a usable slot it is [`NO_SLOTS`].
 fn own_load(shared: &Shared) -> u16 {
-    let Some(bundle) = shared.view.load().bundle.clone() else {
-        return 0;
-    };
     let now = shared.clock.now();
-    let slots = shared.gate.with_placement(|placement| {
-        let limits = bundle
-            .endpoints
-            .keys()
-            .map(|key| placement.slot_limit(key, now));
-        limits.map(u32::from).sum::<u32>()
-    });
-    let in_flight = u32::try_from(shared.drain.in_flight()).unwrap_or(u32::MAX);
-    let load = in_flight.saturating_mul(LOAD_SCALE) / slots.unwrap_or(0).max(1);
-    u16::try_from(load).unwrap_or(u16::MAX)
+    let load = shared.gate.with_placement(|placement| placement.load(now));
+    match load {
+        None | Some((_, 0)) => NO_SLOTS,
+        Some((outstanding, slots)) => {
+            let load = outstanding.saturating_mul(LOAD_SCALE) / slots;
+            u16::try_from(load).unwrap_or(NO_SLOTS).min(NO_SLOTS - 1)
+        }
+    }
+}
+
+fn load(reported: Option<u16>) -> InstanceLoad {
+    match reported {
+        Some(NO_SLOTS) => InstanceLoad {
+            outstanding: 0,
+            slots: 0,
+        },
+        reported => InstanceLoad {
+            outstanding: reported.unwrap_or(0).into(),
+            slots: LOAD_SCALE,
+        },
+    }
 }
 
 fn update_lookups(
@@ -120,10 +132,7 @@
                 member.state,
                 ready.contains(&bundle.data_centres[data_centre].region),
             ),
-            load: InstanceLoad {
-                outstanding: member.load.unwrap_or(0).into(),
-                slots: LOAD_SCALE,
-            },
+            load: load(member.load),
         });
     }
     lookups.update(bundle, own, &entries, names, shared.clock.unix());
--- a/crates/apricotlug-policy/src/moves/local.rs
+++ b/crates/apricotlug-policy/src/moves/local.rs
@@ -1,19 +1,14 @@
 //! One move as one instance sees it: its record, its guard and all evidence that has arrived.
 
-use std::{collections::BTreeMap, time::Duration};
-
 use apricotlug_model::{
     Bundle, HashMap, InstanceId, MonoTime, Move, RouteKey, UnixTime, VersionKey,
 };
 
 use super::{
-    ActiveMove, Evidence, Guard, MoveId, MoveRecord, MoveState, Pair, Report, Sample, Side,
+    ActiveMove, FleetView, Guard, MoveId, MoveRecord, MoveState, Pair, Report, Sample, Side,
     Summary, share,
 };
 
-/// Time after which an instance without a new report counts as not reporting.
-const REPORT_AGE: Duration = Duration::from_secs(5);
-
 /// State of one move in one instance.
 #[derive(Clone, Debug)]
 pub struct LocalMove {
@@ -24,8 +19,7 @@
     record: Option<MoveRecord>,
     guard: Guard,
     pairs: HashMap<RouteKey, Pair>,
-    evidence: Evidence,
-    heard_at: BTreeMap<InstanceId, MonoTime>,
+    reports: FleetView,
     sequence: u64,
 }
 
@@ -48,18 +42,47 @@
             record: None,
             guard: Guard::default(),
             pairs: HashMap::default(),
-            evidence: Evidence::default(),
-            heard_at: BTreeMap::new(),
+            reports: FleetView::default(),
             sequence: 0,
         })
     }
 
+    /// Carries the state over to another bundle, or returns `None` where that has no such move.
+    #[must_use]
+    pub fn follow(self, old: &Bundle, new: &Bundle) -> Option<Self> {
+        let (to, version) = new.versions.iter().find(|(_, version)| {
+            version.id == self.id.version
+                && new.services[version.service].id == self.id.service
+                && version
+                    .incoming
+                    .as_ref()
+                    .is_some_and(|cfg| cfg.deadline == self.id.deadline)
+        })?;
+        let cfg = version.incoming.clone()?;
+        let pairs = self.pairs.into_iter().filter_map(|(route, pair)| {
+            let id = &old.routes[route].id;
+            Some((new.routes.find(|route| route.id == *id)?, pair))
+        });
+        Some(Self {
+            to,
+            cfg,
+            pairs: pairs.collect(),
+            ..self
+        })
+    }
+
     /// Returns the identity of the move.
     #[must_use]
     pub fn id(&self) -> &MoveId {
         &self.id
     }
 
+    /// Returns the version that the move brings in.
+    #[must_use]
+    pub fn to(&self) -> VersionKey {
+        self.to
+    }
+
     /// Returns the move as the bundle describes it.
     #[must_use]
     pub fn cfg(&self) -> &Move {
@@ -94,12 +117,7 @@
 
     /// Takes a report of another instance in. Returns whether it was news.
     pub fn hear_report(&mut self, report: Report, now: MonoTime) -> bool {
-        let instance = report.instance.clone();
-        let is_news = self.evidence.merge(report);
-        if is_news {
-            self.heard_at.insert(instance, now);
-        }
-        is_news
+        self.reports.hear(report, now)
     }
 
     /// Counts what became of a request whose version was drawn by a share in thousandths.
@@ -128,20 +146,13 @@
 
     /// Judges the reports of all instances. About once a second.
     pub fn look_at_all(&mut self, now: MonoTime) {
-        self.guard.observe_fleet(&self.evidence, now);
+        self.guard.observe_fleet(self.reports.evidence(), now);
     }
 
     /// Returns what [`super::advance`] asks, given the number of instances that are alive.
     #[must_use]
     pub fn summary(&self, alive: u16, now: MonoTime) -> Summary {
-        let is_recent = |at: &&MonoTime| now.since(**at) <= REPORT_AGE;
-        let reporting = self.heard_at.values().filter(is_recent).count();
-        Summary {
-            is_faulty: self.guard.has_cut(),
-            is_suspect: self.guard.is_suspect(now),
-            reporting: u16::try_from(reporting).unwrap_or(u16::MAX),
-            alive,
-        }
+        self.reports.summary(&self.guard, alive, now)
     }
 
     /// Returns the move with the share that this instance gives it now.
