--- a/crates/apricotlug-edge/src/caller.rs
+++ b/crates/apricotlug-edge/src/caller.rs
@@ -175,7 +175,8 @@
         }
     };
     head.headers.remove("authorization");
-    let order = order::named(&bundle.routes[route], account, &head)?;
+    let name = account.map(|key| bundle.accounts[key].id.as_str());
+    let order = order::named(&bundle.routes[route], name, &head)?;
     let timeout = Duration::from_millis(bundle.routes[route].timeout_ms.into());
     let deadline = arrival.arrived_at.after(timeout);
     let deadline_us = shared.clock.to_unix(deadline).0;
--- a/crates/apricotlug-edge/src/order.rs
+++ b/crates/apricotlug-edge/src/order.rs
@@ -6,7 +6,7 @@
 };
 
 use apricotlug_http::{Conn, Framing, RequestHead, ResponseHead};
-use apricotlug_model::{AccountKey, Bundle, Repeat, Route, UnixTime};
+use apricotlug_model::{Bundle, Repeat, Route, UnixTime};
 use apricotlug_policy::order::{AttemptState, Begin, KeptAnswer, OrderId, OrderToken};
 
 use crate::{
@@ -62,7 +62,7 @@
 /// Returns a refusal where the name is malformed.
 pub fn named(
     route: &Route,
-    account: Option<AccountKey>,
+    account: Option<&str>,
     head: &RequestHead,
 ) -> Result<Option<NamedOrder>, Refusal> {
     if route.repeat == Repeat::Idempotent {
@@ -92,7 +92,10 @@
     let request = digest(head);
     Ok(Some(NamedOrder {
         name,
-        id: OrderId { account, key },
+        id: OrderId {
+            account: account.map(str::to_owned),
+            key,
+        },
         request,
     }))
 }
--- a/crates/apricotlug-edge/src/remote.rs
+++ b/crates/apricotlug-edge/src/remote.rs
@@ -284,7 +284,8 @@
         Some(id) => Some(bundle.accounts.find(|account| account.id == id)?),
         None => None,
     };
-    let order = order::named(&bundle.routes[route], account, &head).ok()?;
+    let name = account.map(|key| bundle.accounts[key].id.as_str());
+    let order = order::named(&bundle.routes[route], name, &head).ok()?;
     let framing = Framing::Length(wire.body.len() as u64);
     let arrived_at = shared.clock.now();
     let timeout = std::time::Duration::from_millis(bundle.routes[route].timeout_ms.into());
--- a/crates/apricotlug-node/src/release.rs
+++ b/crates/apricotlug-node/src/release.rs
@@ -1,8 +1,10 @@
 //! Signs a bundle off: splits its text into chunks and puts the head in force.
 
+use std::collections::BTreeSet;
+
 use apricotlug_config::chunk::{Manifest, split};
 use apricotlug_model::{BundleVersion, UnixTime};
-use apricotlug_platform::{BundleStore, ChunkHash, Result, SignOff};
+use apricotlug_platform::{BundleStore, ChunkHash, Head, Result, SignOff};
 
 /// Signs a bundle off on top of the one in force.
 ///
@@ -21,6 +23,8 @@
         });
     }
     let (hashes, chunks) = split(text);
+    // The chunks of the bundle in force stand in the platform already.
+    let held: BTreeSet<_> = base.iter().flat_map(chunks_of).collect();
     let manifest = Manifest {
         version,
         write_id: rand::random(),
@@ -30,6 +34,7 @@
     };
     let chunks: Vec<_> = chunks
         .into_iter()
+        .filter(|chunk| !held.contains(&chunk.hash))
         .map(|chunk| (ChunkHash(chunk.hash.0), chunk.text.into_bytes()))
         .collect();
     let manifest = serde_json::to_vec(&manifest)
@@ -38,3 +43,8 @@
         .sign_off(base.as_ref(), version, &manifest, &chunks)
         .await
 }
+
+fn chunks_of(head: &Head) -> Vec<apricotlug_config::chunk::ChunkHash> {
+    let manifest: Option<Manifest> = serde_json::from_slice(&head.manifest).ok();
+    manifest.map(|manifest| manifest.chunks).unwrap_or_default()
+}
--- a/crates/apricotlug-policy/src/order/table.rs
+++ b/crates/apricotlug-policy/src/order/table.rs
@@ -6,13 +6,14 @@
     time::Duration,
 };
 
-use apricotlug_model::{AccountKey, UnixTime};
+use apricotlug_model::UnixTime;
 
 /// Identity of an order within one incarnation.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct OrderId {
-    /// Client account that placed it; `None` on open routes.
-    pub account: Option<AccountKey>,
+    /// Name of the client account that placed it; `None` on open routes. Keys differ from bundle to
+    /// bundle, names do not.
+    pub account: Option<String>,
     /// Token or idempotency key, as text.
     pub key: String,
 }
--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -59,8 +59,16 @@
 
 /// Sends look-ups of stock through all instances until `is_over` holds.
 fn under_load(entries: &[Entry], is_over: impl FnOnce()) {
+    /// Ends the load also where the test panics.
+    struct Stop<'a>(&'a AtomicBool);
+    impl Drop for Stop<'_> {
+        fn drop(&mut self) {
+            self.0.store(true, Ordering::SeqCst);
+        }
+    }
     let stop = AtomicBool::new(false);
     thread::scope(|scope| {
+        let _stop = Stop(&stop);
         for entry in entries {
             for _ in 0..2 {
                 scope.spawn(|| {
@@ -71,7 +79,6 @@
             }
         }
         is_over();
-        stop.store(true, Ordering::SeqCst);
     });
 }
 
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -155,3 +155,24 @@
     });
     assert_eq!(world.runs("g"), 1);
 }
+
+#[test]
+fn a_token_stays_bound_to_its_account_over_a_new_bundle() {
+    let world = World::start(|text| text);
+    let entries = world.fleet(&["brest"]);
+    let token = entries[0].order_token();
+    let first = entries[0].post("/bookings/h", &order("h", &token), b"x");
+    assert_eq!(first.status, 200, "{first:?}");
+    // A new first account shifts the positions of all others.
+    let added = "account = [\n  { id = \"aaa\", rate = 5, burst = 5 },\n";
+    let text = world.text.replacen("account = [\n", added, 1);
+    world.sign_off(&text.replace("version = 1\n", "version = 2\n"));
+    wait_until("version 2 is in force", || entries[0].bundle_version() == 2);
+    let repeat = entries[0].post("/bookings/h", &order("h", &token), b"x");
+    assert_eq!(
+        (repeat.status, &repeat.body),
+        (200, &first.body),
+        "{repeat:?}"
+    );
+    assert_eq!(world.runs("h"), 1);
+}
