--- a/crates/apricotlug-edge/src/exchange.rs
+++ b/crates/apricotlug-edge/src/exchange.rs
@@ -32,6 +32,17 @@
     pub deadline: MonoTime,
 }
 
+impl Exchange {
+    /// Returns the bytes of the body, where the head tells them.
+    #[must_use]
+    pub fn sent_bytes(&self) -> u64 {
+        match self.framing {
+            Framing::Length(len) => len,
+            Framing::Empty | Framing::Chunked | Framing::UntilClose => 0,
+        }
+    }
+}
+
 /// Body of a request, with the bytes read so far while they are few enough to send again.
 #[derive(Debug)]
 pub struct RequestBody {
--- a/crates/apricotlug-edge/src/gate.rs
+++ b/crates/apricotlug-edge/src/gate.rs
@@ -9,7 +9,7 @@
 use apricotlug_policy::{
     budget::{Admission, Budgets},
     order::{AttemptState, OrderLimits, Orders},
-    placement::{Choice, NoPlace, Outcome, Placement, Refusal, Want},
+    placement::{Choice, NoPlace, Outcome, Placement, Refusal, Traffic, Want},
     retry::RetryBudget,
 };
 use rand::rngs::SmallRng;
@@ -92,7 +92,7 @@
             (decisions, _) => {
                 *decisions = Some(Decisions {
                     budgets: Budgets::new(self.identity.clone(), new, now),
-                    placement: Placement::new(new, home, now),
+                    placement: Placement::without_share(new, home, now),
                 });
             }
         }
@@ -188,6 +188,15 @@
         }
     }
 
+    /// Charges the bytes of a placed request to the links between regions.
+    pub fn account_bytes(&self, choice: &Choice, traffic: Traffic, now: MonoTime) {
+        if let Some(decisions) = &mut lock(&self.state).decisions {
+            decisions
+                .placement
+                .account_bytes(choice.ticket, traffic, now);
+        }
+    }
+
     /// Counts a request towards the retry budget.
     pub fn on_request(&self, now: MonoTime) {
         lock(&self.state).retries.on_request(now);
--- a/crates/apricotlug-node/src/moves.rs
+++ b/crates/apricotlug-node/src/moves.rs
@@ -1,79 +1,29 @@
 //! Advances version moves: every instance reports what it counted, the leader of moves decides by
 //! all reports and writes the record, and everybody follows the record.
 
-use std::{
-    collections::BTreeMap,
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use apricotlug_edge::{MoveView, Shared};
-use apricotlug_model::{InstanceId, MonoTime, UnixTime};
+use apricotlug_model::UnixTime;
 use apricotlug_peer::{NamedRecord, PeerHandle, State};
-use apricotlug_platform::{Client, Entry, Error, Leadership, Swap};
-use apricotlug_policy::moves::{
-    Evidence, Guard, MoveId, MoveRecord, MoveRecordWire, Report, Summary, advance,
-};
+use apricotlug_platform::{Client, Error, Leadership, MoveStore, StoredMove, Swap};
+use apricotlug_policy::moves::{MoveId, MoveRecord, MoveRecordWire, MoveState, advance};
 use async_std::task;
 
+use crate::messages::{self, Message};
+
 /// Pause between two steps.
 const PERIOD: Duration = Duration::from_millis(500);
 
-/// Time after which an instance counts as not reporting.
-const REPORT_LIFE: Duration = Duration::from_secs(5);
-
 /// Lease of the leadership of moves.
 const LEADERSHIP: Duration = Duration::from_secs(5);
 
+/// Prefix of the names under which records travel between instances.
+const RECORD_PREFIX: &str = "moves/";
+
 /// Name of the leadership of moves.
 const LEADER_NAME: &str = "moves";
 
-/// Reports of all instances on one move, and the guard that judges them.
-#[derive(Debug, Default)]
-struct Collected {
-    evidence: Evidence,
-    heard: BTreeMap<InstanceId, MonoTime>,
-    guard: Guard,
-}
-
-/// Reports that this instance has received.
-#[derive(Debug, Default)]
-pub struct MoveReports(Mutex<BTreeMap<MoveId, Collected>>);
-
-impl MoveReports {
-    /// Takes a report in.
-    pub fn put(&self, id: MoveId, report: Report, now: MonoTime) {
-        let mut moves = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let collected = moves.entry(id).or_default();
-        collected
-            .heard
-            .insert(report.instance.clone(), now.after(REPORT_LIFE));
-        collected.evidence.merge(report);
-    }
-
-    fn summary(&self, id: &MoveId, alive: u16, now: MonoTime) -> Summary {
-        let mut moves = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let collected = moves.entry(id.clone()).or_default();
-        let is_faulty = collected.guard.observe_fleet(&collected.evidence, now);
-        let reporting = collected
-            .heard
-            .values()
-            .filter(|until| !until.is_past(now))
-            .count();
-        Summary {
-            is_faulty,
-            is_suspect: collected.guard.is_suspect(now),
-            reporting: u16::try_from(reporting).unwrap_or(u16::MAX),
-            alive,
-        }
-    }
-
-    fn retain(&self, views: &[MoveView]) {
-        let mut moves = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        moves.retain(|id, _| views.iter().any(|view| view.id == *id));
-    }
-}
-
 /// Keeps the moves going.
 #[derive(Clone, Debug)]
 pub struct MoveKeeper {
@@ -83,8 +33,6 @@
     pub peers: PeerHandle,
     /// Client of the platform.
     pub client: Client,
-    /// Reports received.
-    pub reports: Arc<MoveReports>,
 }
 
 /// Why a step on a move failed.
@@ -109,7 +57,6 @@
             task::sleep(PERIOD).await;
             self.follow_records();
             let views = self.views();
-            self.reports.retain(&views);
             if views.is_empty() {
                 continue;
             }
@@ -123,16 +70,13 @@
     /// Returns the moves as this instance sees them.
     #[must_use]
     pub fn views(&self) -> Vec<MoveView> {
-        let Some(bundle) = self.shared.view.load().bundle.clone() else {
-            return Vec::new();
-        };
         let (now, unix) = (self.shared.clock.now(), self.shared.clock.unix());
-        self.shared.board.views(&bundle, now, unix)
+        self.shared.board.views(now, unix)
     }
 
     fn follow_records(&self) {
         for (name, record) in self.peers.records().iter() {
-            if !name.starts_with("moves/") {
+            if !name.starts_with(RECORD_PREFIX) {
                 continue;
             }
             match decode(&record.bytes) {
@@ -147,19 +91,16 @@
     async fn report(&self) -> bool {
         let now = self.shared.clock.now();
         let own = &self.shared.identity;
-        let reports = self.shared.board.reports(own, now);
+        let reports = self.shared.board.reports(now);
         let members = self.peers.members();
         let live = members.iter().filter(|member| member.state == State::Ready);
         let leader = live.map(|member| &member.record.id).min();
         let Some(leader) = leader.filter(|leader| *leader < own) else {
-            reports
-                .into_iter()
-                .for_each(|(id, report)| self.reports.put(id, report, now));
             return true;
         };
         for (id, report) in reports {
-            let message = crate::messages::Message::Evidence(id, report);
-            crate::messages::send(&self.shared, &self.peers, leader, &message).await;
+            let message = Message::Evidence(id, report);
+            messages::send(&self.shared, &self.peers, leader, &message).await;
         }
         false
     }
@@ -169,10 +110,12 @@
         leadership: &mut Option<Leadership>,
         views: &[MoveView],
     ) -> Result<(), MoveError> {
-        let fencing = self.fencing(leadership).await?;
-        let Some(fencing) = fencing else {
+        self.hold(leadership).await?;
+        let now = self.client.now();
+        let Some(leadership) = leadership.as_ref().filter(|held| held.is_held(now)) else {
             return Ok(());
         };
+        let fencing = u64::try_from(leadership.fencing()).unwrap_or(0);
         let members = self.peers.members();
         let alive = members
             .iter()
@@ -187,35 +130,43 @@
             {
                 continue;
             }
-            let summary = self
-                .reports
-                .summary(&view.id, alive, self.shared.clock.now());
+            let now = self.shared.clock.now();
+            let Some(summary) = self.shared.board.judge_all(&view.id, alive, now) else {
+                continue;
+            };
             let unix = self.shared.clock.unix();
             let Some(record) = &view.record else {
-                self.begin(view, fencing, unix).await?;
+                self.begin(view, leadership, unix).await?;
                 continue;
             };
             if let Some(next) = advance(&view.cfg, record, summary, fencing, unix) {
-                let stored = self.read(&view.id).await?;
-                self.write(stored.as_ref(), &next).await?;
+                let stored = self.store().read(&view.id).await?;
+                self.write(stored.as_ref(), &next, leadership).await?;
             }
         }
         Ok(())
     }
 
     /// Takes up a record that stands in the platform, or begins the move.
-    async fn begin(&self, view: &MoveView, fencing: u64, now: UnixTime) -> Result<(), MoveError> {
-        if let Some(entry) = self.read(&view.id).await? {
-            return self.publish(&decode(&entry.value)?).await;
+    async fn begin(
+        &self,
+        view: &MoveView,
+        leadership: &Leadership,
+        now: UnixTime,
+    ) -> Result<(), MoveError> {
+        if let Some(stored) = self.store().read(&view.id).await? {
+            return self.publish(&stored.record).await;
         }
         if view.cfg.deadline.is_past(now) {
             return Ok(());
         }
-        self.write(None, &MoveRecord::begin(view.id.clone(), fencing, now))
-            .await
+        let fencing = u64::try_from(leadership.fencing()).unwrap_or(0);
+        let first = MoveRecord::begin(view.id.clone(), fencing, now);
+        self.write(None, &first, leadership).await
     }
 
-    async fn fencing(&self, leadership: &mut Option<Leadership>) -> Result<Option<u64>, MoveError> {
+    /// Renews the leadership of moves, or acquires it where nobody holds it.
+    async fn hold(&self, leadership: &mut Option<Leadership>) -> Result<(), MoveError> {
         if let Some(held) = leadership
             && self.client.renew(held).await.is_err()
             && !held.is_held(self.client.now())
@@ -229,23 +180,20 @@
                 .acquire(LEADER_NAME, &holder, LEADERSHIP)
                 .await?;
         }
-        let held = leadership
-            .as_ref()
-            .filter(|held| held.is_held(self.client.now()));
-        Ok(held.and_then(|held| u64::try_from(held.fencing()).ok()))
+        Ok(())
     }
 
-    async fn read(&self, id: &MoveId) -> Result<Option<Entry>, MoveError> {
-        Ok(self.client.get(&key(id)).await?)
+    fn store(&self) -> MoveStore {
+        MoveStore::new(self.client.clone())
     }
 
-    async fn write(&self, expected: Option<&Entry>, record: &MoveRecord) -> Result<(), MoveError> {
-        let bytes = encode(record)?;
-        match self
-            .client
-            .compare_and_swap(&key(&record.id), expected, &bytes)
-            .await?
-        {
+    async fn write(
+        &self,
+        expected: Option<&StoredMove>,
+        record: &MoveRecord,
+        leadership: &Leadership,
+    ) -> Result<(), MoveError> {
+        match self.store().write(expected, record, leadership).await? {
             Swap::Written {
                 is_superseded: false,
                 ..
@@ -256,8 +204,12 @@
 
     async fn publish(&self, record: &MoveRecord) -> Result<(), MoveError> {
         self.shared.board.set_record(record.clone());
+        let id = &record.id;
         let record = NamedRecord {
-            name: key(&record.id),
+            name: format!(
+                "{RECORD_PREFIX}{}/{}/{}",
+                id.service, id.version, id.deadline.0
+            ),
             version: record.sequence,
             bytes: encode(record)?.into(),
         };
@@ -267,32 +219,27 @@
         Ok(())
     }
 
-    /// Changes a move by an operator's wish.
+    /// Changes a move by an operator's wish. Returns whether anything was changed.
     ///
     /// # Errors
     /// Returns an error where the platform cannot be asked or another writer was first.
-    pub async fn change(
-        &self,
-        id: &MoveId,
-        state: apricotlug_policy::moves::MoveState,
-    ) -> Result<bool, MoveError> {
-        let Some(entry) = self.read(id).await? else {
+    pub async fn change(&self, id: &MoveId, state: MoveState) -> Result<bool, MoveError> {
+        let Some(stored) = self.store().read(id).await? else {
             return Ok(false);
         };
-        let record = decode(&entry.value)?;
         let now = self.shared.clock.unix();
-        let Some(next) = record.with_state(state, record.fencing, now) else {
-            return Ok(false);
-        };
-        self.write(Some(&entry), &next).await?;
+        match self.store().set_state(&stored, state, now).await? {
+            None => return Ok(false),
+            Some(Swap::Written { .. }) => {}
+            Some(_) => return Err(MoveError::Conflict),
+        }
+        if let Some(stored) = self.store().read(id).await? {
+            self.publish(&stored.record).await?;
+        }
         Ok(true)
     }
 }
 
-fn key(id: &MoveId) -> String {
-    format!("moves/{}/{}/{}", id.service, id.version, id.deadline.0)
-}
-
 fn encode(record: &MoveRecord) -> Result<Vec<u8>, MoveError> {
     let wire = MoveRecordWire::from(record.clone());
     serde_json::to_vec(&wire).map_err(|e| MoveError::Malformed(e.to_string()))
--- a/crates/apricotlug-node/src/node.rs
+++ b/crates/apricotlug-node/src/node.rs
@@ -18,9 +18,10 @@
     fleet,
     keeper::SeatKeeper,
     lookups::{self, LookupPages, Lookups},
-    moves::{MoveKeeper, MoveReports},
+    moves::MoveKeeper,
     pages::{self, AdminPages},
     peers::{Inbound, Outbound},
+    probes,
     seats::Reports,
     sync::{self, Links},
 };
@@ -92,11 +93,9 @@
             seed: seed.rotate_left(2),
             ..ClientConfig::default()
         });
-        let move_reports = Arc::new(MoveReports::default());
         let inbound = Inbound {
             shared: Arc::clone(&shared),
             reports: Arc::clone(&reports),
-            move_reports: Arc::clone(&move_reports),
         };
         let peers = start_peers(&settings, &shared, inbound, addrs)?;
         let addrs = Addrs {
@@ -124,7 +123,6 @@
             shared: Arc::clone(&shared),
             peers: peers.clone(),
             client: client.clone(),
-            reports: move_reports,
         };
         let pages = LookupPages {
             shared: Arc::clone(&shared),
@@ -146,6 +144,7 @@
             task::spawn(sync::follow_withdrawals(links)),
             task::spawn(seats.clone().keep()),
             task::spawn(moves.keep()),
+            task::spawn(probes::run(Arc::clone(&shared))),
             task::spawn(fleet::follow(Arc::clone(&shared), lookups, peers.clone())),
         ];
         let accept = task::spawn(accept(caller.0, Arc::clone(&shared)));
--- /dev/null
+++ b/crates/apricotlug-policy/src/moves/local.rs
@@ -0,0 +1,175 @@
+//! One move as one instance sees it: its record, its guard and all evidence that has arrived.
+
+use apricotlug_model::{
+    Bundle, HashMap, InstanceId, MonoTime, Move, RouteKey, UnixTime, VersionKey,
+};
+
+use super::{
+    ActiveMove, FleetView, Guard, MoveId, MoveRecord, MoveState, Pair, Report, Sample, Side,
+    Summary, share,
+};
+
+/// State of one move in one instance.
+#[derive(Clone, Debug)]
+pub struct LocalMove {
+    id: MoveId,
+    to: VersionKey,
+    cfg: Move,
+    instance: InstanceId,
+    record: Option<MoveRecord>,
+    guard: Guard,
+    pairs: HashMap<RouteKey, Pair>,
+    reports: FleetView,
+    sequence: u64,
+}
+
+impl LocalMove {
+    /// Returns the state of the move that brings a version in, or `None` where no move does.
+    #[must_use]
+    pub fn new(bundle: &Bundle, to: VersionKey, instance: InstanceId) -> Option<Self> {
+        let version = &bundle.versions[to];
+        let cfg = version.incoming.clone()?;
+        let id = MoveId {
+            service: bundle.services[version.service].id.clone(),
+            version: version.id.clone(),
+            deadline: cfg.deadline,
+        };
+        Some(Self {
+            id,
+            to,
+            cfg,
+            instance,
+            record: None,
+            guard: Guard::default(),
+            pairs: HashMap::default(),
+            reports: FleetView::default(),
+            sequence: 0,
+        })
+    }
+
+    /// Carries the state over to another bundle, or returns `None` where that has no such move.
+    #[must_use]
+    pub fn follow(self, old: &Bundle, new: &Bundle) -> Option<Self> {
+        let (to, version) = new.versions.iter().find(|(_, version)| {
+            version.id == self.id.version
+                && new.services[version.service].id == self.id.service
+                && version
+                    .incoming
+                    .as_ref()
+                    .is_some_and(|cfg| cfg.deadline == self.id.deadline)
+        })?;
+        let cfg = version.incoming.clone()?;
+        let pairs = self.pairs.into_iter().filter_map(|(route, pair)| {
+            let id = &old.routes[route].id;
+            Some((new.routes.find(|route| route.id == *id)?, pair))
+        });
+        Some(Self {
+            to,
+            cfg,
+            pairs: pairs.collect(),
+            ..self
+        })
+    }
+
+    /// Returns the identity of the move.
+    #[must_use]
+    pub fn id(&self) -> &MoveId {
+        &self.id
+    }
+
+    /// Returns the version that the move brings in.
+    #[must_use]
+    pub fn to(&self) -> VersionKey {
+        self.to
+    }
+
+    /// Returns the move as the bundle describes it.
+    #[must_use]
+    pub fn cfg(&self) -> &Move {
+        &self.cfg
+    }
+
+    /// Returns the latest record that has arrived.
+    #[must_use]
+    pub fn record(&self) -> Option<&MoveRecord> {
+        self.record.as_ref()
+    }
+
+    /// Returns the guard.
+    #[must_use]
+    pub fn guard(&self) -> &Guard {
+        &self.guard
+    }
+
+    /// Takes a record in, from the platform or a peer, unless it is of another move or older than
+    /// the one here. Returns whether it was news, to be passed on.
+    pub fn hear_record(&mut self, record: MoveRecord) -> bool {
+        let is_news = record.id == self.id
+            && self
+                .record
+                .as_ref()
+                .is_none_or(|own| own.is_replaced_by(&record));
+        if is_news {
+            self.record = Some(record);
+        }
+        is_news
+    }
+
+    /// Takes a report of another instance in. Returns whether it was news.
+    pub fn hear_report(&mut self, report: Report, now: MonoTime) -> bool {
+        self.reports.hear(report, now)
+    }
+
+    /// Counts what became of a request whose version was drawn by a share in thousandths.
+    pub fn count(&mut self, route: RouteKey, side: Side, share: u16, sample: Sample) {
+        let pair = self.pairs.entry(route).or_default();
+        pair.record(side, share, sample);
+    }
+
+    /// Judges what this instance has counted, and returns its report for the others. Several
+    /// times a second.
+    pub fn look_at_own(&mut self, bundle: &Bundle, now: MonoTime) -> Report {
+        self.sequence += 1;
+        let pairs = self.pairs.iter();
+        let mut report = Report {
+            instance: self.instance.clone(),
+            sequence: self.sequence,
+            has_cut: false,
+            totals: pairs
+                .map(|(route, pair)| (bundle.routes[*route].id.clone(), pair.clone()))
+                .collect(),
+        };
+        report.has_cut = self.guard.observe_own(&report, now);
+        self.hear_report(report.clone(), now);
+        report
+    }
+
+    /// Judges the reports of all instances. About once a second.
+    pub fn look_at_all(&mut self, now: MonoTime) {
+        self.guard.observe_fleet(self.reports.evidence(), now);
+    }
+
+    /// Returns what [`super::advance`] asks, given the number of instances that are alive.
+    #[must_use]
+    pub fn summary(&self, alive: u16, now: MonoTime) -> Summary {
+        self.reports.summary(&self.guard, alive, now)
+    }
+
+    /// Returns the move with the share that this instance gives it now.
+    #[must_use]
+    pub fn active(&self, now: MonoTime, wall: UnixTime) -> ActiveMove {
+        let limit = self.guard.limit(now);
+        ActiveMove {
+            from: self.cfg.from,
+            to: self.to,
+            share: share(&self.cfg, self.record.as_ref(), limit, wall),
+        }
+    }
+
+    /// Tells whether the record is final.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        let state = self.record.as_ref().map(|record| record.state);
+        state.is_some_and(MoveState::is_final)
+    }
+}
