--- a/crates/apricotlug-platform/src/bundle_store.rs
+++ b/crates/apricotlug-platform/src/bundle_store.rs
@@ -169,8 +169,12 @@
     }
 
     async fn write_chunk(&self, hash: ChunkHash, bytes: &[u8]) -> Result<()> {
-        // Equal hashes mean equal bytes: a conflict means that the chunk stands already.
-        self.write_once(&chunk_key(hash), bytes).await
+        // Equal hashes mean equal bytes, so a chunk that exists need not be sent again.
+        let key = chunk_key(hash);
+        if self.client.exists(&key).await? {
+            return Ok(());
+        }
+        self.write_once(&key, bytes).await
     }
 
     async fn write_history(&self, version: BundleVersion, head: &[u8]) -> Result<()> {
--- a/crates/apricotlug-platform/src/client.rs
+++ b/crates/apricotlug-platform/src/client.rs
@@ -137,7 +137,7 @@
     pub async fn get(&self, key: &str) -> Result<Option<Entry>> {
         let req = RangeRequest {
             key: Bytes(key.into()),
-            range_end: None,
+            ..RangeRequest::default()
         };
         Ok(self
             .range(&req)
@@ -148,6 +148,19 @@
             .map(Entry::from))
     }
 
+    /// Tells whether a key exists, without reading its value.
+    ///
+    /// # Errors
+    /// When no attempt brought a usable answer.
+    pub async fn exists(&self, key: &str) -> Result<bool> {
+        let req = RangeRequest {
+            key: Bytes(key.into()),
+            keys_only: true,
+            ..RangeRequest::default()
+        };
+        Ok(!self.range(&req).await?.kvs.is_empty())
+    }
+
     /// Reads all keys with a prefix, sorted, and the revision at which they were read; a watch
     /// from the revision after it misses nothing.
     ///
@@ -157,6 +170,7 @@
         let req = RangeRequest {
             key: Bytes(prefix.into()),
             range_end: Some(Bytes(prefix_end(prefix.as_bytes()))),
+            ..RangeRequest::default()
         };
         let answer = self.range(&req).await?;
         let entries = answer.kvs.into_iter().map(Entry::from).collect();
--- a/crates/apricotlug-platform/src/swap.rs
+++ b/crates/apricotlug-platform/src/swap.rs
@@ -166,7 +166,7 @@
     RequestOp {
         request_range: Some(RangeRequest {
             key: key.clone(),
-            range_end: None,
+            ..RangeRequest::default()
         }),
         ..RequestOp::default()
     }
--- a/crates/apricotlug-platform/src/wire.rs
+++ b/crates/apricotlug-platform/src/wire.rs
@@ -86,6 +86,8 @@
         /// End of the range, excluded; empty for the one key.
         #[serde(skip_serializing_if = "Option::is_none")]
         range_end: Option<Bytes>,
+        /// Whether values are left out of the answer.
+        keys_only: bool,
     }
     /// Answer to a range request.
     RangeResponse {
--- a/crates/apricotlug-standins/src/platform/store.rs
+++ b/crates/apricotlug-standins/src/platform/store.rs
@@ -37,9 +37,13 @@
     pub(super) fn range(&self, req: &RangeRequest) -> RangeResponse {
         let range = KeyRange::new(&req.key.0, req.range_end.as_ref().map(|end| &end.0[..]));
         let kvs = self.keys.values().filter(|kv| range.contains(&kv.key.0));
+        let mut kvs: Vec<KeyValue> = kvs.cloned().collect();
+        if req.keys_only {
+            kvs.iter_mut().for_each(|kv| kv.value.0.clear());
+        }
         RangeResponse {
             header: header(self.revision),
-            kvs: kvs.cloned().collect(),
+            kvs,
         }
     }
 
