--- a/crates/apricotlug-platform/src/move_store.rs
+++ b/crates/apricotlug-platform/src/move_store.rs
@@ -81,6 +81,7 @@
     }
 
     /// Writes the record that follows `expected`, or the first one, while the leadership stands.
+    /// A record that was worked out from another one than `expected` is a conflict.
     ///
     /// # Errors
     /// When the write surely had no effect, for another reason than a conflict.
@@ -90,7 +91,15 @@
         record: &MoveRecord,
         leadership: &Leadership,
     ) -> Result<Swap> {
+        let follows = match expected {
+            Some(stored) => stored.record.is_followed_by(record),
+            None => record.sequence == 1,
+        };
         let expected = expected.map(|stored| &stored.entry);
+        if !follows {
+            let current = expected.cloned();
+            return Ok(Swap::Conflict { current });
+        }
         let value = encode(record)?;
         self.client
             .compare_and_swap_fenced(&key(&record.id), expected, &value, &leadership.fence)
--- a/crates/apricotlug-platform/tests/movers.rs
+++ b/crates/apricotlug-platform/tests/movers.rs
@@ -206,3 +206,28 @@
     let again = operator.set_state(&standing, MoveState::Paused, mover.now());
     assert_eq!(again.await.unwrap(), None);
 }
+
+#[async_std::test]
+async fn a_record_worked_out_from_an_older_one_does_not_undo_an_operators_wish() {
+    let clock = Clock::manual();
+    let platform = stand_in(&clock).await;
+    let mut mover = Mover::new(&platform, &clock, 1);
+    assert!(mover.lead().await);
+    mover.begin().await;
+    let heard = mover.read().await.unwrap();
+    let operator = MoveStore::new(Client::new(config(&platform, 2)));
+    let back = MoveState::TakenBack(TakeBackReason::Operator);
+    let taken_back = operator.set_state(&heard, back, mover.now());
+    assert!(matches!(
+        taken_back.await.unwrap(),
+        Some(Swap::Written { .. })
+    ));
+    let finished = MoveState::Finished;
+    let late = heard
+        .record
+        .with_state(finished, mover.fencing(), mover.now());
+    let standing = mover.read().await;
+    let written = mover.write(standing.as_ref(), &late.unwrap()).await;
+    assert!(matches!(written, Swap::Conflict { .. }), "{written:?}");
+    assert_eq!(mover.read().await.unwrap().record.state, back);
+}
--- a/crates/apricotlug-policy/src/moves/record.rs
+++ b/crates/apricotlug-policy/src/moves/record.rs
@@ -111,6 +111,16 @@
         }
     }
 
+    /// Tells whether a record is the next one after this one, written under the same leadership or
+    /// a later one.
+    #[must_use]
+    pub fn is_followed_by(&self, next: &Self) -> bool {
+        self.id == next.id
+            && !self.state.is_final()
+            && self.sequence + 1 == next.sequence
+            && self.fencing <= next.fencing
+    }
+
     /// Tells whether a record that arrived by any way replaces this one.
     #[must_use]
     pub fn is_replaced_by(&self, other: &Self) -> bool {
