The keeper of moves takes up the record that stands before it writes

Cause: a write whose answer was lost, or an operator's change, left the keeper with an older record; its next write is now refused as not following, at each step. Change: it publishes the standing record and decides again at the next step.

--- a/crates/apricotlug-node/src/moves.rs
+++ b/crates/apricotlug-node/src/moves.rs
@@ -141,7 +141,13 @@
             };
             if let Some(next) = advance(&view.cfg, record, summary, fencing, unix) {
                 let stored = self.store().read(&view.id).await?;
-                self.write(stored.as_ref(), &next, leadership).await?;
+                match &stored {
+                    // A write whose answer was lost, or an operator's, has not arrived here yet.
+                    Some(stored) if stored.record != *record => {
+                        self.publish(&stored.record).await?;
+                    }
+                    _ => self.write(stored.as_ref(), &next, leadership).await?,
+                }
             }
         }
         Ok(())
