--- a/crates/apricotlug-node/src/lib.rs
+++ b/crates/apricotlug-node/src/lib.rs
@@ -4,6 +4,7 @@
 mod error;
 mod fleet;
 mod keeper;
+mod lender;
 mod loader;
 mod lookups;
 mod messages;
--- a/crates/apricotlug-node/src/messages.rs
+++ b/crates/apricotlug-node/src/messages.rs
@@ -5,9 +5,9 @@
 
 use apricotlug_edge::Shared;
 use apricotlug_model::{InstanceId, UnixTime};
-use apricotlug_peer::{PeerHandle, Transfer, TransferId};
+use apricotlug_peer::{PeerHandle, Transfer as Envelope, TransferId as EnvelopeId};
 use apricotlug_policy::{
-    budget::{Allotment, Allotments, Part, Report},
+    budget::{Allotment, Allotments, Part, Report, Transfer, TransferId},
     moves::{self, MoveId},
 };
 use serde::{Deserialize, Serialize};
@@ -27,6 +27,67 @@
     Allotments(Allotments),
     /// What an instance tells the leader of moves.
     Evidence(MoveId, moves::Report),
+    /// Tokens that an instance lacks.
+    Ask {
+        /// Instance that asks.
+        from: InstanceId,
+        /// What it lacks, by client account.
+        wants: Vec<Want>,
+    },
+    /// Tokens lent to the receiver.
+    Lend(Transfer),
+    /// Word to the giver that tokens it lent were spent.
+    Spent(Transfer),
+}
+
+/// Tokens of one client account that an instance lacks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Want {
+    /// Client account's name.
+    pub account: String,
+    /// Tokens.
+    pub tokens: u64,
+    /// Recent demand, in thousandths per second.
+    pub demand_milli: u64,
+}
+
+/// Stored form of a transfer of tokens.
+#[derive(Debug, Serialize, Deserialize)]
+struct TransferWire {
+    from: InstanceId,
+    number: u64,
+    to: InstanceId,
+    account: String,
+    tokens: u64,
+    until: UnixTime,
+}
+
+impl From<Transfer> for TransferWire {
+    fn from(transfer: Transfer) -> Self {
+        Self {
+            from: transfer.id.from,
+            number: transfer.id.number,
+            to: transfer.to,
+            account: transfer.account,
+            tokens: transfer.tokens,
+            until: transfer.until,
+        }
+    }
+}
+
+impl From<TransferWire> for Transfer {
+    fn from(wire: TransferWire) -> Self {
+        Self {
+            id: TransferId {
+                from: wire.from,
+                number: wire.number,
+            },
+            to: wire.to,
+            account: wire.account,
+            tokens: wire.tokens,
+            until: wire.until,
+        }
+    }
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -45,6 +106,12 @@
         accounts: Vec<(String, PartWire, PartWire, PartWire)>,
     },
     Evidence(MoveId, moves::Report),
+    Ask {
+        from: InstanceId,
+        wants: Vec<Want>,
+    },
+    Lend(TransferWire),
+    Spent(TransferWire),
 }
 
 fn part_to_wire(part: Part) -> PartWire {
@@ -65,6 +132,9 @@
                 demand_milli: report.demand_milli,
             },
             Message::Evidence(id, report) => Self::Evidence(id, report),
+            Message::Ask { from, wants } => Self::Ask { from, wants },
+            Message::Lend(transfer) => Self::Lend(transfer.into()),
+            Message::Spent(transfer) => Self::Spent(transfer.into()),
             Message::Allotments(granted) => Self::Allotments {
                 holder: granted.holder,
                 generation: granted.generation,
@@ -85,6 +155,9 @@
     fn from(wire: MessageWire) -> Self {
         match wire {
             MessageWire::Evidence(id, report) => Self::Evidence(id, report),
+            MessageWire::Ask { from, wants } => Self::Ask { from, wants },
+            MessageWire::Lend(transfer) => Self::Lend(transfer.into()),
+            MessageWire::Spent(transfer) => Self::Spent(transfer.into()),
             MessageWire::Report {
                 instance,
                 confirmed,
@@ -141,8 +214,8 @@
 
 /// Sends a message to one run of an instance. One that is lost is made good by the next.
 pub async fn send(shared: &Shared, peers: &PeerHandle, to: &InstanceId, message: &Message) {
-    let transfer = Transfer {
-        id: TransferId(rand::random()),
+    let transfer = Envelope {
+        id: EnvelopeId(rand::random()),
         expires: shared.clock.unix().after(LIFE),
         payload: message.encode(),
     };
--- a/crates/apricotlug-node/src/moves.rs
+++ b/crates/apricotlug-node/src/moves.rs
@@ -18,6 +18,9 @@
 /// Lease of the leadership of moves.
 const LEADERSHIP: Duration = Duration::from_secs(5);
 
+/// Time left of the leadership from which on it is renewed.
+const RENEW_BEFORE: Duration = Duration::from_secs(3);
+
 /// Prefix of the names under which records travel between instances.
 const RECORD_PREFIX: &str = "moves/";
 
@@ -174,6 +177,7 @@
     /// Renews the leadership of moves, or acquires it where nobody holds it.
     async fn hold(&self, leadership: &mut Option<Leadership>) -> Result<(), MoveError> {
         if let Some(held) = leadership
+            && held.deadline().since(self.client.now()) < RENEW_BEFORE
             && self.client.renew(held).await.is_err()
             && !held.is_held(self.client.now())
         {
--- a/crates/apricotlug-node/src/node.rs
+++ b/crates/apricotlug-node/src/node.rs
@@ -1,6 +1,10 @@
 //! Start and drain of an entry instance.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use apricotlug_config::Settings;
 use apricotlug_edge::{Shared, accept};
@@ -17,6 +21,7 @@
     error::NodeError,
     fleet,
     keeper::SeatKeeper,
+    lender::Lender,
     loader::Loader,
     lookups::{self, LookupPages, Lookups},
     moves::MoveKeeper,
@@ -94,11 +99,19 @@
             seed: seed.rotate_left(2),
             ..ClientConfig::default()
         });
+        let own_peers = Arc::new(OnceLock::new());
         let inbound = Inbound {
             shared: Arc::clone(&shared),
             reports: Arc::clone(&reports),
+            peers: Arc::clone(&own_peers),
         };
         let peers = start_peers(&settings, &shared, inbound, addrs)?;
+        // Nothing was set before.
+        let _ = own_peers.set(peers.clone());
+        let lender = Lender {
+            shared: Arc::clone(&shared),
+            peers: peers.clone(),
+        };
         let addrs = Addrs {
             peer: peers.addr(),
             ..addrs
@@ -146,6 +159,7 @@
             task::spawn(sync::follow_withdrawals(links)),
             task::spawn(seats.clone().keep()),
             task::spawn(moves.keep()),
+            task::spawn(lender.run()),
             task::spawn(probes::run(Arc::clone(&shared))),
             task::spawn(fleet::follow(Arc::clone(&shared), lookups, peers.clone())),
         ];
--- a/crates/apricotlug-node/src/peers.rs
+++ b/crates/apricotlug-node/src/peers.rs
@@ -1,14 +1,20 @@
 //! Connects the request path with the other instances and with claims in the platform.
 
-use std::{future::Future, pin::Pin, sync::Arc};
+use std::{
+    future::Future,
+    pin::Pin,
+    sync::{Arc, OnceLock},
+};
 
 use apricotlug_edge::{Fleet, FleetFuture, Forwarded, KeyClaim, Shared, answer_order};
 use apricotlug_model::InstanceId;
 use apricotlug_peer::{PeerHandle, PeerHandler, Transfer};
 use apricotlug_platform::{Client, Swap};
+use async_std::task;
 
 use crate::{
-    messages::Message,
+    lender,
+    messages::{self, Message, Want},
     seats::{self, Reports},
 };
 
@@ -22,6 +28,27 @@
     pub shared: Arc<Shared>,
     /// Reports that this instance collects as a delegate.
     pub reports: Arc<Reports>,
+    /// Peer node, once it has started.
+    pub peers: Arc<OnceLock<PeerHandle>>,
+}
+
+impl Inbound {
+    /// Gives what can be spared, and sends it without holding up the peer node.
+    fn lend(&self, asker: InstanceId, wants: &[Want]) {
+        let given = lender::give(&self.shared, &asker, wants);
+        let Some(peers) = self.peers.get().cloned() else {
+            return;
+        };
+        if given.is_empty() {
+            return;
+        }
+        let shared = Arc::clone(&self.shared);
+        task::spawn(async move {
+            for transfer in given {
+                messages::send(&shared, &peers, &asker, &Message::Lend(transfer)).await;
+            }
+        });
+    }
 }
 
 impl PeerHandler for Inbound {
@@ -35,6 +62,9 @@
                 let now = self.shared.clock.now();
                 self.shared.board.hear_report(&id, report, now);
             }
+            Some(Message::Ask { from, wants }) => self.lend(from, &wants),
+            Some(Message::Lend(transfer)) => lender::receive(&self.shared, &transfer),
+            Some(Message::Spent(transfer)) => lender::settle(&self.shared, &transfer),
             None => tracing::warn!("a peer sent a malformed message"),
         }
     }
