--- a/benches/request_path.rs
+++ b/benches/request_path.rs
@@ -253,6 +253,18 @@
         ));
         support::wait_until("it is in force", || entry.bundle_version() == version);
     }
+    let text = world.text.replace("version = 1\n", "version = 12\n");
+    let text = text.replace("10.0.0.128/26\n", "");
+    let start = Instant::now();
+    let reply = entry.admin_post("/v1/bundle/sign-off", text.as_bytes());
+    let signed = start.elapsed();
+    support::wait_until("it is in force", || entry.bundle_version() == 12);
+    println!(
+        "sign-off of one changed block through the instance: {} after {:.2} s, in force after {:.2} s",
+        reply.status,
+        signed.as_secs_f64(),
+        start.elapsed().as_secs_f64(),
+    );
     println!(
         "memory at 210,000 blocks after 10 changes: resident {} KiB, peak {} KiB",
         memory(&entry, "VmRSS"),
