Sent bundles are checked on the loading thread too

Cause: an instance through which a bundle of 210,000 blocks was signed off held 68.5 MB: the text was checked on a worker, whose heap arena kept what it freed. Change: the loading thread checks sent texts as well; the answer to a withdrawal does not name the answering instance as unconfirmed.

--- a/crates/apricotlug-node/src/actions.rs
+++ b/crates/apricotlug-node/src/actions.rs
@@ -4,13 +4,14 @@
     BundleHead, CheckReply, DiffReply, History, Moves, Operation, OperatorId, Problem, ProblemCode,
     SignOffReply, WithdrawReply,
 };
-use apricotlug_config::{chunk::Manifest, diff, load_bundle, parse_bundle};
+use apricotlug_config::{chunk::Manifest, diff, load_bundle};
 use apricotlug_model::{Bundle, UnixTime};
 use apricotlug_platform::{BundleStore, Error, Head, SignOff, Withdrawals};
 use apricotlug_policy::moves::MoveState;
 use serde_json::json;
 
 use crate::{
+    error::NodeError,
     moves::MoveError,
     pages::{AdminPages, Answer, Call, bundle},
     release, reports,
@@ -20,8 +21,8 @@
 const SENT: &str = "body";
 
 /// Checks a sent bundle.
-pub fn check(call: &Call<'_>) -> Answer {
-    let bundle = parse_bundle(SENT, &call.body, UnixTime::now()).map_err(|f| Problem::from(&f))?;
+pub async fn check(pages: &AdminPages, call: &Call<'_>) -> Answer {
+    let bundle = sent(pages, call).await?;
     Ok((
         200,
         json!(CheckReply {
@@ -30,6 +31,18 @@
     ))
 }
 
+/// Evaluates a sent bundle and returns all findings together.
+async fn sent(pages: &AdminPages, call: &Call<'_>) -> Result<Bundle, Problem> {
+    let checked = pages
+        .loader
+        .check(SENT, call.body.clone(), UnixTime::now())
+        .await;
+    checked.map_err(|e| match e {
+        NodeError::Bundle(findings) => Problem::from(&findings),
+        e => Problem::new(ProblemCode::NotReady, e.to_string(), "ask another instance"),
+    })
+}
+
 /// Compares a sent bundle with the one in force.
 pub fn diff(in_force: &Bundle, call: &Call<'_>) -> Answer {
     let sent = load_bundle(SENT, &call.body).map_err(|f| Problem::from(&f))?;
@@ -60,7 +73,7 @@
 
 /// Puts a sent bundle in force, unless another operator was first.
 pub async fn sign_off(pages: &AdminPages, call: &Call<'_>) -> Answer {
-    let sent = parse_bundle(SENT, &call.body, UnixTime::now()).map_err(|f| Problem::from(&f))?;
+    let sent = sent(pages, call).await?;
     let operator = call.operator.clone().unwrap_or(OperatorId(String::new()));
     let store = BundleStore::new(pages.client.clone());
     let signed = release::sign_off(&store, &call.body, sent.version, &operator.0).await;
@@ -113,13 +126,15 @@
     let stored = Withdrawals::new(pages.client.clone())
         .add(key, operator.as_bytes())
         .await;
-    let unconfirmed = pages
+    let own = &pages.shared.identity.name;
+    let mut unconfirmed = pages
         .peers
         .view()
         .unconfirmed
         .get(key)
         .cloned()
         .unwrap_or_default();
+    unconfirmed.retain(|name| name != own);
     let reply = WithdrawReply {
         key: key.to_owned(),
         is_stored: stored.unwrap_or(false),
--- a/crates/apricotlug-node/src/loader.rs
+++ b/crates/apricotlug-node/src/loader.rs
@@ -8,9 +8,9 @@
 
 use apricotlug_config::{
     chunk::{Manifest, join},
-    load_bundle,
+    load_bundle, parse_bundle,
 };
-use apricotlug_model::Bundle;
+use apricotlug_model::{Bundle, Findings, UnixTime};
 use apricotlug_peer::CompleteBundle;
 use async_std::channel::{Receiver, Sender, bounded};
 
@@ -20,7 +20,18 @@
 const BUNDLE_NAME: &str = "bundle";
 
 /// Bundle to evaluate, and where its result goes.
-type Job = (Arc<CompleteBundle>, Sender<Result<Bundle, NodeError>>);
+#[derive(Debug)]
+enum Job {
+    /// Bundle that was accepted.
+    Load(Arc<CompleteBundle>, Sender<Result<Bundle, NodeError>>),
+    /// Text that an operator sent, with the name for its findings and the present time.
+    Check(
+        &'static str,
+        String,
+        UnixTime,
+        Sender<Result<Bundle, Findings>>,
+    ),
+}
 
 /// Handle of the thread that evaluates bundles; it ends with the last handle.
 #[derive(Clone, Debug)]
@@ -35,24 +46,43 @@
         Self(tx)
     }
 
-    /// Evaluates a bundle.
+    /// Evaluates an accepted bundle.
     ///
     /// # Errors
     /// Returns why the bundle is refused.
     pub async fn load(&self, complete: Arc<CompleteBundle>) -> Result<Bundle, NodeError> {
         let (tx, rx) = bounded(1);
-        self.0
-            .send((complete, tx))
-            .await
-            .map_err(|_| NodeError::LoaderGone)?;
-        rx.recv().await.map_err(|_| NodeError::LoaderGone)?
+        self.ask(Job::Load(complete, tx), &rx).await?
+    }
+
+    /// Checks the text of a bundle that an operator sent. `name` stands for the file in findings.
+    ///
+    /// # Errors
+    /// Returns the findings as [`NodeError::Bundle`].
+    pub async fn check(
+        &self,
+        name: &'static str,
+        text: String,
+        now: UnixTime,
+    ) -> Result<Bundle, NodeError> {
+        let (tx, rx) = bounded(1);
+        let checked = self.ask(Job::Check(name, text, now, tx), &rx).await?;
+        checked.map_err(NodeError::Bundle)
+    }
+
+    async fn ask<T>(&self, job: Job, rx: &Receiver<T>) -> Result<T, NodeError> {
+        self.0.send(job).await.map_err(|_| NodeError::LoaderGone)?;
+        rx.recv().await.map_err(|_| NodeError::LoaderGone)
     }
 }
 
 fn run(rx: &Receiver<Job>) {
-    while let Ok((complete, tx)) = rx.recv_blocking() {
-        // A failure means that nobody waits for the result any more.
-        let _ = tx.try_send(load(&complete));
+    while let Ok(job) = rx.recv_blocking() {
+        // A failure to send means that nobody waits for the result any more.
+        match job {
+            Job::Load(complete, tx) => _ = tx.try_send(load(&complete)),
+            Job::Check(name, text, now, tx) => _ = tx.try_send(parse_bundle(name, &text, now)),
+        }
     }
 }
 
--- a/crates/apricotlug-node/src/node.rs
+++ b/crates/apricotlug-node/src/node.rs
@@ -121,12 +121,13 @@
             peers: peers.clone(),
             client: client.clone(),
         }));
+        let loader = Loader::start();
         let links = Links {
             shared: Arc::clone(&shared),
             peers: peers.clone(),
             store: BundleStore::new(client.clone()),
             withdrawals: Withdrawals::new(client.clone()),
-            loader: Loader::start(),
+            loader: loader.clone(),
         };
         let seats = SeatKeeper {
             shared: Arc::clone(&shared),
@@ -149,6 +150,7 @@
             peers: peers.clone(),
             client,
             moves: moves.clone(),
+            loader,
         }));
         let has_seeds = !settings.peers.is_empty();
         let tasks = vec![
--- a/crates/apricotlug-node/src/pages.rs
+++ b/crates/apricotlug-node/src/pages.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 use tide::{Request, Response, StatusCode};
 
-use crate::{actions, moves::MoveKeeper, reports};
+use crate::{actions, loader::Loader, moves::MoveKeeper, reports};
 
 /// State of the operators' pages.
 #[derive(Clone, Debug)]
@@ -26,6 +26,8 @@
     pub client: Client,
     /// Version moves.
     pub moves: MoveKeeper,
+    /// Thread that evaluates bundles.
+    pub loader: Loader,
 }
 
 /// Call of an operator that was authorised.
@@ -124,7 +126,7 @@
             reports::explain(bundle(&pages.shared)?.as_ref(), &client)
         }
         Operation::Bundle | Operation::History => actions::read_bundle(pages, &call).await,
-        Operation::Check => actions::check(&call),
+        Operation::Check => actions::check(pages, &call).await,
         Operation::Diff => actions::diff(bundle(&pages.shared)?.as_ref(), &call),
         Operation::SignOff => actions::sign_off(pages, &call).await,
         Operation::Withdraw => actions::withdraw(pages, &call).await,
