One look-up of a data centre by name; unused pieces removed

No behaviour changes. Left: option structs of commands repeat (argh cannot flatten them); Diff checks a sent bundle on a worker, where Check and SignOff use the loading thread.

--- a/crates/apricotlug-edge/src/holders.rs
+++ b/crates/apricotlug-edge/src/holders.rs
@@ -46,7 +46,7 @@
         let shares: Vec<ShareHolder> = known
             .iter()
             .filter_map(|holder| {
-                let data_centre = bundle.data_centres.find(|dc| dc.id == holder.data_centre)?;
+                let data_centre = bundle.data_centre(&holder.data_centre)?;
                 Some(ShareHolder {
                     id: holder.id.clone(),
                     data_centre,
--- a/crates/apricotlug-edge/src/place.rs
+++ b/crates/apricotlug-edge/src/place.rs
@@ -142,9 +142,6 @@
         return false;
     };
     let home = bundle.data_centres[bundle.sites[home].data_centre].region;
-    let own = bundle
-        .data_centres
-        .values()
-        .find(|dc| dc.id == shared.data_centre);
-    own.is_some_and(|own| own.region != home)
+    let own = bundle.data_centre(&shared.data_centre);
+    own.is_some_and(|own| bundle.data_centres[own].region != home)
 }
--- a/crates/apricotlug-edge/src/shared.rs
+++ b/crates/apricotlug-edge/src/shared.rs
@@ -96,7 +96,7 @@
             .installing
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let home = bundle.data_centres.find(|dc| dc.id == self.data_centre);
+        let home = bundle.data_centre(&self.data_centre);
         let home = home.ok_or(NotInstalled::UnknownDataCentre)?;
         let old = self.view.load().bundle.clone();
         if old
--- a/crates/apricotlug-http/src/conn.rs
+++ b/crates/apricotlug-http/src/conn.rs
@@ -87,11 +87,6 @@
         &self.limits
     }
 
-    /// Returns the limits for change.
-    pub fn limits_mut(&mut self) -> &mut Limits {
-        &mut self.limits
-    }
-
     /// Returns the address of the other end.
     ///
     /// # Errors
--- a/crates/apricotlug-model/src/bundle.rs
+++ b/crates/apricotlug-model/src/bundle.rs
@@ -245,6 +245,12 @@
             .map(|(key, _)| key)
     }
 
+    /// Returns the key of the data centre with a name.
+    #[must_use]
+    pub fn data_centre(&self, id: &str) -> Option<DataCentreKey> {
+        self.data_centres.find(|dc| dc.id == id)
+    }
+
     /// Returns the data centre of an endpoint.
     #[must_use]
     pub fn data_centre_of(&self, endpoint: EndpointKey) -> DataCentreKey {
--- a/crates/apricotlug-node/src/fleet.rs
+++ b/crates/apricotlug-node/src/fleet.rs
@@ -40,7 +40,7 @@
             if is_changed {
                 shared.split_slots(&bundle);
             }
-            let own = bundle.data_centres.find(|dc| dc.id == shared.data_centre);
+            let own = bundle.data_centre(&shared.data_centre);
             if let Some(own) = own {
                 update_lookups(&shared, &lookups, &bundle, own, &view.members);
             }
@@ -113,7 +113,7 @@
     let ready = ready_regions(bundle, members);
     for member in members {
         let data_centre = &member.record.data_centre;
-        let Some(data_centre) = bundle.data_centres.find(|dc| dc.id == *data_centre) else {
+        let Some(data_centre) = bundle.data_centre(data_centre) else {
             continue;
         };
         let addresses = member.record.addresses;
@@ -141,13 +141,10 @@
 /// Returns the regions that have an instance which certainly takes work.
 fn ready_regions(bundle: &Bundle, members: &[Member]) -> BTreeSet<RegionKey> {
     let ready = members.iter().filter(|member| member.state == State::Ready);
-    let data_centres = ready.filter_map(|member| {
-        bundle
-            .data_centres
-            .values()
-            .find(|dc| dc.id == member.record.data_centre)
-    });
-    data_centres.map(|dc| dc.region).collect()
+    let data_centres = ready.filter_map(|member| bundle.data_centre(&member.record.data_centre));
+    data_centres
+        .map(|key| bundle.data_centres[key].region)
+        .collect()
 }
 
 /// Returns the state that look-ups go by. A suspect instance is named only where its region has
--- a/crates/apricotlug-node/src/reports.rs
+++ b/crates/apricotlug-node/src/reports.rs
@@ -109,10 +109,8 @@
 
 /// Reports the load that this instance puts on each region.
 fn regions(pages: &AdminPages, bundle: &Bundle) -> Vec<RegionStatus> {
-    let own = bundle
-        .data_centres
-        .values()
-        .find(|dc| dc.id == pages.shared.data_centre);
+    let own = bundle.data_centre(&pages.shared.data_centre);
+    let own_region = own.map(|own| bundle.data_centres[own].region);
     bundle
         .regions
         .iter()
@@ -124,11 +122,7 @@
                 slots,
                 cap: slots * u32::from(region.cap_percent) / 100,
                 occupied,
-                shifted: if own.is_some_and(|dc| dc.region == key) {
-                    0
-                } else {
-                    occupied
-                },
+                shifted: if own_region == Some(key) { 0 } else { occupied },
             }
         })
         .collect()
