--- a/crates/apricotlug-config/src/fields.rs
+++ b/crates/apricotlug-config/src/fields.rs
@@ -135,6 +135,18 @@
         value::integer(doc, value, name, range)
     }
 
+    /// Reads a required time with its unit, `ms` or `s`, in whole milliseconds.
+    pub(crate) fn span_ms(&mut self, doc: &mut Doc<'_>, name: &'static str) -> Option<u32> {
+        let text = self.string(doc, name)?;
+        value::span_ms(doc, text, name)
+    }
+
+    /// Reads a required number that is not negative.
+    pub(crate) fn number(&mut self, doc: &mut Doc<'_>, name: &'static str) -> Option<f64> {
+        let value = self.required(doc, name)?;
+        value::number(doc, value, name)
+    }
+
     /// Reads an optional integer within a range, or returns the default.
     pub(crate) fn integer_or<T: TryFrom<i64>>(
         &mut self,
--- a/crates/apricotlug-config/src/lib.rs
+++ b/crates/apricotlug-config/src/lib.rs
@@ -11,8 +11,10 @@
 mod doc;
 mod fields;
 pub mod settings;
+pub mod site;
 mod value;
 
 pub use bundle::{load_bundle, parse_bundle};
 pub use doc::MAX_FINDINGS;
 pub use settings::{Listen, LogLevel, Settings, parse_settings};
+pub use site::{SiteBounds, SiteListen, SiteSettings, parse_site};
--- a/crates/apricotlug-config/src/settings.rs
+++ b/crates/apricotlug-config/src/settings.rs
@@ -61,7 +61,7 @@
 }
 
 impl LogLevel {
-    const WORDS: [(&'static str, Self); 5] = [
+    pub(crate) const WORDS: [(&'static str, Self); 5] = [
         ("error", Self::Error),
         ("warn", Self::Warn),
         ("info", Self::Info),
--- /dev/null
+++ b/crates/apricotlug-config/src/site.rs
@@ -0,0 +1,200 @@
+//! Settings of an entry instance that runs on the platform: its place, its addresses, the store
+//! and the bounds that the installation sets.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use apricotlug_model::{FindingCode, Findings};
+
+use crate::{
+    doc::Doc,
+    fields::Fields,
+    settings::LogLevel,
+    value::{self, Port},
+};
+
+/// Settings of an entry instance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SiteSettings {
+    /// Name of the instance, unique among live instances.
+    pub instance: String,
+    /// Data centre where it runs.
+    pub data_centre: String,
+    /// Region of each data centre.
+    pub regions: BTreeMap<String, String>,
+    /// Least severe log lines that are written.
+    pub log_level: LogLevel,
+    /// Whether no instance of the system ran before.
+    pub is_first_start: bool,
+    /// Own addresses.
+    pub listen: SiteListen,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Shortest lease that the store gives, in milliseconds.
+    pub min_lease_ms: u32,
+    /// Bounds that the installation sets.
+    pub bounds: SiteBounds,
+}
+
+impl SiteSettings {
+    /// Returns the region of a data centre; empty where it is not known.
+    #[must_use]
+    pub fn region_of(&self, data_centre: &str) -> &str {
+        self.regions.get(data_centre).map_or("", String::as_str)
+    }
+
+    /// Returns the region of this instance.
+    #[must_use]
+    pub fn region(&self) -> &str {
+        self.region_of(&self.data_centre)
+    }
+}
+
+/// Addresses that an entry instance listens on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SiteListen {
+    /// Requests of callers.
+    pub caller: SocketAddr,
+    /// Readiness and metrics.
+    pub ready: SocketAddr,
+    /// Look-ups of where to connect.
+    pub lookup: SocketAddr,
+    /// Datagrams of other instances.
+    pub peer: SocketAddr,
+}
+
+/// Bounds of an installation. Times are in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SiteBounds {
+    /// Time from a request to end until the process is killed.
+    pub grace_ms: u32,
+    /// Longest time for which a withdrawn key still works.
+    pub revoke_ms: u32,
+    /// Whether a withdrawn key stops on every instance, also where no news comes in.
+    pub is_revocation_strict: bool,
+    /// Longest time for which callers keep a look-up's answer.
+    pub lookup_ms: u32,
+    /// Span over which retries are counted.
+    pub retry_window_ms: u32,
+    /// Retries allowed for each request.
+    pub retry_ratio: f64,
+    /// Retries allowed beside.
+    pub retry_slack: f64,
+    /// Span over which client accounts' requests are counted.
+    pub quota_window_ms: u32,
+    /// Part of an account's allowance by which it may be exceeded.
+    pub quota_overage: f64,
+    /// Requests by which it may be exceeded beside.
+    pub quota_slack: f64,
+}
+
+/// Parses and checks the settings of an entry instance on the platform.
+///
+/// # Errors
+/// Returns every finding, in the order of their places.
+pub fn parse_site(file: &str, text: &str) -> Result<SiteSettings, Findings> {
+    let mut doc = Doc::new(file, text);
+    let table = doc.table()?;
+    let fields = Fields::new(table.get_ref(), 0, "the file");
+    let settings = read(&mut doc, fields);
+    match settings {
+        Some(settings) => doc.finish(settings),
+        None => Err(doc.take_findings()),
+    }
+}
+
+fn read(doc: &mut Doc<'_>, mut fields: Fields<'_>) -> Option<SiteSettings> {
+    let instance = fields.id(doc, "instance");
+    let data_centre = fields.id(doc, "data_centre");
+    let log_level = fields.choice(doc, "log_level", &LogLevel::WORDS);
+    let is_first_start = fields.flag(doc, "first_start");
+    let regions = fields.table(doc, "regions", "`regions`");
+    let regions = regions.map(|regions| read_regions(doc, &regions));
+    let listen = fields.table(doc, "listen", "`listen`");
+    let listen = listen.and_then(|listen| read_listen(doc, listen));
+    let store = fields.table(doc, "store", "`store`");
+    let store = store.and_then(|store| read_store(doc, store));
+    let bounds = fields.table(doc, "bounds", "`bounds`");
+    let bounds = bounds.and_then(|bounds| read_bounds(doc, bounds));
+    fields.finish(doc);
+    let (data_centre, regions) = (data_centre?, regions?);
+    if !regions.contains_key(data_centre.value) {
+        doc.add(
+            FindingCode::UnknownReference,
+            data_centre.offset,
+            format!(
+                "`regions` does not name the data centre {:?}",
+                data_centre.value
+            ),
+            "add its region to `regions`",
+        );
+    }
+    let (store, min_lease_ms) = store?;
+    Some(SiteSettings {
+        instance: instance?.value.to_owned(),
+        data_centre: data_centre.value.to_owned(),
+        regions,
+        log_level: log_level?,
+        is_first_start: is_first_start?,
+        listen: listen?,
+        store,
+        min_lease_ms,
+        bounds: bounds?,
+    })
+}
+
+fn read_regions(doc: &mut Doc<'_>, fields: &Fields<'_>) -> BTreeMap<String, String> {
+    let mut regions = BTreeMap::new();
+    for (data_centre, value) in fields.entries() {
+        if let Some(region) = value::string(doc, value, "region") {
+            regions.insert(data_centre.value.to_owned(), region.value.to_owned());
+        }
+    }
+    regions
+}
+
+fn read_listen(doc: &mut Doc<'_>, mut fields: Fields<'_>) -> Option<SiteListen> {
+    let caller = fields.addr(doc, "caller", Port::Any);
+    let ready = fields.addr(doc, "ready", Port::Any);
+    let lookup = fields.addr(doc, "lookup", Port::Any);
+    let peer = fields.addr(doc, "peer", Port::Any);
+    fields.finish(doc);
+    Some(SiteListen {
+        caller: caller?.value,
+        ready: ready?.value,
+        lookup: lookup?.value,
+        peer: peer?.value,
+    })
+}
+
+fn read_store(doc: &mut Doc<'_>, mut fields: Fields<'_>) -> Option<(SocketAddr, u32)> {
+    let addr = fields.addr(doc, "address", Port::Named);
+    let min_lease_ms = fields.span_ms(doc, "min_lease");
+    fields.finish(doc);
+    Some((addr?.value, min_lease_ms?))
+}
+
+fn read_bounds(doc: &mut Doc<'_>, mut fields: Fields<'_>) -> Option<SiteBounds> {
+    let grace_ms = fields.span_ms(doc, "grace");
+    let revoke_ms = fields.span_ms(doc, "revoke");
+    let is_revocation_strict = fields.flag(doc, "strict_revocation");
+    let lookup_ms = fields.span_ms(doc, "lookup");
+    let retry_window_ms = fields.span_ms(doc, "retry_window");
+    let retry_ratio = fields.number(doc, "retry_ratio");
+    let retry_slack = fields.number(doc, "retry_slack");
+    let quota_window_ms = fields.span_ms(doc, "quota_window");
+    let quota_overage = fields.number(doc, "quota_overage");
+    let quota_slack = fields.number(doc, "quota_slack");
+    fields.finish(doc);
+    Some(SiteBounds {
+        grace_ms: grace_ms?,
+        revoke_ms: revoke_ms?,
+        is_revocation_strict: is_revocation_strict?,
+        lookup_ms: lookup_ms?,
+        retry_window_ms: retry_window_ms?,
+        retry_ratio: retry_ratio?,
+        retry_slack: retry_slack?,
+        quota_window_ms: quota_window_ms?,
+        quota_overage: quota_overage?,
+        quota_slack: quota_slack?,
+    })
+}
--- a/crates/apricotlug-config/src/value.rs
+++ b/crates/apricotlug-config/src/value.rs
@@ -65,6 +65,48 @@
     number
 }
 
+/// Reads a time with its unit, `ms` or `s`, in whole milliseconds.
+pub(crate) fn span_ms(doc: &mut Doc<'_>, text: At<&str>, name: &str) -> Option<u32> {
+    let (number, scale) = match text.value.strip_suffix("ms") {
+        Some(number) => (number, 1.0),
+        None => (text.value.strip_suffix('s').unwrap_or_default(), 1_000.0),
+    };
+    let ms = number.trim().parse::<f64>().ok().map(|value| value * scale);
+    let ms = ms.filter(|ms| (0.0..=f64::from(u32::MAX)).contains(ms));
+    if ms.is_none() {
+        doc.add(
+            FindingCode::OutOfRange,
+            text.offset,
+            format!("`{name}` is {:?}, which is no time", text.value),
+            "write a number and its unit, e.g. \"1500ms\" or \"2.5s\"",
+        );
+    }
+    ms.map(|ms| ms as u32)
+}
+
+/// Reads a number that is not negative.
+pub(crate) fn number(doc: &mut Doc<'_>, value: &Spanned<DeValue<'_>>, name: &str) -> Option<f64> {
+    let text = match value.get_ref() {
+        DeValue::Integer(digits) => Some(digits.as_str().to_owned()),
+        DeValue::Float(digits) => Some(digits.as_str().to_owned()),
+        _ => None,
+    };
+    let Some(text) = text else {
+        wrong_type(doc, value, name, "a number");
+        return None;
+    };
+    let number = text.parse::<f64>().ok().filter(|number| *number >= 0.0);
+    if number.is_none() {
+        doc.add(
+            FindingCode::OutOfRange,
+            value.span().start,
+            format!("`{name}` is {text}"),
+            "use a number that is not negative",
+        );
+    }
+    number
+}
+
 /// Reads a list, which may be empty.
 pub(crate) fn list<'t>(
     doc: &mut Doc<'_>,
--- a/crates/apricotlug-http/src/conn.rs
+++ b/crates/apricotlug-http/src/conn.rs
@@ -12,7 +12,7 @@
     io::{ReadExt, WriteExt},
     net::TcpStream,
 };
-use futures_lite::future::poll_once;
+use futures_lite::future::{self, poll_once};
 
 use crate::{
     error::{HttpError, Leg, Result},
@@ -87,6 +87,21 @@
         &self.limits
     }
 
+    /// Replaces the limits.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    /// Waits until the other end closes the connection or resets it. Bytes that wait to be read
+    /// hide that; then it waits for ever.
+    pub async fn closed(&self) {
+        let mut byte = [0; 1];
+        match self.stream.peek(&mut byte).await {
+            Ok(0) | Err(_) => {}
+            Ok(_) => future::pending().await,
+        }
+    }
+
     /// Returns the address of the other end.
     ///
     /// # Errors
@@ -217,11 +232,7 @@
 ///
 /// # Errors
 /// Returns an error where the write makes no progress in time or fails.
-pub(crate) async fn write_all(
-    mut stream: &TcpStream,
-    mut bytes: &[u8],
-    progress: Duration,
-) -> Result<()> {
+pub async fn write_all(mut stream: &TcpStream, mut bytes: &[u8], progress: Duration) -> Result<()> {
     while !bytes.is_empty() {
         let written = timed(progress, Leg::Write, stream.write(bytes)).await?;
         if written == 0 {
--- a/crates/apricotlug-http/src/lib.rs
+++ b/crates/apricotlug-http/src/lib.rs
@@ -13,7 +13,7 @@
 mod serve;
 
 pub use body::{BodyReader, BodyWriter};
-pub use conn::{Conn, Limits};
+pub use conn::{Conn, Limits, write_all as write_to};
 pub use error::{HttpError, Leg};
 pub use framing::{Framing, request_framing, response_framing};
 pub use head::{Headers, RequestHead, ResponseHead};
--- a/crates/apricotlug-model/src/lib.rs
+++ b/crates/apricotlug-model/src/lib.rs
@@ -7,6 +7,7 @@
 mod error;
 mod finding;
 mod key;
+mod plan;
 mod time;
 
 pub use arena::Arena;
@@ -21,6 +22,10 @@
     AccountKey, DataCentreKey, EndpointKey, InstanceId, RegionKey, RouteKey, ServiceKey, SiteKey,
     VersionKey,
 };
+pub use plan::{
+    Backend, BackendState, CallerLimits, Exchange, MoveOrder, MoveState, MoveStatus, Part, Plan,
+    PlanAccount, PlanRoute, PlanService, PlanVersion,
+};
 pub use time::{MonoTime, UnixTime};
 
 /// Hash map with a fast hasher, for keys that no outsider chooses.
--- a/crates/apricotlug-policy/src/lib.rs
+++ b/crates/apricotlug-policy/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod order;
 pub mod placement;
 pub mod retry;
+pub mod steer;
--- /dev/null
+++ b/crates/apricotlug-policy/src/steer/fleet.rs
@@ -0,0 +1,502 @@
+//! Backend servers as an instance knows them, and the choice among them.
+
+use std::time::Duration;
+
+use apricotlug_model::{Backend, BackendState, HashMap, MonoTime};
+
+use super::{
+    cold::ColdGate,
+    gauge::{Health, ServiceTime},
+    warmth::{object_hash, rank_weight},
+};
+
+/// Time for which an object counts as warm where this instance sent it.
+const WARM: Duration = Duration::from_secs(30);
+
+/// Chance that an object is warm at its first choice in a region, at its second, and elsewhere.
+const WARM_BY_RANK: [f64; 2] = [0.8, 0.4];
+const WARM_ELSEWHERE: f64 = 0.1;
+
+/// Chance that an object is warm where this instance sent it lately.
+const WARM_SEEN: f64 = 0.97;
+
+/// Cost of a failure in milliseconds: what a caller loses who must come again.
+const FAIL_MS: f64 = 1_500.0;
+
+/// Cost of a full backend server against an empty one, in parts of the service time.
+const PRESSURE: f64 = 0.2;
+
+/// Most requests that run and wait at a backend server, in multiples of its slots.
+const MOST_LOAD: f64 = 3.0;
+
+/// Cost of answering from another region beside its delay, in milliseconds: bytes between regions
+/// are scarce.
+const REGION_MS: f64 = 10.0;
+
+/// The same of a large answer.
+const REGION_LARGE_MS: f64 = 150.0;
+
+/// Cost of answering from another data centre of the region, in milliseconds.
+const DATA_CENTRE_MS: f64 = 2.0;
+
+/// The same of a large answer.
+const DATA_CENTRE_LARGE_MS: f64 = 12.0;
+
+/// Time for which a load that a backend server told counts.
+const LOAD_FRESH: Duration = Duration::from_millis(400);
+
+/// Key of a backend server in a [`Fleet`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BackendKey(pub u32);
+
+/// Backend server and what is known of it.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// What it tells of itself.
+    pub backend: Backend,
+    /// Region of its data centre.
+    pub region: String,
+    /// Whether its entry stands.
+    pub is_listed: bool,
+    /// Health as its answers show it.
+    pub health: Health,
+    /// Bound on requests while it is cold.
+    pub cold: ColdGate,
+    /// Requests that this instance has there.
+    pub own: u32,
+    /// Requests that other instances have there, as they report.
+    pub others: u32,
+    hash: u64,
+    told: Option<(MonoTime, u32)>,
+    sent: HashMap<u64, MonoTime>,
+}
+
+impl Entry {
+    /// Returns the requests that run and wait there, as far as is known.
+    #[must_use]
+    pub fn load(&self, now: MonoTime) -> u32 {
+        let reported = self.own + self.others;
+        match self.told {
+            Some((at, told)) if now.since(at) < LOAD_FRESH => reported.max(told),
+            _ => reported,
+        }
+    }
+
+    /// Takes up the load that it told.
+    pub fn on_load(&mut self, now: MonoTime, running: u32, waiting: u32) {
+        self.told = Some((now, (running + waiting).saturating_sub(1)));
+    }
+
+    /// Takes up that another backend server has its address: nothing is sent there for a while,
+    /// in which the list tells of its end.
+    pub fn on_misdirected(&mut self, now: MonoTime) {
+        self.health.on_gone(now);
+    }
+
+    /// Takes up that it is full.
+    pub fn on_full(&mut self, now: MonoTime) {
+        self.told = Some((now, self.backend.slots * MOST_LOAD as u32));
+    }
+
+    fn takes_requests(&self, now: MonoTime) -> bool {
+        self.is_listed && self.backend.state == BackendState::Ready && !self.health.is_paused(now)
+    }
+}
+
+/// What a request needs of a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Hash of the object that it is about; `None` where that does not matter.
+    pub object: Option<u64>,
+    /// Whether the answer is large.
+    pub is_large: bool,
+    /// Region of this instance.
+    pub region: &'a str,
+    /// Data centre of this instance.
+    pub data_centre: &'a str,
+    /// Regions that may serve it, where limited.
+    pub homes: [&'a [String]; 2],
+    /// Data centres whose backend servers get nothing.
+    pub evacuated: &'a [String],
+    /// Version, and whether that one may serve it or all others.
+    pub versions: Option<(&'a str, bool)>,
+    /// Backend servers that were tried already.
+    pub tried: &'a [BackendKey],
+    /// Requests per second that a cold backend server bears.
+    pub cold_rate: f64,
+    /// Live instances, this one included, and this one's place among them for the backend server
+    /// with a hash.
+    pub instances: usize,
+    /// Place of this instance among all.
+    pub own_place: usize,
+}
+
+/// Expected cost of a choice.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cost {
+    /// Backend server.
+    pub key: BackendKey,
+    /// Milliseconds until its answer is expected.
+    pub expected_ms: f64,
+    /// Whether the object is likely to be warm there.
+    pub is_warm: bool,
+    /// Service time expected, without ways and waits.
+    pub service_ms: f64,
+}
+
+/// Why no backend server is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoPlace {
+    /// None is there that may serve it.
+    None,
+    /// All that may serve it are full.
+    Full,
+}
+
+/// How a request at a backend server ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ended {
+    /// A whole answer; milliseconds to its head.
+    Answered(f64),
+    /// An answer that tells of a failure, or a broken one.
+    Failed,
+    /// It could not be reached.
+    Unreachable,
+    /// It turned the request away unread.
+    Refused,
+    /// The caller left.
+    Cancelled,
+}
+
+/// All backend servers.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    entries: Vec<Entry>,
+    ids: HashMap<String, BackendKey>,
+    services: HashMap<String, Vec<BackendKey>>,
+    times: HashMap<String, ServiceTime>,
+    ways: HashMap<String, f64>,
+}
+
+impl Fleet {
+    /// Returns an entry.
+    ///
+    /// # Panics
+    /// When the key belongs to another fleet.
+    #[must_use]
+    pub fn entry(&self, key: BackendKey) -> &Entry {
+        &self.entries[key.0 as usize]
+    }
+
+    /// Returns an entry for changing it.
+    ///
+    /// # Panics
+    /// When the key belongs to another fleet.
+    pub fn entry_mut(&mut self, key: BackendKey) -> &mut Entry {
+        &mut self.entries[key.0 as usize]
+    }
+
+    /// Returns the key of the backend server with an id.
+    #[must_use]
+    pub fn find(&self, id: &str) -> Option<BackendKey> {
+        self.ids.get(id).copied()
+    }
+
+    /// Iterates over all entries.
+    pub fn iter(&self) -> impl Iterator<Item = (BackendKey, &Entry)> {
+        self.entries
+            .iter()
+            .enumerate()
+            .map(|(i, entry)| (BackendKey(i as u32), entry))
+    }
+
+    /// Iterates over the backend servers of a service.
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = (BackendKey, &Entry)> {
+        let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        keys.iter().map(|key| (*key, self.entry(*key)))
+    }
+
+    /// Takes up an entry as its backend server wrote it.
+    pub fn list(&mut self, backend: Backend, region: &str, now: MonoTime) -> BackendKey {
+        let cold_until = now.after(Duration::from_millis(backend.cold_ms.into()));
+        if let Some(key) = self.ids.get(&backend.id).copied() {
+            let entry = self.entry_mut(key);
+            let is_same = entry.backend.born_ms == backend.born_ms
+                && entry.backend.service == backend.service
+                && entry.backend.addr == backend.addr;
+            if is_same {
+                entry.is_listed = true;
+                entry.backend = backend;
+                entry.cold.set(cold_until);
+                return key;
+            }
+            self.remove_key(key);
+        }
+        let key = BackendKey(self.entries.len() as u32);
+        let mut cold = ColdGate::default();
+        cold.set(cold_until);
+        self.ids.insert(backend.id.clone(), key);
+        self.services
+            .entry(backend.service.clone())
+            .or_default()
+            .push(key);
+        self.entries.push(Entry {
+            hash: object_hash(&backend.service, &backend.id),
+            backend,
+            region: region.to_owned(),
+            is_listed: true,
+            health: Health::default(),
+            cold,
+            own: 0,
+            others: 0,
+            told: None,
+            sent: HashMap::default(),
+        });
+        key
+    }
+
+    /// Takes an entry off the list.
+    pub fn remove(&mut self, id: &str) {
+        if let Some(key) = self.ids.get(id).copied() {
+            self.remove_key(key);
+        }
+    }
+
+    fn remove_key(&mut self, key: BackendKey) {
+        let entry = self.entry_mut(key);
+        entry.is_listed = false;
+        entry.sent = HashMap::default();
+        let (id, service) = (entry.backend.id.clone(), entry.backend.service.clone());
+        if self.ids.get(&id) == Some(&key) {
+            self.ids.remove(&id);
+        }
+        if let Some(keys) = self.services.get_mut(&service) {
+            keys.retain(|other| *other != key);
+        }
+    }
+
+    /// Takes up that a data centre's evacuation is over: its backend servers are cold for the time
+    /// that `cold_ms` tells for a service, unless they say otherwise.
+    pub fn on_evacuation_over(
+        &mut self,
+        data_centre: &str,
+        now: MonoTime,
+        cold_ms: impl Fn(&str) -> u32,
+    ) {
+        for entry in &mut self.entries {
+            if entry.is_listed && entry.backend.data_centre == data_centre {
+                let span = Duration::from_millis(cold_ms(&entry.backend.service).into());
+                entry.cold.set(now.after(span));
+            }
+        }
+    }
+
+    /// Returns the milliseconds of the way to a data centre and back.
+    #[must_use]
+    pub fn way_ms(&self, data_centre: &str, is_same_region: bool) -> f64 {
+        let unknown = if is_same_region { 3.0 } else { 80.0 };
+        self.ways.get(data_centre).copied().unwrap_or(unknown)
+    }
+
+    /// Takes up the time that a connection to a data centre took.
+    pub fn on_connected(&mut self, data_centre: &str, ms: f64) {
+        let way = self.ways.entry(data_centre.to_owned()).or_insert(ms);
+        // The shortest time is the way itself; it rises slowly where the way has grown longer.
+        *way = ms.min(*way * 1.02 + 0.01);
+    }
+
+    /// Returns the service times of a service.
+    pub fn times(&mut self, service: &str, target_ms: u32) -> ServiceTime {
+        *self
+            .times
+            .entry(service.to_owned())
+            .or_insert_with(|| ServiceTime::expected(target_ms))
+    }
+
+    /// Chooses the backend server whose answer costs least.
+    ///
+    /// # Errors
+    /// Returns why none can be chosen.
+    pub fn choose(
+        &mut self,
+        wanted: &Wanted<'_>,
+        target_ms: u32,
+        now: MonoTime,
+    ) -> Result<Cost, NoPlace> {
+        let time = self.times(wanted.service, target_ms);
+        let firsts = self.firsts(wanted, now);
+        let mut best: Option<(f64, Cost)> = None;
+        let mut reason = NoPlace::None;
+        for (key, entry) in self.of_service(wanted.service) {
+            if !self.may_serve(wanted, key, entry, now) {
+                continue;
+            }
+            reason = NoPlace::Full;
+            let slots = f64::from(entry.backend.slots);
+            let load = f64::from(entry.load(now));
+            if load >= slots * MOST_LOAD {
+                continue;
+            }
+            let (cost, choice) = self.cost(wanted, key, entry, time, &firsts, load, now);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, choice));
+            }
+        }
+        best.map(|(_, choice)| choice).ok_or(reason)
+    }
+
+    fn may_serve(
+        &self,
+        wanted: &Wanted<'_>,
+        key: BackendKey,
+        entry: &Entry,
+        now: MonoTime,
+    ) -> bool {
+        let is_home = wanted
+            .homes
+            .iter()
+            .all(|homes| homes.is_empty() || homes.contains(&entry.region));
+        let is_open = !wanted.evacuated.contains(&entry.backend.data_centre);
+        let is_version = wanted
+            .versions
+            .is_none_or(|(version, is_wanted)| (entry.backend.version == version) == is_wanted);
+        let own = (wanted.own_place + entry.hash as usize) % wanted.instances.max(1);
+        entry.takes_requests(now)
+            && is_home
+            && is_open
+            && is_version
+            && !wanted.tried.contains(&key)
+            && entry
+                .cold
+                .may_send(now, wanted.cold_rate, wanted.instances, own)
+    }
+
+    /// Returns the first choices for the object in each region, best first.
+    fn firsts(&self, wanted: &Wanted<'_>, now: MonoTime) -> HashMap<&str, Vec<(u64, BackendKey)>> {
+        let mut firsts: HashMap<&str, Vec<(u64, BackendKey)>> = HashMap::default();
+        let Some(object) = wanted.object else {
+            return firsts;
+        };
+        for (key, entry) in self.of_service(wanted.service) {
+            if !entry.takes_requests(now) {
+                continue;
+            }
+            let weight = rank_weight(entry.hash, object);
+            let top = firsts.entry(entry.region.as_str()).or_default();
+            let place = top.partition_point(|(other, _)| *other > weight);
+            if place < WARM_BY_RANK.len() {
+                top.insert(place, (weight, key));
+                top.truncate(WARM_BY_RANK.len());
+            }
+        }
+        firsts
+    }
+
+    fn warmth(
+        &self,
+        wanted: &Wanted<'_>,
+        key: BackendKey,
+        entry: &Entry,
+        firsts: &HashMap<&str, Vec<(u64, BackendKey)>>,
+        now: MonoTime,
+    ) -> f64 {
+        let Some(object) = wanted.object else {
+            return 0.0;
+        };
+        if entry
+            .sent
+            .get(&object)
+            .is_some_and(|at| now.since(*at) < WARM)
+        {
+            return WARM_SEEN;
+        }
+        let top = firsts.get(entry.region.as_str());
+        let rank = top.and_then(|top| top.iter().position(|(_, other)| *other == key));
+        rank.map_or(WARM_ELSEWHERE, |rank| WARM_BY_RANK[rank])
+    }
+
+    #[allow(
+        clippy::too_many_arguments,
+        reason = "one pass over what a choice weighs"
+    )]
+    fn cost(
+        &self,
+        wanted: &Wanted<'_>,
+        key: BackendKey,
+        entry: &Entry,
+        time: ServiceTime,
+        firsts: &HashMap<&str, Vec<(u64, BackendKey)>>,
+        load: f64,
+        now: MonoTime,
+    ) -> (f64, Cost) {
+        let slots = f64::from(entry.backend.slots);
+        let warm = self.warmth(wanted, key, entry, firsts, now);
+        let slowness = entry.health.slowness(now);
+        let service_ms = time.mean_ms(warm);
+        let busy_ms = time.mean_ms(0.7) * slowness;
+        let wait_ms = (load + 1.0 - slots).max(0.0) / slots * busy_ms;
+        let is_same_region = entry.region == wanted.region;
+        let way_ms = self.way_ms(&entry.backend.data_centre, is_same_region);
+        let expected_ms = way_ms + wait_ms + service_ms * slowness;
+        let far_ms = match (is_same_region, wanted.is_large) {
+            (false, false) => REGION_MS,
+            (false, true) => REGION_LARGE_MS,
+            (true, _) if entry.backend.data_centre == wanted.data_centre => 0.0,
+            (true, false) => DATA_CENTRE_MS,
+            (true, true) => DATA_CENTRE_LARGE_MS,
+        };
+        let pressure_ms = load / slots * PRESSURE * busy_ms;
+        let fail_ms = entry.health.fail(now) * FAIL_MS;
+        let cost = expected_ms + far_ms + pressure_ms + fail_ms;
+        let choice = Cost {
+            key,
+            expected_ms,
+            is_warm: warm > 0.5,
+            service_ms,
+        };
+        (cost, choice)
+    }
+
+    /// Notes a request that is sent.
+    pub fn on_send(&mut self, wanted: &Wanted<'_>, key: BackendKey, now: MonoTime) {
+        let (rate, instances) = (wanted.cold_rate, wanted.instances);
+        let entry = self.entry_mut(key);
+        entry.own += 1;
+        entry.cold.on_send(now, rate, instances);
+        if let Some((_, told)) = &mut entry.told {
+            *told += 1;
+        }
+        if let Some(object) = wanted.object {
+            entry.sent.insert(object, now);
+        }
+    }
+
+    /// Notes that a request ended. `choice` is what was expected of it.
+    pub fn on_end(&mut self, choice: &Cost, ended: Ended, now: MonoTime) {
+        let entry = self.entry_mut(choice.key);
+        entry.own = entry.own.saturating_sub(1);
+        let load = entry.load(now);
+        match ended {
+            Ended::Answered(ms) => {
+                let is_free = load < entry.backend.slots;
+                entry
+                    .health
+                    .on_success(now, ms / choice.expected_ms.max(1.0));
+                let service = entry.backend.service.clone();
+                let data_centre = entry.backend.data_centre.clone();
+                let way = self.way_ms(&data_centre, true).min(ms);
+                if let Some(time) = self.times.get_mut(&service)
+                    && is_free
+                {
+                    time.observe(choice.is_warm, ms - way);
+                }
+            }
+            Ended::Failed => entry.health.on_failure(now),
+            Ended::Unreachable => entry.health.on_unreachable(now),
+            Ended::Refused => entry.on_full(now),
+            Ended::Cancelled => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/apricotlug-policy/src/steer/quota.rs
@@ -0,0 +1,188 @@
+//! Client accounts' rates, counted over all instances together without asking on the way.
+//!
+//! Each instance keeps a bucket for each account and takes out of it what it admits itself and
+//! what the others report. Between two reports it admits at most its part of what is left, so the
+//! sum of all parts never exceeds what was there.
+
+use std::time::Duration;
+
+use apricotlug_model::{HashMap, MonoTime};
+
+/// Reports that may be under way at once. What is left is spread over as many, so that a bucket
+/// is not spent again before news of its spending has come.
+const REPORTS_IN_FLIGHT: f64 = 3.0;
+
+/// Part of the allowed excess on which a bucket leans.
+const EXCESS_PART: f64 = 0.4;
+
+/// Least part of an account that an instance holds, against an even split.
+const MIN_PART: f64 = 0.5;
+
+/// Weight of a new observation of an account's demand.
+const DEMAND_GAIN: f64 = 0.2;
+
+/// Span between two reports.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tick {
+    /// Live instances, this one included.
+    pub instances: usize,
+    /// Instances that may go on admitting without being heard.
+    pub silent: usize,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Bucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    credit: f64,
+    filled_at: MonoTime,
+    /// Requests that this instance admitted since its start.
+    admitted: u64,
+    /// Requests that came in since the last tick.
+    asked: f64,
+    /// Requests that come in here between two ticks, smoothed.
+    demand: f64,
+    /// The same of each other instance, with the total that it reported last.
+    others: HashMap<u64, (u64, f64)>,
+}
+
+/// Buckets of all accounts.
+#[derive(Clone, Debug)]
+pub struct Quotas {
+    window_s: f64,
+    overage: f64,
+    slack: f64,
+    starts_full: bool,
+    buckets: HashMap<String, Bucket>,
+}
+
+impl Quotas {
+    /// Creates buckets under the rule that in each `window` an account gets its rate and burst,
+    /// `overage` times more, and `slack` more. `starts_full` where nothing was admitted before.
+    #[must_use]
+    pub fn new(window: Duration, overage: f64, slack: f64, starts_full: bool) -> Self {
+        Self {
+            window_s: window.as_secs_f64(),
+            overage,
+            slack,
+            starts_full,
+            buckets: HashMap::default(),
+        }
+    }
+
+    /// Sets an account's rate and burst; a rate of 0 is no limit.
+    pub fn set(&mut self, account: &str, rate: f64, burst: f64, now: MonoTime) {
+        let extra = ((rate * self.window_s + burst) * self.overage + self.slack) * EXCESS_PART;
+        let is_new = !self.buckets.contains_key(account);
+        let bucket = self.buckets.entry(account.to_owned()).or_default();
+        bucket.fill(now);
+        let burst = burst + extra;
+        if is_new {
+            bucket.filled_at = now;
+            bucket.level = if self.starts_full { burst } else { extra };
+        }
+        bucket.rate = rate;
+        bucket.burst = burst;
+        bucket.level = bucket.level.min(burst);
+    }
+
+    /// Admits a request of an account, or tells after how many milliseconds one may pass.
+    ///
+    /// # Errors
+    /// Returns the milliseconds after which the account is likely to have room again.
+    pub fn admit(&mut self, account: &str, now: MonoTime) -> Result<(), u64> {
+        let Some(bucket) = self.buckets.get_mut(account) else {
+            return Ok(());
+        };
+        bucket.asked += 1.0;
+        if bucket.rate <= 0.0 {
+            return Ok(());
+        }
+        bucket.fill(now);
+        if bucket.level < 1.0 || bucket.credit < 1.0 {
+            let missing = (1.0 - bucket.level.min(0.0)) / bucket.rate;
+            return Err((missing * 1_000.0).clamp(50.0, 2_000.0) as u64);
+        }
+        bucket.level -= 1.0;
+        bucket.credit -= 1.0;
+        bucket.admitted += 1;
+        Ok(())
+    }
+
+    /// Puts back what an admitted request took that ran nowhere.
+    pub fn give_back(&mut self, account: &str) {
+        if let Some(bucket) = self.buckets.get_mut(account) {
+            bucket.level = (bucket.level + 1.0).min(bucket.burst);
+            bucket.credit += 1.0;
+            bucket.admitted = bucket.admitted.saturating_sub(1);
+        }
+    }
+
+    /// Starts a span between two reports: each account gets its part of what is left.
+    pub fn tick(&mut self, tick: Tick, now: MonoTime) {
+        for bucket in self.buckets.values_mut() {
+            bucket.tick(tick, now);
+        }
+    }
+
+    /// Returns what this instance admitted since its start, by account, with its demand.
+    pub fn totals(&self) -> impl Iterator<Item = (&str, u64, f64)> {
+        self.buckets
+            .iter()
+            .filter(|(_, bucket)| bucket.rate > 0.0)
+            .map(|(id, bucket)| (id.as_str(), bucket.admitted, bucket.demand))
+    }
+
+    /// Takes up what another run of an instance admitted since its start. `is_first` where
+    /// nothing was heard of that run before.
+    pub fn on_report(
+        &mut self,
+        from: u64,
+        account: &str,
+        admitted: u64,
+        demand: f64,
+        is_first: bool,
+    ) {
+        let Some(bucket) = self.buckets.get_mut(account) else {
+            return;
+        };
+        let seen = bucket
+            .others
+            .entry(from)
+            .or_insert((if is_first { admitted } else { 0 }, 0.0));
+        // A total that goes down puts something back.
+        bucket.level -= admitted as f64 - seen.0 as f64;
+        *seen = (admitted, demand);
+    }
+
+    /// Forgets a run of an instance.
+    pub fn forget(&mut self, from: u64) {
+        for bucket in self.buckets.values_mut() {
+            bucket.others.remove(&from);
+        }
+    }
+}
+
+impl Bucket {
+    fn fill(&mut self, now: MonoTime) {
+        let span = now.since(self.filled_at).as_secs_f64();
+        self.filled_at = now;
+        self.level = (self.level + self.rate * span).min(self.burst);
+    }
+
+    fn tick(&mut self, tick: Tick, now: MonoTime) {
+        self.fill(now);
+        self.demand += (self.asked - self.demand) * DEMAND_GAIN;
+        self.asked = 0.0;
+        let all: f64 = self.demand + self.others.values().map(|(_, demand)| demand).sum::<f64>();
+        let even = 1.0 / tick.instances.max(1) as f64;
+        let by_demand = if all > 0.0 { self.demand / all } else { even };
+        // Instances that are not heard may spend an even part each.
+        let heard = 1.0 - even * tick.silent as f64;
+        let part = by_demand.max(even * MIN_PART) * heard.max(even);
+        let fresh = (self.level.max(0.0) * part / REPORTS_IN_FLIGHT).min(self.burst);
+        // What a span left over below one request counts on, so that small parts add up.
+        self.credit = self.credit.clamp(0.0, 1.0) + fresh;
+    }
+}
--- /dev/null
+++ b/crates/apricotlug-steer/src/answer.rs
@@ -0,0 +1,120 @@
+//! Delivers answers to callers.
+
+use apricotlug_adapter::encode_refusal;
+use apricotlug_http::{BodyWriter, Conn, Framing, HttpError, RequestHead, ResponseHead};
+
+use crate::{attempt::Answer, prepare::Refusal};
+
+/// Whether the caller's connection may carry another request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// It may.
+    KeepAlive,
+    /// It must be closed.
+    Close,
+}
+
+/// Delivers a refusal of the system's own.
+///
+/// # Errors
+/// Returns an error where the caller's leg fails.
+pub async fn refuse(
+    conn: &mut Conn,
+    refusal: &Refusal,
+    id: Option<&str>,
+    is_closing: bool,
+) -> Result<Next, HttpError> {
+    let mut head = encode_refusal(refusal.status, refusal.reason, id, refusal.retry_ms);
+    head.headers.push("content-length", "0");
+    if is_closing {
+        head.headers.push("connection", "close");
+    }
+    conn.write(&head.encode()).await?;
+    Ok(if is_closing {
+        Next::Close
+    } else {
+        Next::KeepAlive
+    })
+}
+
+/// Delivers an answer of a backend server.
+///
+/// # Errors
+/// Returns an error where a leg fails before the end: the caller's connection must be closed then,
+/// and what it got does not look complete.
+pub async fn deliver(
+    conn: &mut Conn,
+    req: &RequestHead,
+    answer: Answer,
+    is_closing: bool,
+) -> Result<Next, HttpError> {
+    match answer.rest {
+        None => deliver_whole(conn, req, answer.head, &answer.body, is_closing).await,
+        Some(_) => stream(conn, req, answer, is_closing).await,
+    }
+}
+
+fn caller_head(mut head: ResponseHead, is_closing: bool) -> ResponseHead {
+    head.headers.remove_hop_by_hop();
+    head.headers.remove("transfer-encoding");
+    if is_closing {
+        head.headers.push("connection", "close");
+    }
+    head
+}
+
+async fn deliver_whole(
+    conn: &mut Conn,
+    req: &RequestHead,
+    head: ResponseHead,
+    body: &[u8],
+    is_closing: bool,
+) -> Result<Next, HttpError> {
+    let is_bodiless = req.method == "HEAD" || matches!(head.status, 204 | 304);
+    let mut head = caller_head(head, is_closing);
+    if !is_bodiless {
+        Framing::Length(body.len() as u64).announce(&mut head.headers);
+    }
+    let mut bytes = head.encode();
+    bytes.extend_from_slice(body);
+    conn.write(&bytes).await?;
+    Ok(if is_closing {
+        Next::Close
+    } else {
+        Next::KeepAlive
+    })
+}
+
+async fn stream(
+    conn: &mut Conn,
+    req: &RequestHead,
+    answer: Answer,
+    is_closing: bool,
+) -> Result<Next, HttpError> {
+    let Some((mut backend, mut reader)) = answer.rest else {
+        return Ok(Next::Close);
+    };
+    let has_length = matches!(answer.framing, Framing::Length(_));
+    // A caller of the old version knows no chunks: the end of the connection ends the body.
+    let is_old = req.minor == 0 && !has_length;
+    let is_closing = is_closing || is_old;
+    let framing = if is_old {
+        Framing::Empty
+    } else {
+        answer.framing
+    };
+    let mut head = caller_head(answer.head, is_closing);
+    framing.announce(&mut head.headers);
+    conn.write(&head.encode()).await?;
+    let mut writer = BodyWriter::new(conn, framing);
+    writer.write(&answer.body).await?;
+    while let Some(piece) = reader.next(&mut backend).await? {
+        writer.write(&piece).await?;
+    }
+    writer.finish().await?;
+    Ok(if is_closing {
+        Next::Close
+    } else {
+        Next::KeepAlive
+    })
+}
--- /dev/null
+++ b/crates/apricotlug-steer/src/instance.rs
@@ -0,0 +1,172 @@
+//! One entry instance: its listeners and tasks, from start to leave.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use apricotlug_adapter::{StoreClient, Swap, SwapOutcome, encode_move_status, move_status_key};
+use apricotlug_config::SiteSettings;
+use apricotlug_model::MonoTime;
+use async_std::{
+    net::{TcpListener, UdpSocket},
+    task,
+};
+use thiserror::Error;
+
+use crate::{
+    apply::Lapsed, caller, follow::follow, gate::Gate, member, moves::Due, pages, pulse,
+    shared::Shared,
+};
+
+/// Span between two looks at moves, lapsed entries and idle connections.
+const KEEP: Duration = Duration::from_millis(150);
+
+/// Time by which each next live instance waits longer before it writes a due status, so that
+/// usually one of them writes.
+const RANK_STEP: Duration = Duration::from_millis(400);
+
+/// Time that writing a status may take.
+const WRITE: Duration = Duration::from_millis(1_000);
+
+/// Part of the grace time for which a leaving instance goes on accepting: callers that looked up
+/// before still come.
+const OPEN_PART: f64 = 0.6;
+
+/// Part of the grace time after which requests in flight are given up.
+const LEAVE_PART: f64 = 0.93;
+
+/// Why an instance does not start.
+#[derive(Debug, Error)]
+#[error("cannot listen on {addr} for {what}")]
+pub struct StartError {
+    /// Address.
+    pub addr: SocketAddr,
+    /// What it is for.
+    pub what: &'static str,
+    /// What the system reported.
+    #[source]
+    pub source: io::Error,
+}
+
+/// Running instance.
+#[derive(Debug)]
+pub struct Instance {
+    shared: Arc<Shared>,
+}
+
+impl Instance {
+    /// Binds all addresses and starts all tasks.
+    ///
+    /// # Errors
+    /// Returns which address cannot be bound.
+    pub async fn start(settings: SiteSettings) -> Result<Self, StartError> {
+        let listen = settings.listen;
+        let callers = bind(listen.caller, "callers").await?;
+        let ready = bind(listen.ready, "readiness").await?;
+        let lookups = bind(listen.lookup, "look-ups").await?;
+        let socket = UdpSocket::bind(listen.peer)
+            .await
+            .map_err(|source| StartError {
+                addr: listen.peer,
+                what: "other instances",
+                source,
+            })?;
+        let store = StoreClient::new(settings.store);
+        tracing::info!(
+            kind = "start",
+            instance = settings.instance,
+            first = settings.is_first_start
+        );
+        let shared = Arc::new(Shared::new(settings, rand::random()));
+        let lapsed = Arc::new(Lapsed::default());
+        let socket = Arc::new(socket);
+        task::spawn(follow(
+            Arc::clone(&shared),
+            store.clone(),
+            Arc::clone(&lapsed),
+        ));
+        task::spawn(member::keep(Arc::clone(&shared), store.clone()));
+        task::spawn(keep(Arc::clone(&shared), lapsed, store));
+        task::spawn(pulse::send(Arc::clone(&shared), Arc::clone(&socket)));
+        task::spawn(pulse::receive(Arc::clone(&shared), socket));
+        task::spawn(caller::accept(Arc::clone(&shared), callers));
+        task::spawn(pages::serve_lookups(Arc::clone(&shared), lookups));
+        task::spawn(pages::serve_ready(Arc::clone(&shared), ready));
+        Ok(Self { shared })
+    }
+
+    /// Takes up changed settings. Addresses stay as they were at the start.
+    pub fn reload(&self, settings: SiteSettings) {
+        tracing::info!(kind = "reload", instance = settings.instance);
+        self.shared.set_settings(settings);
+    }
+
+    /// Leaves: tells callers and instances, goes on with what comes and is in flight, and returns
+    /// the number of requests given up.
+    pub async fn leave(&self) -> usize {
+        let shared = &self.shared;
+        let grace = Duration::from_millis(shared.settings().bounds.grace_ms.into());
+        let asked_at = shared.clock.now();
+        tracing::info!(kind = "leave", in_flight = shared.drain.in_flight());
+        shared.drain.leave();
+        task::sleep(grace.mul_f64(OPEN_PART)).await;
+        shared.close_door();
+        let left = shared
+            .drain
+            .wait_empty(&shared.clock, asked_at.after(grace.mul_f64(LEAVE_PART)))
+            .await;
+        tracing::info!(kind = "stop", given_up = left);
+        left
+    }
+}
+
+async fn bind(addr: SocketAddr, what: &'static str) -> Result<TcpListener, StartError> {
+    let bound = TcpListener::bind(addr).await;
+    bound.map_err(|source| StartError { addr, what, source })
+}
+
+async fn keep(shared: Arc<Shared>, lapsed: Arc<Lapsed>, mut store: StoreClient) {
+    let mut due_since: Option<MonoTime> = None;
+    loop {
+        task::sleep(KEEP).await;
+        let now = shared.clock.now();
+        for id in lapsed.take_due(now) {
+            tracing::info!(kind = "backend_lapsed", backend = id);
+            shared.gate().fleet.remove(&id);
+        }
+        shared
+            .pool
+            .sweep(now, |key| shared.gate().fleet.entry(key).is_listed);
+        let (due, rank) = {
+            let mut gate = shared.gate();
+            let rank = gate.peers.rank_of(&shared.settings().instance, now);
+            (gate.moves.due(now), rank)
+        };
+        if due.is_empty() {
+            due_since = None;
+            continue;
+        }
+        let since = *due_since.get_or_insert(now);
+        if now.since(since) >= RANK_STEP * rank as u32 {
+            for one in due {
+                write(&shared, &mut store, one).await;
+            }
+        }
+    }
+}
+
+async fn write(shared: &Shared, store: &mut StoreClient, due: Due) {
+    tracing::info!(kind = "move_decision", service = due.service, state = ?due.status.state, evidence = ?due.evidence);
+    let swap = Swap {
+        key: move_status_key(&due.service),
+        expected: Some(due.replaces),
+        value: Some(encode_move_status(&due.status)),
+        lease: 0,
+    };
+    match store.swap(swap, WRITE).await {
+        Ok(SwapOutcome::Done(revision)) => {
+            let gate: &mut Gate = &mut shared.gate();
+            gate.moves.on_status(&due.service, due.status, revision);
+        }
+        Ok(SwapOutcome::Conflict) => tracing::info!(kind = "move_conflict", service = due.service),
+        Err(e) => tracing::warn!(kind = "move_write", service = due.service, error = %e),
+    }
+}
--- /dev/null
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -0,0 +1,36 @@
+//! Entry instance on the platform.
+//!
+//! It follows the platform's store, tells callers where to connect, and steers their requests to
+//! backend servers. A request passes these stages, one module each: `caller` (frame), `prepare`
+//! (route, identify, admit), `run` (place, send again), `attempt` (send, verify), `answer`
+//! (deliver). What instances share they tell each other in datagrams (`pulse`); what must last
+//! lies in the store.
+
+mod answer;
+mod apply;
+mod attempt;
+mod caller;
+mod follow;
+mod gate;
+mod instance;
+mod member;
+mod moves;
+mod news;
+mod pages;
+mod peers;
+mod pool;
+mod prepare;
+mod pulse;
+mod run;
+mod shared;
+mod wire;
+
+#[rustfmt::skip]
+#[allow(clippy::all, clippy::pedantic, missing_docs, unused, dead_code)]
+#[path = "generated/pulse_capnp.rs"]
+mod pulse_capnp;
+
+pub use instance::{Instance, StartError};
+pub use news::News;
+pub use peers::{Member, MemberInfo, Peers};
+pub use wire::{Busy, Proof, Pulse, Spent, WireError, decode, encode};
--- /dev/null
+++ b/crates/apricotlug-steer/src/member.rs
@@ -0,0 +1,79 @@
+//! Keeps this instance's own entry in the store.
+
+use std::{sync::Arc, time::Duration};
+
+use apricotlug_adapter::{StoreClient, StoreError, Swap, SwapOutcome, member_key};
+use async_std::task;
+
+use crate::{peers::MemberInfo, shared::Shared};
+
+/// Time after which the entry ends unless renewed.
+const LEASE: Duration = Duration::from_millis(4_000);
+
+/// Pause between two renewals.
+const RENEW: Duration = Duration::from_millis(1_200);
+
+/// Pause after a failure.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Time that a call may take.
+const CALL: Duration = Duration::from_millis(1_000);
+
+/// Keeps the entry until the instance leaves, then takes it away.
+pub async fn keep(shared: Arc<Shared>, mut store: StoreClient) {
+    let mut lease = None;
+    while !shared.drain.is_leaving() {
+        let step = match lease {
+            None => register(&shared, &mut store)
+                .await
+                .map(|id| lease = Some(id)),
+            Some(id) => store.renew(id, CALL).await,
+        };
+        match step {
+            Ok(()) => pause(&shared, RENEW).await,
+            Err(StoreError::NotFound) => lease = None,
+            Err(e) => {
+                tracing::debug!(kind = "member_entry", error = %e);
+                pause(&shared, PAUSE).await;
+            }
+        }
+    }
+    if let Some(id) = lease
+        && let Err(e) = store.end_lease(id, CALL).await
+    {
+        tracing::warn!(kind = "member_entry_left", error = %e);
+    }
+}
+
+async fn pause(shared: &Shared, span: Duration) {
+    let until = shared.clock.now().after(span);
+    while !shared.drain.is_leaving() && !until.is_past(shared.clock.now()) {
+        task::sleep(Duration::from_millis(100).min(shared.clock.left(until))).await;
+    }
+}
+
+async fn register(shared: &Shared, store: &mut StoreClient) -> Result<u64, StoreError> {
+    let settings = shared.settings();
+    let ttl = LEASE.max(Duration::from_millis(settings.min_lease_ms.into()));
+    let (lease, _) = store.lease(ttl, CALL).await?;
+    let info = MemberInfo {
+        run: shared.run,
+        caller: settings.listen.caller,
+        peer: settings.listen.peer,
+        data_centre: settings.data_centre.clone(),
+    };
+    let value = serde_json::to_vec(&info).map_err(|e| StoreError::Format(e.to_string()))?;
+    let swap = Swap {
+        key: member_key(&settings.instance),
+        expected: None,
+        value: Some(value),
+        lease,
+    };
+    match store.swap(swap, CALL).await? {
+        SwapOutcome::Done(revision) => {
+            tracing::info!(kind = "member_entry", lease, revision);
+            Ok(lease)
+        }
+        SwapOutcome::Conflict => Err(StoreError::Refused(412)),
+    }
+}
--- /dev/null
+++ b/crates/apricotlug-steer/src/moves.rs
@@ -0,0 +1,224 @@
+//! Moves of services to other versions, as this instance sees them.
+
+use std::time::Duration;
+
+use apricotlug_model::{HashMap, MonoTime, MoveOrder, MoveState, MoveStatus};
+use apricotlug_policy::steer::{Evidence, Judgement, Rollout, Stage};
+use rand::RngExt;
+
+use crate::{gate::name_hash, wire::Proof};
+
+/// Move of one service.
+#[derive(Clone, Debug)]
+struct Moving {
+    order: MoveOrder,
+    order_revision: u64,
+    rollout: Rollout,
+    status: Option<(MoveStatus, u64)>,
+    own: Evidence,
+    others: HashMap<u64, Evidence>,
+}
+
+/// Versions that may serve a request: the named one, or all but that.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Versions {
+    /// Version that the service moves to.
+    pub target: String,
+    /// Whether that one serves, or the others.
+    pub is_target: bool,
+    /// Whether the others may serve where these have no place.
+    pub may_fall_back: bool,
+}
+
+/// Status that is to be written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Due {
+    /// Service.
+    pub service: String,
+    /// Status.
+    pub status: MoveStatus,
+    /// Revision of the status that it replaces; 0 where there is none.
+    pub replaces: u64,
+    /// What decided it.
+    pub evidence: Evidence,
+}
+
+/// All moves.
+#[derive(Clone, Debug, Default)]
+pub struct Moves {
+    moves: HashMap<String, Moving>,
+    statuses: HashMap<String, (MoveStatus, u64)>,
+}
+
+impl Moves {
+    /// Takes up an order. `revision` tells two orders for one version apart.
+    pub fn on_order(&mut self, order: MoveOrder, revision: u64, now: MonoTime) {
+        let known = self.moves.get(&order.service);
+        if known.is_some_and(|moving| moving.order_revision == revision) {
+            return;
+        }
+        let service = order.service.clone();
+        let status = self.statuses.get(&service);
+        // A status that was written before this order is about another one.
+        let status = status.filter(|(status, at)| status.target == order.target && *at > revision);
+        let within = Duration::from_millis(order.within_ms.into());
+        let moving = Moving {
+            status: status.cloned(),
+            rollout: Rollout::new(now, within),
+            order,
+            order_revision: revision,
+            own: Evidence::default(),
+            others: HashMap::default(),
+        };
+        self.moves.insert(service, moving);
+    }
+
+    /// Takes up that an order was taken away.
+    pub fn on_order_gone(&mut self, service: &str) {
+        self.moves.remove(service);
+    }
+
+    /// Takes up a status as the store holds it.
+    pub fn on_status(&mut self, service: &str, status: MoveStatus, revision: u64) {
+        if let Some(moving) = self.moves.get_mut(service)
+            && moving.order.target == status.target
+            && revision > moving.order_revision
+        {
+            moving.status = Some((status.clone(), revision));
+        }
+        self.statuses.insert(service.to_owned(), (status, revision));
+    }
+
+    /// Returns which versions may serve a request of a service.
+    pub fn draw(
+        &mut self,
+        service: &str,
+        rng: &mut impl rand::Rng,
+        now: MonoTime,
+    ) -> Option<Versions> {
+        let moving = self.moves.get_mut(service)?;
+        let state = moving.status.as_ref().map(|(status, _)| status.state);
+        let evidence = moving.evidence();
+        let (is_target, may_fall_back) = match state {
+            Some(MoveState::Completed) => (true, false),
+            Some(MoveState::RolledBack) => (false, false),
+            None | Some(MoveState::Running) => match moving.rollout.stage(&evidence, now) {
+                Stage::Nothing => (false, false),
+                Stage::Share(share) => {
+                    let is_target = rng.random::<f64>() < share;
+                    (is_target, is_target)
+                }
+            },
+        };
+        Some(Versions {
+            target: moving.order.target.clone(),
+            is_target,
+            may_fall_back,
+        })
+    }
+
+    /// Counts an answer of a backend server of the given version.
+    pub fn on_answer(&mut self, service: &str, version: &str, is_good: bool) {
+        let Some(moving) = self
+            .moves
+            .get_mut(service)
+            .filter(|moving| !moving.is_final())
+        else {
+            return;
+        };
+        let own = &mut moving.own;
+        let count = match (version == moving.order.target, is_good) {
+            (true, true) => &mut own.new_good,
+            (true, false) => &mut own.new_bad,
+            (false, true) => &mut own.old_good,
+            (false, false) => &mut own.old_bad,
+        };
+        *count += 1;
+    }
+
+    /// Returns what this instance saw, for datagrams.
+    pub fn proofs(&self) -> impl Iterator<Item = Proof> {
+        let running = self.moves.iter().filter(|(_, moving)| !moving.is_final());
+        running.map(|(service, moving)| {
+            let own = moving.own;
+            Proof {
+                service: name_hash(service),
+                counts: [own.new_good, own.new_bad, own.old_good, own.old_bad],
+            }
+        })
+    }
+
+    /// Takes up what another run saw.
+    pub fn on_proof(&mut self, run: u64, service: u64, counts: [u64; 4]) {
+        let found = self
+            .moves
+            .iter_mut()
+            .find(|(name, _)| name_hash(name) == service);
+        if let Some((_, moving)) = found {
+            let [new_good, new_bad, old_good, old_bad] = counts;
+            let evidence = Evidence {
+                new_good,
+                new_bad,
+                old_good,
+                old_bad,
+            };
+            moving.others.insert(run, evidence);
+        }
+    }
+
+    /// Forgets nothing of what a run saw: its answers were given. Only its slot is merged.
+    pub fn forget(&mut self, run: u64) {
+        for moving in self.moves.values_mut() {
+            if let Some(evidence) = moving.others.remove(&run) {
+                let kept = moving.others.entry(0).or_default();
+                *kept = kept.and(evidence);
+            }
+        }
+    }
+
+    /// Returns the statuses that are to be written now.
+    pub fn due(&mut self, now: MonoTime) -> Vec<Due> {
+        let due = self.moves.iter_mut().filter_map(|(service, moving)| {
+            let (state, replaces) = moving.due(now)?;
+            Some(Due {
+                service: service.clone(),
+                status: MoveStatus {
+                    target: moving.order.target.clone(),
+                    state,
+                },
+                replaces: replaces
+                    .unwrap_or_else(|| self.statuses.get(service).map_or(0, |(_, at)| *at)),
+                evidence: moving.evidence(),
+            })
+        });
+        due.collect()
+    }
+}
+
+impl Moving {
+    fn evidence(&self) -> Evidence {
+        self.others
+            .values()
+            .fold(self.own, |all, one| all.and(*one))
+    }
+
+    fn is_final(&self) -> bool {
+        let state = self.status.as_ref().map(|(status, _)| status.state);
+        matches!(state, Some(MoveState::Completed | MoveState::RolledBack))
+    }
+
+    fn due(&mut self, now: MonoTime) -> Option<(MoveState, Option<u64>)> {
+        if self.is_final() {
+            return None;
+        }
+        let evidence = self.evidence();
+        self.rollout.stage(&evidence, now);
+        let replaces = self.status.as_ref().map(|(_, at)| *at);
+        match self.rollout.judge(now) {
+            Judgement::Complete => Some((MoveState::Completed, replaces)),
+            Judgement::TakeBack => Some((MoveState::RolledBack, replaces)),
+            Judgement::GoOn if self.status.is_none() => Some((MoveState::Running, None)),
+            Judgement::GoOn => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/apricotlug-steer/src/peers.rs
@@ -0,0 +1,171 @@
+//! Other instances: those that the store lists, and those that are heard.
+
+use std::{net::SocketAddr, time::Duration};
+
+use apricotlug_model::{HashMap, MonoTime};
+use serde::{Deserialize, Serialize};
+
+/// Silence after which an instance is not named to callers: a few datagrams may be lost.
+const SILENT: Duration = Duration::from_millis(1_500);
+
+/// Silence after which what an instance may admit unheard is set aside.
+const UNHEARD: Duration = Duration::from_millis(700);
+
+/// Time for which an instance that the store has just listed counts as heard.
+const NEW: Duration = Duration::from_millis(2_000);
+
+/// What an instance tells of itself in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberInfo {
+    /// Run of the process.
+    pub run: u64,
+    /// Address for callers.
+    pub caller: SocketAddr,
+    /// Address for datagrams.
+    pub peer: SocketAddr,
+    /// Data centre.
+    pub data_centre: String,
+}
+
+/// Another instance.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// What it tells of itself.
+    pub info: MemberInfo,
+    /// Whether the store lists it.
+    pub is_listed: bool,
+    /// When the store listed this run.
+    pub listed_at: MonoTime,
+    /// When its last datagram came.
+    pub heard_at: Option<MonoTime>,
+    /// Number of that datagram.
+    pub sequence: u64,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+}
+
+impl Member {
+    fn is_heard(&self, now: MonoTime, within: Duration) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) < within)
+    }
+
+    /// Tells whether callers may be sent to it.
+    #[must_use]
+    pub fn is_live(&self, now: MonoTime) -> bool {
+        let is_new = self.is_listed && now.since(self.listed_at) < NEW;
+        !self.is_leaving && (is_new || self.is_heard(now, SILENT))
+    }
+}
+
+/// All other instances, by name.
+#[derive(Clone, Debug, Default)]
+pub struct Peers(HashMap<String, Member>);
+
+impl Peers {
+    /// Takes up the entry of an instance. Returns the run that it replaces.
+    pub fn list(&mut self, name: &str, info: MemberInfo, now: MonoTime) -> Option<u64> {
+        let old = self.0.get_mut(name);
+        if let Some(member) = old
+            && member.info == info
+        {
+            member.is_listed = true;
+            return None;
+        }
+        let member = Member {
+            info,
+            is_listed: true,
+            listed_at: now,
+            heard_at: None,
+            sequence: 0,
+            is_leaving: false,
+        };
+        self.0
+            .insert(name.to_owned(), member)
+            .map(|old| old.info.run)
+    }
+
+    /// Takes an instance off the list. One that is still heard stays until it falls silent.
+    pub fn remove(&mut self, name: &str) {
+        if let Some(member) = self.0.get_mut(name) {
+            member.is_listed = false;
+        }
+    }
+
+    /// Returns the names of the instances that the store listed.
+    #[must_use]
+    pub fn listed(&self) -> Vec<String> {
+        let listed = self.0.iter().filter(|(_, member)| member.is_listed);
+        listed.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Notes a datagram. Returns whether it is newer than what was heard of that run.
+    pub fn on_heard(
+        &mut self,
+        name: &str,
+        run: u64,
+        sequence: u64,
+        is_leaving: bool,
+        now: MonoTime,
+    ) -> bool {
+        let Some(member) = self.0.get_mut(name) else {
+            return false;
+        };
+        if member.info.run != run || sequence <= member.sequence {
+            return false;
+        }
+        member.sequence = sequence;
+        member.heard_at = Some(now);
+        member.is_leaving = is_leaving;
+        true
+    }
+
+    /// Forgets instances that are neither listed nor heard. Returns their runs.
+    pub fn sweep(&mut self, now: MonoTime) -> Vec<u64> {
+        let is_gone = |member: &Member| !member.is_listed && !member.is_heard(now, SILENT);
+        let gone = self.0.values().filter(|member| is_gone(member));
+        let gone = gone.map(|member| member.info.run).collect();
+        self.0.retain(|_, member| !is_gone(member));
+        gone
+    }
+
+    /// Returns the runs that were heard once and have fallen silent.
+    #[must_use]
+    pub fn silent_runs(&self, now: MonoTime) -> Vec<u64> {
+        let silent = self
+            .0
+            .values()
+            .filter(|member| !member.is_heard(now, SILENT));
+        silent.map(|member| member.info.run).collect()
+    }
+
+    /// Returns the number of instances, this one included, that may be at work.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.0.len() + 1
+    }
+
+    /// Returns the number of instances that may be at work and are not heard.
+    #[must_use]
+    pub fn unheard(&self, now: MonoTime) -> usize {
+        let unheard = self.0.values().filter(|m| !m.is_heard(now, UNHEARD));
+        unheard.count()
+    }
+
+    /// Returns the place of a name among all instances, in the order of names.
+    #[must_use]
+    pub fn place_of(&self, own: &str) -> usize {
+        self.0.keys().filter(|name| name.as_str() < own).count()
+    }
+
+    /// Returns the number of live instances before a name, in the order of names.
+    #[must_use]
+    pub fn rank_of(&self, own: &str, now: MonoTime) -> usize {
+        let before = self.0.iter().filter(|(name, _)| name.as_str() < own);
+        before.filter(|(_, member)| member.is_live(now)).count()
+    }
+
+    /// Iterates over all instances.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &Member)> {
+        self.0.iter().map(|(name, member)| (name.as_str(), member))
+    }
+}
--- /dev/null
+++ b/crates/apricotlug-steer/src/pulse.rs
@@ -0,0 +1,69 @@
+//! Datagrams to and from other instances.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use async_std::{net::UdpSocket, task};
+
+use crate::{
+    shared::Shared,
+    wire::{MAX_BYTES, decode, encode},
+};
+
+/// Span between two datagrams to an instance of the same region, while instances are few.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Ticks between two datagrams to an instance of another region: bytes between regions are dear.
+const FAR_TICKS: u64 = 2;
+
+/// Instances to which a datagram goes in one tick at most; further ones take turns.
+const MOST_A_TICK: usize = 16;
+
+/// Sends datagrams for ever.
+pub async fn send(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut sequence = 0;
+    loop {
+        task::sleep(TICK).await;
+        sequence += 1;
+        let (bytes, targets) = prepare(&shared, sequence);
+        for target in targets {
+            // A datagram that does not leave is like one that is lost.
+            if let Err(e) = socket.send_to(&bytes, target).await {
+                tracing::debug!(kind = "pulse", %target, error = %e);
+            }
+        }
+    }
+}
+
+fn prepare(shared: &Shared, sequence: u64) -> (Vec<u8>, Vec<SocketAddr>) {
+    let settings = shared.settings();
+    let now = shared.clock.now();
+    let is_leaving = shared.drain.is_leaving();
+    let mut gate = shared.gate();
+    gate.tick(now);
+    let pulse = gate.pulse(&settings.instance, shared.run, sequence, is_leaving);
+    let turns = (gate.peers.count().div_ceil(MOST_A_TICK)) as u64;
+    let targets = gate.peers.iter().enumerate().filter(|(i, (_, member))| {
+        let is_far = settings.region_of(&member.info.data_centre) != settings.region();
+        let every = if is_far { turns * FAR_TICKS } else { turns };
+        (sequence + *i as u64) % every == 0
+    });
+    let targets = targets.map(|(_, (_, member))| member.info.peer).collect();
+    (encode(&pulse), targets)
+}
+
+/// Receives datagrams for ever.
+pub async fn receive(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut buf = vec![0; MAX_BYTES];
+    loop {
+        match socket.recv_from(&mut buf).await {
+            Ok((len, from)) => match decode(&buf[..len]) {
+                Ok(pulse) => shared.gate().on_pulse(pulse, shared.clock.now()),
+                Err(e) => tracing::warn!(kind = "bad_datagram", %from, error = %e),
+            },
+            Err(e) => {
+                tracing::warn!(kind = "datagrams", error = %e);
+                task::sleep(TICK).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/apricotlug-steer/src/run.rs
@@ -0,0 +1,391 @@
+//! Places a request, sends it, and sends it again where that is allowed and helps.
+
+use std::{sync::Arc, time::Duration};
+
+use apricotlug_http::Framing;
+use apricotlug_model::{MonoTime, PlanService};
+use apricotlug_policy::steer::{
+    BackendKey, Cost, Ended, NoPlace, Patience, Verdict, Wanted, judge, retry_after_ms,
+};
+use async_std::task;
+use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use rand::RngExt;
+
+use crate::{
+    attempt::{Answer, Failed, Sending, Target, attempt},
+    prepare::{Job, Refusal},
+    shared::Shared,
+};
+
+/// Most backend servers that are tried in vain to be reached for one request.
+const MOST_UNREACHABLE: u32 = 3;
+
+/// Time after which an idempotent request goes to a second backend server, in multiples of the
+/// time expected, and at least so much later.
+const HEDGE_FACTOR: f64 = 2.5;
+const HEDGE_LEAST_MS: f64 = 250.0;
+
+/// Multiple of the usual time from which an answer counts as slow against a new version.
+const SLOW_FACTOR: f64 = 2.5;
+
+/// Time after which a caller comes again where no backend server is there, in milliseconds.
+const NONE_THERE_MS: u64 = 300;
+
+/// What became of a request.
+#[derive(Debug)]
+pub enum Outcome {
+    /// A backend server answered.
+    Answered(Box<Answer>),
+    /// It was refused, or nothing is known of it.
+    Refused(Refusal),
+}
+
+/// Request that has run its course.
+#[derive(Debug)]
+pub struct Ran {
+    /// What became of it.
+    pub outcome: Outcome,
+    /// Backend server of the last attempt.
+    pub backend: String,
+    /// Attempts that reached a backend server.
+    pub attempts: u32,
+}
+
+/// Slot that a request holds at a backend server until it ends.
+struct Permit {
+    shared: Arc<Shared>,
+    choice: Cost,
+    ended: Option<Ended>,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        let ended = self.ended.unwrap_or(Ended::Cancelled);
+        self.shared.gate().fleet.on_end(&self.choice, ended, now);
+    }
+}
+
+/// One attempt that has ended.
+struct Landed {
+    target: Target,
+    version: String,
+    result: Result<Answer, Failed>,
+    ms: f64,
+    is_slow: bool,
+}
+
+/// What is known of the attempts so far.
+#[derive(Default)]
+struct Tried {
+    keys: Vec<BackendKey>,
+    sent: u32,
+    unreachable: u32,
+    may_have_run: bool,
+    last: String,
+    spare: Option<Box<Answer>>,
+    why: &'static str,
+}
+
+struct Placed {
+    choice: Cost,
+    target: Target,
+    version: String,
+    slow_ms: f64,
+}
+
+/// Runs a request until it has an answer or is given up.
+pub async fn run(shared: &Arc<Shared>, job: &Job, sending: Sending<'_>) -> Ran {
+    let mut tried = Tried::default();
+    let mut flights: FuturesUnordered<BoxFuture<'_, Landed>> = FuturesUnordered::new();
+    let mut hedge_at = MonoTime::MAX;
+    loop {
+        if flights.is_empty() {
+            match place(shared, job, &tried) {
+                Ok(placed) => {
+                    hedge_at = launch(shared, job, sending, placed, &mut tried, &mut flights)
+                }
+                Err(refusal) => return give_up(tried, refusal),
+            }
+        }
+        let wake_at = hedge_at.min(job.deadline);
+        let timer = task::sleep(shared.clock.left(wake_at));
+        let landed = futures::select! {
+            landed = flights.next().fuse() => landed,
+            () = timer.fuse() => None,
+        };
+        let Some(landed) = landed else {
+            if job.deadline.is_past(shared.clock.now()) {
+                drop(flights);
+                return give_up(tried, Refusal::new(504, "Gateway Timeout", "timeout"));
+            }
+            hedge_at = MonoTime::MAX;
+            if may_hedge(shared, job, &tried)
+                && let Ok(placed) = place(shared, job, &tried)
+                && shared.gate().take_again(&job.service, shared.clock.now())
+            {
+                launch(shared, job, sending, placed, &mut tried, &mut flights);
+                hedge_at = MonoTime::MAX;
+            }
+            continue;
+        };
+        if let Some(answer) = take_up(shared, job, landed, &mut tried) {
+            return Ran {
+                outcome: Outcome::Answered(answer),
+                backend: tried.last,
+                attempts: tried.sent,
+            };
+        }
+        if flights.is_empty() && !may_go_again(shared, job, &tried) {
+            return give_up(
+                tried,
+                Refusal::new(503, "Service Unavailable", "no_more_attempts"),
+            );
+        }
+    }
+}
+
+/// Starts an attempt. Returns when another one may follow.
+fn launch<'a>(
+    shared: &'a Arc<Shared>,
+    job: &'a Job,
+    sending: Sending<'a>,
+    placed: Placed,
+    tried: &mut Tried,
+    flights: &mut FuturesUnordered<BoxFuture<'a, Landed>>,
+) -> MonoTime {
+    tried.keys.push(placed.choice.key);
+    tried.sent += 1;
+    tried.last.clone_from(&placed.target.id);
+    let expected = placed.choice.expected_ms;
+    let hedge_ms = (expected * HEDGE_FACTOR).max(expected + HEDGE_LEAST_MS);
+    let started_at = shared.clock.now();
+    flights.push(fly(shared, job, sending, placed).boxed());
+    started_at.after(Duration::from_secs_f64(hedge_ms / 1_000.0))
+}
+
+async fn fly(shared: &Arc<Shared>, job: &Job, sending: Sending<'_>, placed: Placed) -> Landed {
+    let mut permit = Permit {
+        shared: Arc::clone(shared),
+        choice: placed.choice,
+        ended: None,
+    };
+    let started_at = shared.clock.now();
+    let result = attempt(shared, sending, &placed.target).await;
+    let now = shared.clock.now();
+    let ms = now.since(started_at).as_secs_f64() * 1_000.0;
+    let is_slow = ms > placed.slow_ms;
+    permit.ended = Some(match &result {
+        Ok(answer) if answer.head.status >= 500 => Ended::Failed,
+        Ok(_) => Ended::Answered(ms),
+        Err(Failed::Unreachable) => Ended::Unreachable,
+        Err(Failed::Refused { .. }) => Ended::Refused,
+        Err(Failed::Unknown(_)) => Ended::Failed,
+    });
+    if let Ok(answer) = &result {
+        learn(shared, placed.choice.key, answer, now);
+    }
+    let is_good = matches!(&result, Ok(answer) if answer.head.status < 500) && !is_slow;
+    let is_sign = !matches!(result, Err(Failed::Unreachable | Failed::Refused { .. }));
+    if is_sign {
+        let mut gate = shared.gate();
+        gate.moves.on_answer(&job.service, &placed.version, is_good);
+    }
+    Landed {
+        target: placed.target,
+        version: placed.version,
+        result,
+        ms,
+        is_slow,
+    }
+}
+
+fn learn(shared: &Shared, key: BackendKey, answer: &Answer, now: MonoTime) {
+    let mut gate = shared.gate();
+    let entry = gate.fleet.entry_mut(key);
+    if let Some((running, waiting, _)) = answer.told.load {
+        entry.on_load(now, running, waiting);
+    }
+    if let Some(cold_ms) = answer.told.cold_ms {
+        entry
+            .cold
+            .set(now.after(Duration::from_millis(cold_ms.into())));
+    }
+}
+
+/// Takes up an attempt that has ended. Returns the answer if that is the end.
+fn take_up(shared: &Shared, job: &Job, landed: Landed, tried: &mut Tried) -> Option<Box<Answer>> {
+    let why = match landed.result {
+        Ok(answer) if answer.head.status < 500 => return Some(Box::new(answer)),
+        Ok(answer) => {
+            tried.may_have_run = true;
+            tried.spare = Some(Box::new(answer));
+            "failed"
+        }
+        Err(Failed::Unreachable) => {
+            tried.sent -= 1;
+            tried.unreachable += 1;
+            "unreachable"
+        }
+        Err(Failed::Refused { status: 421 }) => {
+            // Another backend server has the address now.
+            shared
+                .gate()
+                .fleet
+                .entry_mut(landed.target.key)
+                .on_misdirected(shared.clock.now());
+            "misdirected"
+        }
+        Err(Failed::Refused { .. }) => "refused",
+        Err(Failed::Unknown(why)) => {
+            tried.may_have_run = true;
+            why
+        }
+    };
+    tried.why = why;
+    shared.metrics.on_attempt(why);
+    tracing::info!(
+        kind = "attempt",
+        request = job.asked.id,
+        backend = landed.target.id,
+        version = landed.version,
+        result = why,
+        ms = landed.ms as u64,
+        is_slow = landed.is_slow
+    );
+    if tried.spare.is_some() && !job.route().exchange.may_repeat() {
+        return tried.spare.take();
+    }
+    None
+}
+
+fn may_go_again(shared: &Shared, job: &Job, tried: &Tried) -> bool {
+    if tried.why == "unreachable" {
+        return tried.unreachable < MOST_UNREACHABLE;
+    }
+    let is_allowed = !tried.may_have_run || job.route().exchange.may_repeat();
+    let now = shared.clock.now();
+    is_allowed
+        && tried.sent < job.route().attempts
+        && !job.deadline.is_past(now)
+        && shared.gate().take_again(&job.service, now)
+}
+
+fn may_hedge(shared: &Shared, job: &Job, tried: &Tried) -> bool {
+    job.route().exchange.may_repeat()
+        && tried.sent < job.route().attempts
+        && !job.deadline.is_past(shared.clock.now())
+}
+
+/// Returns what the caller is told where no attempt brought an answer.
+fn give_up(mut tried: Tried, refusal: Refusal) -> Ran {
+    let outcome = match tried.spare.take() {
+        Some(answer) => Outcome::Answered(answer),
+        None if tried.may_have_run && refusal.status == 503 => {
+            Outcome::Refused(Refusal::new(502, "Bad Gateway", tried.why))
+        }
+        None => {
+            let is_sent = tried.sent > 0;
+            let retry_ms = refusal
+                .retry_ms
+                .or((refusal.status == 503).then_some(NONE_THERE_MS));
+            Outcome::Refused(Refusal {
+                why: if is_sent && refusal.status == 503 {
+                    tried.why
+                } else {
+                    refusal.why
+                },
+                retry_ms,
+                ..refusal
+            })
+        }
+    };
+    Ran {
+        outcome,
+        backend: tried.last,
+        attempts: tried.sent,
+    }
+}
+
+fn place(shared: &Shared, job: &Job, tried: &Tried) -> Result<Placed, Refusal> {
+    let settings = shared.settings();
+    let now = shared.clock.now();
+    let mut guard = shared.gate();
+    let gate = &mut *guard;
+    let drawn = gate.moves.draw(&job.service, &mut gate.rng, now);
+    let target = drawn.as_ref().map(|drawn| drawn.target.as_str());
+    let mut is_target = drawn.as_ref().is_some_and(|drawn| drawn.is_target);
+    let mut may_fall_back = drawn.as_ref().is_some_and(|drawn| drawn.may_fall_back);
+    let route = job.route();
+    let homes: &[String] = job.account().map_or(&[], |account| &account.homes);
+    let service: Option<&PlanService> = job.plan.services.get(&job.service);
+    let patience = Patience {
+        left_ms: job.deadline.since(now).as_secs_f64() * 1_000.0,
+    };
+    loop {
+        let wanted = Wanted {
+            service: &job.service,
+            object: job.object,
+            is_large: route.exchange == apricotlug_model::Exchange::Download,
+            region: settings.region(),
+            data_centre: &settings.data_centre,
+            homes: [&route.homes, homes],
+            evacuated: &job.evacuated,
+            versions: target.map(|target| (target, is_target)),
+            tried: &tried.keys,
+            cold_rate: service.map_or(0.0, |service| service.cold_rate),
+            instances: gate.peers.count(),
+            own_place: gate.peers.place_of(&settings.instance),
+        };
+        let chosen = gate.fleet.choose(&wanted, route.target_ms, now);
+        if chosen.is_err() && std::mem::take(&mut may_fall_back) {
+            is_target = !is_target;
+            continue;
+        }
+        let choice = chosen.map_err(|reason| no_place(gate, reason, patience))?;
+        if judge(patience, choice.expected_ms) == Verdict::TooLate {
+            let draw = gate.rng.random::<f64>();
+            let ms = retry_after_ms(patience, choice.expected_ms, draw);
+            return Err(Refusal::new(503, "Service Unavailable", "too_late").later(ms));
+        }
+        gate.fleet.on_send(&wanted, choice.key, now);
+        let time = gate.fleet.times(&job.service, route.target_ms);
+        let entry = gate.fleet.entry(choice.key);
+        return Ok(Placed {
+            choice,
+            version: entry.backend.version.clone(),
+            slow_ms: time.cold_ms.max(route.target_ms.into()) * SLOW_FACTOR,
+            target: Target {
+                key: choice.key,
+                id: entry.backend.id.clone(),
+                addr: entry.backend.addr,
+                data_centre: entry.backend.data_centre.clone(),
+                is_far: entry.region != settings.region(),
+                deadline: job.deadline,
+                may_repeat: route.exchange.may_repeat(),
+            },
+        });
+    }
+}
+
+fn no_place(gate: &mut crate::gate::Gate, reason: NoPlace, patience: Patience) -> Refusal {
+    match reason {
+        NoPlace::None => {
+            Refusal::new(503, "Service Unavailable", "none_there").later(NONE_THERE_MS)
+        }
+        NoPlace::Full => {
+            let draw = gate.rng.random::<f64>();
+            let ms = retry_after_ms(patience, patience.left_ms / 2.0, draw);
+            Refusal::new(503, "Service Unavailable", "all_full").later(ms)
+        }
+    }
+}
+
+/// Returns how a body that was read whole is announced.
+#[must_use]
+pub fn whole(framing: Framing, body: &[u8]) -> Framing {
+    match framing {
+        Framing::Empty => Framing::Empty,
+        _ => Framing::Length(body.len() as u64),
+    }
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -14,6 +14,7 @@
 mod moves;
 mod report;
 mod status;
+mod steer;
 mod why;
 
 use std::process::ExitCode;
@@ -39,6 +40,7 @@
     Move(moves::Move),
     Report(report::MakeReport),
     Status(status::Status),
+    Steer(steer::Steer),
     Why(why::Why),
 }
 
@@ -58,6 +60,7 @@
             Command::Move(command) => command.run().await,
             Command::Report(command) => command.run(),
             Command::Status(command) => command.run().await,
+            Command::Steer(command) => command.run().await,
             Command::Why(command) => command.run().await,
         }
     }
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -4,7 +4,7 @@
 
 use async_channel::Receiver;
 use signal_hook::{
-    consts::{SIGINT, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
 };
 
@@ -24,3 +24,33 @@
     });
     Ok(rx)
 }
+
+/// What a signal asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// To end.
+    End,
+    /// To read the settings again.
+    Reload,
+}
+
+/// Returns a channel that gets a message for each request to end or to read the settings again.
+///
+/// # Errors
+/// Returns what the system reports where the signals cannot be watched.
+pub fn all() -> io::Result<Receiver<Asked>> {
+    let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM])?;
+    let (tx, rx) = async_channel::unbounded();
+    thread::spawn(move || {
+        for signal in signals.forever() {
+            let asked = match signal {
+                SIGHUP => Asked::Reload,
+                _ => Asked::End,
+            };
+            if tx.send_blocking(asked).is_err() {
+                return;
+            }
+        }
+    });
+    Ok(rx)
+}
