Objects have few homes; a wait that makes others late is refused

Cause: under load each request went to the least loaded backend server, where its object was cold; cold work takes three times as long, so the load never fell. Change: an object has two homes in its region and one in each other; straying costs what it makes others forget; service times are learned from all answers; a request that would wait past its target is refused at once.

--- a/crates/apricotlug-policy/src/steer/admit.rs
+++ b/crates/apricotlug-policy/src/steer/admit.rs
@@ -5,6 +5,10 @@
 pub struct Patience {
     /// Milliseconds left until the answer has no worth at all.
     pub left_ms: f64,
+    /// Milliseconds left until the answer has less worth; 0 where that time is over.
+    pub target_left_ms: f64,
+    /// Milliseconds within which the route's answers are expected.
+    pub target_ms: f64,
 }
 
 /// Decision about a request.
@@ -14,24 +18,35 @@
     Go,
     /// It cannot be answered in time.
     TooLate,
+    /// Its wait would make others late.
+    Crowded,
 }
 
 /// Part of the time left that the expected answer may use; the rest covers the estimate's error.
 const USED_PART: f64 = 0.9;
 
-/// Shortest time after which a refused caller comes again, in milliseconds.
-const MIN_RETRY_MS: f64 = 50.0;
+/// Wait, in parts of the target, that is accepted for a request that will be late anyway.
+const LATE_WAIT: f64 = 0.3;
 
-/// Decides about a request whose answer is expected after so many milliseconds.
+/// Decides about a request whose answer is expected after so many milliseconds, of which it waits
+/// some for a slot. Where no wait lies ahead it always goes: a free slot serves.
 #[must_use]
-pub fn judge(patience: Patience, expected_ms: f64) -> Verdict {
+pub fn judge(patience: Patience, expected_ms: f64, wait_ms: f64) -> Verdict {
     if expected_ms > patience.left_ms * USED_PART {
-        Verdict::TooLate
-    } else {
+        return Verdict::TooLate;
+    }
+    let is_in_target = expected_ms <= patience.target_left_ms * USED_PART;
+    let is_short = wait_ms <= patience.target_ms * LATE_WAIT;
+    if is_in_target || is_short {
         Verdict::Go
+    } else {
+        Verdict::Crowded
     }
 }
 
+/// Shortest time after which a refused caller comes again, in milliseconds.
+const MIN_RETRY_MS: f64 = 50.0;
+
 /// Returns the time after which a refused caller comes again: when about half of what is ahead is
 /// done, spread by `draw` (0 to 1) so that not all come at once, and within the third of the time
 /// left that callers honour.
--- a/crates/apricotlug-policy/src/steer/fleet.rs
+++ b/crates/apricotlug-policy/src/steer/fleet.rs
@@ -13,9 +13,18 @@
 /// Time for which an object counts as warm where this instance sent it.
 const WARM: Duration = Duration::from_secs(30);
 
-/// Chance that an object is warm at its first choice in a region, at its second, and elsewhere.
-const WARM_BY_RANK: [f64; 2] = [0.8, 0.4];
-const WARM_ELSEWHERE: f64 = 0.1;
+/// Chance that an object is warm at its first choice in the own region, and at its second.
+const WARM_NEAR: [f64; 2] = [0.8, 0.5];
+
+/// Chance that an object is warm at its first choice in another region.
+const WARM_FAR: [f64; 1] = [0.3];
+
+/// Chance that an object is warm at any other backend server.
+const WARM_ELSEWHERE: f64 = 0.05;
+
+/// Cost of sending an object where it is not at home, in parts of what a cold request takes
+/// longer than a warm one: it makes that backend server forget another object.
+const STRAY_PART: f64 = 1.0;
 
 /// Chance that an object is warm where this instance sent it lately.
 const WARM_SEEN: f64 = 0.97;
@@ -140,10 +149,10 @@
     pub key: BackendKey,
     /// Milliseconds until its answer is expected.
     pub expected_ms: f64,
-    /// Whether the object is likely to be warm there.
-    pub is_warm: bool,
-    /// Service time expected, without ways and waits.
-    pub service_ms: f64,
+    /// Time that it is expected to wait for a slot, in milliseconds.
+    pub wait_ms: f64,
+    /// Chance that the object is warm there.
+    pub warm: f64,
 }
 
 /// Why no backend server is chosen.
@@ -326,7 +335,7 @@
         now: MonoTime,
     ) -> Result<Cost, NoPlace> {
         let time = self.times(wanted.service, target_ms);
-        let firsts = self.firsts(wanted, now);
+        let homes = self.homes(wanted, now);
         let mut best: Option<(f64, Cost)> = None;
         let mut reason = NoPlace::None;
         for (key, entry) in self.of_service(wanted.service) {
@@ -339,7 +348,7 @@
             if load >= slots * MOST_LOAD {
                 continue;
             }
-            let (cost, choice) = self.cost(wanted, key, entry, time, &firsts, load, now);
+            let (cost, choice) = self.cost(wanted, (key, entry), time, &homes, now);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, choice));
             }
@@ -373,88 +382,92 @@
                 .may_send(now, wanted.cold_rate, wanted.instances, own)
     }
 
-    /// Returns the first choices for the object in each region, best first.
-    fn firsts(&self, wanted: &Wanted<'_>, now: MonoTime) -> HashMap<&str, Vec<(u64, BackendKey)>> {
-        let mut firsts: HashMap<&str, Vec<(u64, BackendKey)>> = HashMap::default();
+    /// Returns the backend servers at which the object is at home, with the chance that it is warm
+    /// there: the first two choices in the own region, and the first in each other one.
+    fn homes(&self, wanted: &Wanted<'_>, now: MonoTime) -> Vec<(BackendKey, f64)> {
         let Some(object) = wanted.object else {
-            return firsts;
+            return Vec::new();
         };
+        let mut firsts: HashMap<&str, Vec<(u64, BackendKey)>> = HashMap::default();
         for (key, entry) in self.of_service(wanted.service) {
-            if !entry.takes_requests(now) {
+            let is_open = !wanted.evacuated.contains(&entry.backend.data_centre);
+            if !is_open || !entry.takes_requests(now) {
                 continue;
             }
             let weight = rank_weight(entry.hash, object);
             let top = firsts.entry(entry.region.as_str()).or_default();
             let place = top.partition_point(|(other, _)| *other > weight);
-            if place < WARM_BY_RANK.len() {
-                top.insert(place, (weight, key));
-                top.truncate(WARM_BY_RANK.len());
-            }
+            top.insert(place, (weight, key));
+            top.truncate(WARM_NEAR.len());
         }
-        firsts
+        let homes = firsts.iter().flat_map(|(region, top)| {
+            let chances = if *region == wanted.region {
+                &WARM_NEAR[..]
+            } else {
+                &WARM_FAR[..]
+            };
+            top.iter()
+                .zip(chances)
+                .map(|((_, key), chance)| (*key, *chance))
+        });
+        homes.collect()
     }
 
+    /// Returns the chance that the object is warm at a backend server, and whether it strays there.
     fn warmth(
-        &self,
         wanted: &Wanted<'_>,
         key: BackendKey,
         entry: &Entry,
-        firsts: &HashMap<&str, Vec<(u64, BackendKey)>>,
+        homes: &[(BackendKey, f64)],
         now: MonoTime,
-    ) -> f64 {
+    ) -> (f64, bool) {
         let Some(object) = wanted.object else {
-            return 0.0;
+            return (0.0, false);
         };
-        if entry
+        let home = homes.iter().find(|(other, _)| *other == key);
+        let is_seen = entry
             .sent
             .get(&object)
-            .is_some_and(|at| now.since(*at) < WARM)
-        {
-            return WARM_SEEN;
+            .is_some_and(|at| now.since(*at) < WARM);
+        match (home, is_seen) {
+            (_, true) => (WARM_SEEN, false),
+            (Some((_, chance)), false) => (*chance, false),
+            (None, false) => (WARM_ELSEWHERE, true),
         }
-        let top = firsts.get(entry.region.as_str());
-        let rank = top.and_then(|top| top.iter().position(|(_, other)| *other == key));
-        rank.map_or(WARM_ELSEWHERE, |rank| WARM_BY_RANK[rank])
     }
 
-    #[allow(
-        clippy::too_many_arguments,
-        reason = "one pass over what a choice weighs"
-    )]
     fn cost(
         &self,
         wanted: &Wanted<'_>,
-        key: BackendKey,
-        entry: &Entry,
+        (key, entry): (BackendKey, &Entry),
         time: ServiceTime,
-        firsts: &HashMap<&str, Vec<(u64, BackendKey)>>,
-        load: f64,
+        homes: &[(BackendKey, f64)],
         now: MonoTime,
     ) -> (f64, Cost) {
         let slots = f64::from(entry.backend.slots);
-        let warm = self.warmth(wanted, key, entry, firsts, now);
+        let load = f64::from(entry.load(now));
+        let (warm, is_stray) = Self::warmth(wanted, key, entry, homes, now);
         let slowness = entry.health.slowness(now);
-        let service_ms = time.mean_ms(warm);
-        let busy_ms = time.mean_ms(0.7) * slowness;
+        let service_ms = time.mean_ms(warm) * slowness;
+        let busy_ms = time.busy_ms * slowness;
         let wait_ms = (load + 1.0 - slots).max(0.0) / slots * busy_ms;
         let is_same_region = entry.region == wanted.region;
         let way_ms = self.way_ms(&entry.backend.data_centre, is_same_region);
-        let expected_ms = way_ms + wait_ms + service_ms * slowness;
-        let far_ms = match (is_same_region, wanted.is_large) {
-            (false, false) => REGION_MS,
-            (false, true) => REGION_LARGE_MS,
-            (true, _) if entry.backend.data_centre == wanted.data_centre => 0.0,
-            (true, false) => DATA_CENTRE_MS,
-            (true, true) => DATA_CENTRE_LARGE_MS,
+        let expected_ms = way_ms + wait_ms + service_ms;
+        let far_ms = far_ms(wanted, entry);
+        let stray_ms = if is_stray {
+            (time.cold_ms - time.warm_ms).max(0.0) * STRAY_PART
+        } else {
+            0.0
         };
         let pressure_ms = load / slots * PRESSURE * busy_ms;
         let fail_ms = entry.health.fail(now) * FAIL_MS;
-        let cost = expected_ms + far_ms + pressure_ms + fail_ms;
+        let cost = expected_ms + far_ms + stray_ms + pressure_ms + fail_ms;
         let choice = Cost {
             key,
             expected_ms,
-            is_warm: warm > 0.5,
-            service_ms,
+            wait_ms,
+            warm,
         };
         (cost, choice)
     }
@@ -477,20 +490,16 @@
     pub fn on_end(&mut self, choice: &Cost, ended: Ended, now: MonoTime) {
         let entry = self.entry_mut(choice.key);
         entry.own = entry.own.saturating_sub(1);
-        let load = entry.load(now);
         match ended {
             Ended::Answered(ms) => {
-                let is_free = load < entry.backend.slots;
                 entry
                     .health
                     .on_success(now, ms / choice.expected_ms.max(1.0));
                 let service = entry.backend.service.clone();
                 let data_centre = entry.backend.data_centre.clone();
-                let way = self.way_ms(&data_centre, true).min(ms);
-                if let Some(time) = self.times.get_mut(&service)
-                    && is_free
-                {
-                    time.observe(choice.is_warm, ms - way);
+                let way_ms = self.way_ms(&data_centre, true).min(ms);
+                if let Some(time) = self.times.get_mut(&service) {
+                    time.observe(choice.warm, ms - way_ms - choice.wait_ms);
                 }
             }
             Ended::Failed => entry.health.on_failure(now),
@@ -500,3 +509,16 @@
         }
     }
 }
+
+/// Returns the cost of an answer's way beside its time, in milliseconds.
+fn far_ms(wanted: &Wanted<'_>, entry: &Entry) -> f64 {
+    let is_same_region = entry.region == wanted.region;
+    let is_same_data_centre = entry.backend.data_centre == wanted.data_centre;
+    match (is_same_region, is_same_data_centre, wanted.is_large) {
+        (false, _, false) => REGION_MS,
+        (false, _, true) => REGION_LARGE_MS,
+        (true, true, _) => 0.0,
+        (true, false, false) => DATA_CENTRE_MS,
+        (true, false, true) => DATA_CENTRE_LARGE_MS,
+    }
+}
--- a/crates/apricotlug-policy/src/steer/gauge.rs
+++ b/crates/apricotlug-policy/src/steer/gauge.rs
@@ -23,6 +23,10 @@
 /// Longest pause.
 const MAX_PAUSE: Duration = Duration::from_millis(4_000);
 
+/// Chance of warmth from which an observation counts as warm, and up to which as cold.
+const SURELY_WARM: f64 = 0.9;
+const SURELY_COLD: f64 = 0.2;
+
 /// Service times of one service, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServiceTime {
@@ -30,32 +34,42 @@
     pub warm_ms: f64,
     /// Time of any other request.
     pub cold_ms: f64,
+    /// Time of all requests as they come.
+    pub busy_ms: f64,
+    least_ms: f64,
+    most_ms: f64,
 }
 
 impl ServiceTime {
     /// Starts from the time in which the operators expect answers.
     #[must_use]
     pub fn expected(target_ms: u32) -> Self {
+        let target_ms = f64::from(target_ms);
         Self {
-            warm_ms: f64::from(target_ms) * 0.35,
-            cold_ms: f64::from(target_ms),
+            warm_ms: target_ms * 0.3,
+            cold_ms: target_ms * 1.0,
+            busy_ms: target_ms * 0.6,
+            least_ms: target_ms * 0.1,
+            most_ms: target_ms * 5.0,
         }
     }
 
-    /// Takes up an observation.
-    pub fn observe(&mut self, is_warm: bool, ms: f64) {
-        let time = if is_warm {
-            &mut self.warm_ms
-        } else {
-            &mut self.cold_ms
-        };
-        *time += (ms - *time) * TIME_GAIN;
+    /// Takes up an observation, less ways and waits.
+    pub fn observe(&mut self, warm: f64, ms: f64) {
+        let ms = ms.clamp(self.least_ms, self.most_ms);
+        let move_to = |time: &mut f64| *time += (ms - *time) * TIME_GAIN;
+        move_to(&mut self.busy_ms);
+        if warm >= SURELY_WARM {
+            move_to(&mut self.warm_ms);
+        } else if warm <= SURELY_COLD {
+            move_to(&mut self.cold_ms);
+        }
     }
 
     /// Returns the time expected where the object is warm with the given probability.
     #[must_use]
     pub fn mean_ms(&self, warm: f64) -> f64 {
-        self.warm_ms * warm + self.cold_ms * (1.0 - warm)
+        self.warm_ms * warm + self.cold_ms.max(self.warm_ms) * (1.0 - warm)
     }
 }
 
--- a/crates/apricotlug-policy/src/steer/mod.rs
+++ b/crates/apricotlug-policy/src/steer/mod.rs
@@ -8,6 +8,7 @@
 mod gauge;
 mod quota;
 mod rollout;
+mod waits;
 mod warmth;
 
 pub use admit::{Patience, Verdict, judge, retry_after_ms};
@@ -17,4 +18,5 @@
 pub use gauge::{Health, ServiceTime};
 pub use quota::{Quotas, Tick};
 pub use rollout::{Evidence, Judgement, Rollout, Stage};
+pub use waits::Waits;
 pub use warmth::{object_hash, rank_weight};
--- a/crates/apricotlug-steer/src/gate.rs
+++ b/crates/apricotlug-steer/src/gate.rs
@@ -4,7 +4,7 @@
 
 use apricotlug_config::SiteSettings;
 use apricotlug_model::{HashMap, MonoTime, Plan};
-use apricotlug_policy::steer::{AgainBudget, BackendKey, Fleet, Quotas, Tick, object_hash};
+use apricotlug_policy::steer::{AgainBudget, BackendKey, Fleet, Quotas, Tick, Waits, object_hash};
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
@@ -24,6 +24,8 @@
     pub peers: Peers,
     /// Moves of services to other versions.
     pub moves: Moves,
+    /// Times that callers wait.
+    pub waits: Waits,
     /// Random source.
     pub rng: SmallRng,
     again: HashMap<String, AgainBudget>,
@@ -50,6 +52,7 @@
             ),
             peers: Peers::default(),
             moves: Moves::default(),
+            waits: Waits::default(),
             rng: SmallRng::from_rng(&mut rand::rng()),
             again: HashMap::default(),
             retry: (retry_window, bounds.retry_ratio, bounds.retry_slack),
--- a/crates/apricotlug-steer/src/prepare.rs
+++ b/crates/apricotlug-steer/src/prepare.rs
@@ -63,6 +63,8 @@
     pub asked: Asked,
     /// Hash of the object that it is about.
     pub object: Option<u64>,
+    /// Point up to which an answer has its full worth, as far as is known.
+    pub target_at: MonoTime,
     /// Point after which no answer is of use.
     pub deadline: MonoTime,
 }
@@ -107,10 +109,12 @@
         limit.map_err(|ms| Refusal::new(429, "Too Many Requests", "over_rate").later(ms))?;
     }
     gate.again(&service).on_request(now);
-    drop(gate);
     let wait_ms = asked.wait_ms.unwrap_or(u64::MAX);
     let timeout_ms = u64::from(route.timeout_ms);
     let deadline = arrived_at.after(Duration::from_millis(wait_ms.min(timeout_ms)));
+    let spent_ms = gate.waits.spent_ms(&route.id, asked.wait_ms);
+    drop(gate);
+    let target_ms = u64::from(route.target_ms).saturating_sub(spent_ms);
     let object = asked.object.as_deref().filter(|_| route.has_affinity);
     Ok(Job {
         object: object.map(|object| object_hash(&service, object)),
@@ -119,6 +123,7 @@
         account,
         service,
         asked,
+        target_at: arrived_at.after(Duration::from_millis(target_ms)),
         deadline,
         plan,
     })
--- a/crates/apricotlug-steer/src/run.rs
+++ b/crates/apricotlug-steer/src/run.rs
@@ -92,6 +92,7 @@
     target: Target,
     version: String,
     slow_ms: f64,
+    load: u32,
 }
 
 /// Runs a request until it has an answer or is given up.
@@ -175,6 +176,17 @@
     let now = shared.clock.now();
     let ms = now.since(started_at).as_secs_f64() * 1_000.0;
     let is_slow = ms > placed.slow_ms;
+    tracing::info!(
+        kind = "sent",
+        request = job.asked.id,
+        object = job.asked.object,
+        backend = placed.target.id,
+        data_centre = placed.target.data_centre,
+        load = placed.load,
+        warm = placed.choice.warm,
+        expected_ms = placed.choice.expected_ms as u64,
+        ms = ms as u64
+    );
     permit.ended = Some(match &result {
         Ok(answer) if answer.head.status >= 500 => Ended::Failed,
         Ok(_) => Ended::Answered(ms),
@@ -321,6 +333,8 @@
     let service: Option<&PlanService> = job.plan.services.get(&job.service);
     let patience = Patience {
         left_ms: job.deadline.since(now).as_secs_f64() * 1_000.0,
+        target_left_ms: job.target_at.since(now).as_secs_f64() * 1_000.0,
+        target_ms: route.target_ms.into(),
     };
     loop {
         let wanted = Wanted {
@@ -343,16 +357,22 @@
             continue;
         }
         let choice = chosen.map_err(|reason| no_place(gate, reason, patience))?;
-        if judge(patience, choice.expected_ms) == Verdict::TooLate {
+        let why = match judge(patience, choice.expected_ms, choice.wait_ms) {
+            Verdict::Go => None,
+            Verdict::TooLate => Some("too_late"),
+            Verdict::Crowded => Some("crowded"),
+        };
+        if let Some(why) = why {
             let draw = gate.rng.random::<f64>();
             let ms = retry_after_ms(patience, choice.expected_ms, draw);
-            return Err(Refusal::new(503, "Service Unavailable", "too_late").later(ms));
+            return Err(Refusal::new(503, "Service Unavailable", why).later(ms));
         }
         gate.fleet.on_send(&wanted, choice.key, now);
         let time = gate.fleet.times(&job.service, route.target_ms);
         let entry = gate.fleet.entry(choice.key);
         return Ok(Placed {
             choice,
+            load: entry.load(now),
             version: entry.backend.version.clone(),
             slow_ms: time.cold_ms.max(route.target_ms.into()) * SLOW_FACTOR,
             target: Target {
