Scarce slots keep to warm objects; datagrams rarer; large answers stay near

Change: what straying costs grows with the use of a service's slots, and where a backend server forgets; times of warm and cold work are told apart by what is nearer; datagrams every 150 ms, 450 ms between regions.

--- a/crates/apricotlug-policy/src/steer/fleet.rs
+++ b/crates/apricotlug-policy/src/steer/fleet.rs
@@ -26,6 +26,21 @@
 /// longer than a warm one: it makes that backend server forget another object.
 const STRAY_PART: f64 = 1.0;
 
+/// The same for each part of the requests for warm objects that met them cold there: a backend
+/// server that forgets keeps to the objects whose first choice it is.
+const FORGET_PART: f64 = 4.0;
+
+/// Part of a service's slots in use from which time at its backend servers is scarce, and from
+/// which it is as dear as the time of callers.
+const SCARCE_FROM: f64 = 0.5;
+const SCARCE_FULL: f64 = 0.95;
+
+/// Most that time at backend servers costs against the time of callers.
+const SCARCE_MOST: f64 = 1.5;
+
+/// Weight of a new observation of whether a backend server still knew an object.
+const KNOWN_GAIN: f64 = 0.04;
+
 /// Chance that an object is warm where this instance sent it lately.
 const WARM_SEEN: f64 = 0.97;
 
@@ -43,13 +58,13 @@
 const REGION_MS: f64 = 10.0;
 
 /// The same of a large answer.
-const REGION_LARGE_MS: f64 = 150.0;
+const REGION_LARGE_MS: f64 = 200.0;
 
 /// Cost of answering from another data centre of the region, in milliseconds.
-const DATA_CENTRE_MS: f64 = 2.0;
+const DATA_CENTRE_MS: f64 = 8.0;
 
 /// The same of a large answer.
-const DATA_CENTRE_LARGE_MS: f64 = 12.0;
+const DATA_CENTRE_LARGE_MS: f64 = 120.0;
 
 /// Time for which a load that a backend server told counts.
 const LOAD_FRESH: Duration = Duration::from_millis(400);
@@ -77,6 +92,8 @@
     pub others: u32,
     hash: u64,
     told: Option<(MonoTime, u32)>,
+    /// Part of the requests for objects seen lately that met them warm.
+    known: f64,
     sent: HashMap<u64, MonoTime>,
 }
 
@@ -153,6 +170,8 @@
     pub wait_ms: f64,
     /// Chance that the object is warm there.
     pub warm: f64,
+    /// Whether this instance sent the object there lately.
+    pub is_seen: bool,
 }
 
 /// Why no backend server is chosen.
@@ -261,6 +280,7 @@
             own: 0,
             others: 0,
             told: None,
+            known: 1.0,
             sent: HashMap::default(),
         });
         key
@@ -336,6 +356,7 @@
     ) -> Result<Cost, NoPlace> {
         let time = self.times(wanted.service, target_ms);
         let homes = self.homes(wanted, now);
+        let scarcity = self.scarcity(wanted, now);
         let mut best: Option<(f64, Cost)> = None;
         let mut reason = NoPlace::None;
         for (key, entry) in self.of_service(wanted.service) {
@@ -348,7 +369,7 @@
             if load >= slots * MOST_LOAD {
                 continue;
             }
-            let (cost, choice) = self.cost(wanted, (key, entry), time, &homes, now);
+            let (cost, choice) = self.cost(wanted, (key, entry), time, &homes, scarcity, now);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, choice));
             }
@@ -382,8 +403,24 @@
                 .may_send(now, wanted.cold_rate, wanted.instances, own)
     }
 
+    /// Returns what time at the service's backend servers costs against the time of callers: nothing
+    /// while many slots are free.
+    fn scarcity(&self, wanted: &Wanted<'_>, now: MonoTime) -> f64 {
+        let (mut load, mut slots) = (0, 0);
+        for (_, entry) in self.of_service(wanted.service) {
+            let is_open = !wanted.evacuated.contains(&entry.backend.data_centre);
+            if is_open && entry.takes_requests(now) {
+                load += entry.load(now).min(entry.backend.slots);
+                slots += entry.backend.slots;
+            }
+        }
+        let used = f64::from(load) / f64::from(slots.max(1));
+        ((used - SCARCE_FROM) / (SCARCE_FULL - SCARCE_FROM)).clamp(0.0, SCARCE_MOST)
+    }
+
     /// Returns the backend servers at which the object is at home, with the chance that it is warm
-    /// there: the first two choices in the own region, and the first in each other one.
+    /// there: the first two choices in the own region, and the first in each other one. The first
+    /// of all comes first.
     fn homes(&self, wanted: &Wanted<'_>, now: MonoTime) -> Vec<(BackendKey, f64)> {
         let Some(object) = wanted.object else {
             return Vec::new();
@@ -400,39 +437,40 @@
             top.insert(place, (weight, key));
             top.truncate(WARM_NEAR.len());
         }
-        let homes = firsts.iter().flat_map(|(region, top)| {
-            let chances = if *region == wanted.region {
-                &WARM_NEAR[..]
-            } else {
-                &WARM_FAR[..]
-            };
-            top.iter()
-                .zip(chances)
-                .map(|((_, key), chance)| (*key, *chance))
-        });
-        homes.collect()
+        let near = firsts.remove(wanted.region).unwrap_or_default();
+        let near = near.into_iter().zip(WARM_NEAR);
+        let far = firsts
+            .values()
+            .flat_map(|top| top.iter().copied().zip(WARM_FAR));
+        near.chain(far)
+            .map(|((_, key), chance)| (key, chance))
+            .collect()
     }
 
-    /// Returns the chance that the object is warm at a backend server, and whether it strays there.
+    /// Returns the chance that the object is warm at a backend server, and the cost of sending it
+    /// there in parts of what a cold request takes longer.
     fn warmth(
         wanted: &Wanted<'_>,
         key: BackendKey,
         entry: &Entry,
         homes: &[(BackendKey, f64)],
         now: MonoTime,
-    ) -> (f64, bool) {
+    ) -> (f64, f64) {
         let Some(object) = wanted.object else {
-            return (0.0, false);
+            return (0.0, 0.0);
         };
-        let home = homes.iter().find(|(other, _)| *other == key);
+        let rank = homes.iter().position(|(other, _)| *other == key);
         let is_seen = entry
             .sent
             .get(&object)
             .is_some_and(|at| now.since(*at) < WARM);
-        match (home, is_seen) {
-            (_, true) => (WARM_SEEN, false),
-            (Some((_, chance)), false) => (*chance, false),
-            (None, false) => (WARM_ELSEWHERE, true),
+        let crowd = (1.0 - entry.known) * FORGET_PART;
+        match (rank, is_seen) {
+            (Some(0), true) => (WARM_SEEN * entry.known, 0.0),
+            (Some(0), false) => (homes[0].1 * entry.known, 0.0),
+            (_, true) => (WARM_SEEN * entry.known, crowd),
+            (Some(rank), false) => (homes[rank].1 * entry.known, crowd),
+            (None, false) => (WARM_ELSEWHERE, STRAY_PART + crowd),
         }
     }
 
@@ -442,11 +480,12 @@
         (key, entry): (BackendKey, &Entry),
         time: ServiceTime,
         homes: &[(BackendKey, f64)],
+        scarcity: f64,
         now: MonoTime,
     ) -> (f64, Cost) {
         let slots = f64::from(entry.backend.slots);
         let load = f64::from(entry.load(now));
-        let (warm, is_stray) = Self::warmth(wanted, key, entry, homes, now);
+        let (warm, stray) = Self::warmth(wanted, key, entry, homes, now);
         let slowness = entry.health.slowness(now);
         let service_ms = time.mean_ms(warm) * slowness;
         let busy_ms = time.busy_ms * slowness;
@@ -455,11 +494,7 @@
         let way_ms = self.way_ms(&entry.backend.data_centre, is_same_region);
         let expected_ms = way_ms + wait_ms + service_ms;
         let far_ms = far_ms(wanted, entry);
-        let stray_ms = if is_stray {
-            (time.cold_ms - time.warm_ms).max(0.0) * STRAY_PART
-        } else {
-            0.0
-        };
+        let stray_ms = (time.cold_ms - time.warm_ms) * (stray + 1.0 - warm) * scarcity;
         let pressure_ms = load / slots * PRESSURE * busy_ms;
         let fail_ms = entry.health.fail(now) * FAIL_MS;
         let cost = expected_ms + far_ms + stray_ms + pressure_ms + fail_ms;
@@ -468,6 +503,7 @@
             expected_ms,
             wait_ms,
             warm,
+            is_seen: warm >= WARM_SEEN * entry.known && wanted.object.is_some(),
         };
         (cost, choice)
     }
@@ -498,8 +534,13 @@
                 let service = entry.backend.service.clone();
                 let data_centre = entry.backend.data_centre.clone();
                 let way_ms = self.way_ms(&data_centre, true).min(ms);
-                if let Some(time) = self.times.get_mut(&service) {
-                    time.observe(choice.warm, ms - way_ms - choice.wait_ms);
+                let time = self.times.get_mut(&service);
+                let was_warm = time
+                    .and_then(|time| time.observe(ms - way_ms - choice.wait_ms, choice.wait_ms));
+                if let (Some(was_warm), true) = (was_warm, choice.is_seen) {
+                    let entry = self.entry_mut(choice.key);
+                    let known = f64::from(u8::from(was_warm));
+                    entry.known += (known - entry.known) * KNOWN_GAIN;
                 }
             }
             Ended::Failed => entry.health.on_failure(now),
--- a/crates/apricotlug-policy/src/steer/gauge.rs
+++ b/crates/apricotlug-policy/src/steer/gauge.rs
@@ -23,9 +23,12 @@
 /// Longest pause.
 const MAX_PAUSE: Duration = Duration::from_millis(4_000);
 
-/// Chance of warmth from which an observation counts as warm, and up to which as cold.
-const SURELY_WARM: f64 = 0.9;
-const SURELY_COLD: f64 = 0.2;
+/// Wait, in parts of the usual time, up to which an observation tells warm from cold: a longer one
+/// is known too badly.
+const CLEAR_WAIT: f64 = 0.5;
+
+/// Least ratio between cold and warm times.
+const LEAST_RATIO: f64 = 1.2;
 
 /// Service times of one service, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -54,16 +57,23 @@
         }
     }
 
-    /// Takes up an observation, less ways and waits.
-    pub fn observe(&mut self, warm: f64, ms: f64) {
+    /// Takes up an observation, less ways and the wait that was expected. Tells whether the object
+    /// was warm, where that is clear: an observation counts for the time that it is nearer to.
+    pub fn observe(&mut self, ms: f64, wait_ms: f64) -> Option<bool> {
         let ms = ms.clamp(self.least_ms, self.most_ms);
         let move_to = |time: &mut f64| *time += (ms - *time) * TIME_GAIN;
         move_to(&mut self.busy_ms);
-        if warm >= SURELY_WARM {
+        if wait_ms > self.busy_ms * CLEAR_WAIT {
+            return None;
+        }
+        let is_warm = ms * ms < self.warm_ms * self.cold_ms;
+        if is_warm {
             move_to(&mut self.warm_ms);
-        } else if warm <= SURELY_COLD {
+        } else {
             move_to(&mut self.cold_ms);
         }
+        self.cold_ms = self.cold_ms.max(self.warm_ms * LEAST_RATIO);
+        Some(is_warm)
     }
 
     /// Returns the time expected where the object is warm with the given probability.
--- a/crates/apricotlug-steer/src/pages.rs
+++ b/crates/apricotlug-steer/src/pages.rs
@@ -17,7 +17,7 @@
 
 /// Fewest addresses with which an answer is limited to the caller's data centre: where one
 /// fails, callers need another.
-const FEWEST_NEAR: usize = 2;
+const FEWEST_NEAR: usize = 1;
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
--- a/crates/apricotlug-steer/src/pulse.rs
+++ b/crates/apricotlug-steer/src/pulse.rs
@@ -10,10 +10,10 @@
 };
 
 /// Span between two datagrams to an instance of the same region, while instances are few.
-const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(150);
 
 /// Ticks between two datagrams to an instance of another region: bytes between regions are dear.
-const FAR_TICKS: u64 = 2;
+const FAR_TICKS: u64 = 3;
 
 /// Instances to which a datagram goes in one tick at most; further ones take turns.
 const MOST_A_TICK: usize = 16;
