Moves: evidence of one order, of late, and of attempts given up

Change: an attempt given up after it was slow is bad; evidence names its order; the last three seconds count; slow is told by what the object met; stages leave room for a fault that shows under full load only; a status that cannot be written is tried again with pauses.

--- a/crates/apricotlug-policy/src/steer/fleet.rs
+++ b/crates/apricotlug-policy/src/steer/fleet.rs
@@ -44,6 +44,14 @@
 /// Chance that an object is warm where this instance sent it lately.
 const WARM_SEEN: f64 = 0.97;
 
+/// Multiple of the usual time of work from which an answer is slow, where the object was seen
+/// there lately and may have been forgotten, and elsewhere.
+const SLOW_SEEN: f64 = 3.0;
+const SLOW_UNSEEN: f64 = 1.9;
+
+/// Time after a cold start for which nothing counts as slow.
+const COLD_AFTER: Duration = Duration::from_millis(1_500);
+
 /// Cost of a failure in milliseconds: what a caller loses who must come again.
 const FAIL_MS: f64 = 1_500.0;
 
@@ -172,6 +180,8 @@
     pub warm: f64,
     /// Whether this instance sent the object there lately.
     pub is_seen: bool,
+    /// Milliseconds from which its answer is slow whatever the object met there.
+    pub slow_ms: f64,
 }
 
 /// Why no backend server is chosen.
@@ -498,12 +508,24 @@
         let pressure_ms = load / slots * PRESSURE * busy_ms;
         let fail_ms = entry.health.fail(now) * FAIL_MS;
         let cost = expected_ms + far_ms + stray_ms + pressure_ms + fail_ms;
+        let is_seen = warm >= WARM_SEEN * entry.known && wanted.object.is_some();
+        let usual_ms = if is_seen {
+            service_ms * SLOW_SEEN
+        } else {
+            time.cold_ms * SLOW_UNSEEN
+        };
+        let was_cold = entry.cold.is_cold(now.before(COLD_AFTER));
         let choice = Cost {
             key,
+            slow_ms: if was_cold {
+                f64::MAX
+            } else {
+                way_ms + wait_ms + usual_ms
+            },
             expected_ms,
             wait_ms,
             warm,
-            is_seen: warm >= WARM_SEEN * entry.known && wanted.object.is_some(),
+            is_seen,
         };
         (cost, choice)
     }
--- a/crates/apricotlug-policy/src/steer/rollout.rs
+++ b/crates/apricotlug-policy/src/steer/rollout.rs
@@ -1,27 +1,38 @@
 //! Moves of a service to another version: how much of its traffic the new one gets, and when it
 //! has shown that it is bad.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use apricotlug_model::MonoTime;
 
-/// Share of the traffic that a new version gets while little is known of it.
-const TRIAL_SHARE: f64 = 0.04;
+/// Stages: part of the time allowed after which each may begin, and the share of the traffic that
+/// the new version gets. Until the last one it gets about a twentieth of all requests, so that a
+/// fault which shows only under full load still stays within a tenth.
+const STAGES: [(f64, f64); 4] = [(0.0, 0.03), (0.35, 0.10), (0.5, 0.25), (0.6, 1.0)];
 
-/// Stages after the trial: part of the time allowed after which each begins, and its share.
-const STAGES: [(f64, f64); 4] = [(0.45, 0.15), (0.52, 0.4), (0.60, 0.7), (0.66, 1.0)];
+/// Shortest time of a stage: answers of the one before must have come in and gone round.
+const MIN_STAGE: Duration = Duration::from_millis(1_300);
+
+/// Span over which answers count: what was good before a fault showed says nothing of it.
+const WINDOW: Duration = Duration::from_millis(3_000);
+
+/// Span between two notes of the answers so far.
+const NOTE: Duration = Duration::from_millis(200);
 
 /// Part of the time allowed after which a version that serves all traffic well is final.
 const COMPLETE_AT: f64 = 0.8;
 
+/// Part of the time allowed after which a version that does not serve all traffic is taken back.
+const TAKE_BACK_AT: f64 = 0.95;
+
 /// Bad answers at which a version may be taken back.
 const MIN_BAD: f64 = 5.0;
 
 /// Share of bad answers, beyond the old version's, at which it is taken back.
 const BAD_SHARE: f64 = 0.1;
 
-/// Good answers without which no later stage begins.
-const MIN_GOOD: u64 = 15;
+/// Good answers in the window without which no later stage begins.
+const MIN_GOOD: u64 = 8;
 
 /// Answers of the versions of a service, counted over all instances.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -48,6 +59,17 @@
         }
     }
 
+    /// Returns what was counted since an earlier reading.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Self {
+        Self {
+            new_good: self.new_good.saturating_sub(earlier.new_good),
+            new_bad: self.new_bad.saturating_sub(earlier.new_bad),
+            old_good: self.old_good.saturating_sub(earlier.old_good),
+            old_bad: self.old_bad.saturating_sub(earlier.old_bad),
+        }
+    }
+
     /// Tells whether the new version is bad.
     #[must_use]
     pub fn is_bad(&self) -> bool {
@@ -82,16 +104,16 @@
 }
 
 /// Move of one service.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Rollout {
     /// When it began.
     pub started_at: MonoTime,
     /// When it must have ended.
     pub deadline: MonoTime,
-    /// Set once the version was found bad: it stays so.
-    pub was_bad: bool,
-    /// Point since which it gets all traffic.
-    pub all_since: Option<MonoTime>,
+    was_bad: bool,
+    stage: usize,
+    stage_since: MonoTime,
+    notes: VecDeque<(MonoTime, Evidence)>,
 }
 
 impl Rollout {
@@ -102,27 +124,49 @@
             started_at,
             deadline: started_at.after(within),
             was_bad: false,
-            all_since: None,
+            stage: 0,
+            stage_since: started_at,
+            notes: VecDeque::new(),
         }
     }
 
-    /// Returns what the new version gets now.
+    /// Returns what the new version gets now, by all answers since the start.
     pub fn stage(&mut self, evidence: &Evidence, now: MonoTime) -> Stage {
-        self.was_bad |= evidence.is_bad();
+        let recent = self.recent(evidence, now);
+        self.was_bad |= recent.is_bad();
         if self.was_bad {
             return Stage::Nothing;
         }
-        let passed = self.passed(now);
-        let has_proof = evidence.new_good >= MIN_GOOD;
-        let stage = STAGES.iter().rev().find(|(from, _)| passed >= *from);
-        match stage {
-            Some((_, share)) if has_proof => {
-                if *share >= 1.0 {
-                    self.all_since = self.all_since.or(Some(now));
-                }
-                Stage::Share(*share)
-            }
-            _ => Stage::Share(TRIAL_SHARE),
+        let next = STAGES.get(self.stage + 1);
+        let is_due = next.is_some_and(|(from, _)| self.passed(now) >= *from);
+        let is_old = now.since(self.stage_since) >= MIN_STAGE;
+        if is_due && is_old && recent.new_good >= MIN_GOOD {
+            self.stage += 1;
+            self.stage_since = now;
+        }
+        Stage::Share(STAGES[self.stage].1)
+    }
+
+    fn recent(&mut self, evidence: &Evidence, now: MonoTime) -> Evidence {
+        let is_due = self
+            .notes
+            .back()
+            .is_none_or(|(at, _)| now.since(*at) >= NOTE);
+        if is_due {
+            self.notes.push_back((now, *evidence));
+        }
+        while self.notes.len() > 1 && now.since(self.notes[1].0) >= WINDOW {
+            self.notes.pop_front();
+        }
+        let first = self.notes.front().map(|(_, first)| *first);
+        let has_window = self
+            .notes
+            .front()
+            .is_some_and(|(at, _)| now.since(*at) >= WINDOW);
+        if has_window {
+            evidence.since(first.unwrap_or_default())
+        } else {
+            *evidence
         }
     }
 
@@ -133,10 +177,13 @@
             return Judgement::TakeBack;
         }
         let passed = self.passed(now);
-        match self.all_since {
-            Some(_) if passed >= COMPLETE_AT => Judgement::Complete,
+        let serves_all = self.stage + 1 == STAGES.len();
+        match serves_all {
+            true if passed >= COMPLETE_AT && now.since(self.stage_since) >= MIN_STAGE => {
+                Judgement::Complete
+            }
             // What was never proved good is not made final.
-            None if passed >= 0.95 => Judgement::TakeBack,
+            false if passed >= TAKE_BACK_AT => Judgement::TakeBack,
             _ => Judgement::GoOn,
         }
     }
--- a/crates/apricotlug-steer/schema/pulse.capnp
+++ b/crates/apricotlug-steer/schema/pulse.capnp
@@ -15,8 +15,8 @@
 }
 
 struct Proof {
-  # Answers of the versions of a service that moves, since the sender's start.
-  service @0 :UInt64;
+  # Answers of the versions of a service since the order to move it.
+  order @0 :UInt64;
   newGood @1 :UInt64;
   newBad @2 :UInt64;
   oldGood @3 :UInt64;
--- a/crates/apricotlug-steer/src/gate.rs
+++ b/crates/apricotlug-steer/src/gate.rs
@@ -158,8 +158,8 @@
                     .on_report(run, account, spent.admitted, demand, is_first);
             }
         }
-        for Proof { service, counts } in pulse.proofs {
-            self.moves.on_proof(run, service, counts);
+        for Proof { order, counts } in pulse.proofs {
+            self.moves.on_proof(run, order, counts);
         }
         self.set_busy(run, pulse.busy);
     }
--- a/crates/apricotlug-steer/src/instance.rs
+++ b/crates/apricotlug-steer/src/instance.rs
@@ -12,8 +12,7 @@
 use thiserror::Error;
 
 use crate::{
-    apply::Lapsed, caller, follow::follow, gate::Gate, member, moves::Due, pages, pulse,
-    shared::Shared,
+    apply::Lapsed, caller, follow::follow, member, moves::Due, pages, pulse, shared::Shared,
 };
 
 /// Span between two looks at moves, lapsed entries and idle connections.
@@ -23,6 +22,10 @@
 /// usually one of them writes.
 const RANK_STEP: Duration = Duration::from_millis(400);
 
+/// Pause after a status could not be written, the first and the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+const MAX_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// Time that writing a status may take.
 const WRITE: Duration = Duration::from_millis(1_000);
 
@@ -125,6 +128,8 @@
 
 async fn keep(shared: Arc<Shared>, lapsed: Arc<Lapsed>, mut store: StoreClient) {
     let mut due_since: Option<MonoTime> = None;
+    let mut pause = FIRST_PAUSE;
+    let mut paused_until = MonoTime::default();
     loop {
         task::sleep(KEEP).await;
         let now = shared.clock.now();
@@ -145,15 +150,26 @@
             continue;
         }
         let since = *due_since.get_or_insert(now);
-        if now.since(since) >= RANK_STEP * rank as u32 {
-            for one in due {
-                write(&shared, &mut store, one).await;
-            }
+        if now.since(since) < RANK_STEP * rank as u32 || !paused_until.is_past(now) {
+            continue;
+        }
+        let mut is_done = true;
+        for one in due {
+            is_done &= write(&shared, &mut store, one).await;
+        }
+        pause = if is_done {
+            FIRST_PAUSE
+        } else {
+            (pause * 2).min(MAX_PAUSE)
+        };
+        if !is_done {
+            paused_until = shared.clock.now().after(pause);
         }
     }
 }
 
-async fn write(shared: &Shared, store: &mut StoreClient, due: Due) {
+/// Writes a status. Returns whether that is settled.
+async fn write(shared: &Shared, store: &mut StoreClient, due: Due) -> bool {
     tracing::info!(kind = "move_decision", service = due.service, state = ?due.status.state, evidence = ?due.evidence);
     let swap = Swap {
         key: move_status_key(&due.service),
@@ -161,12 +177,15 @@
         value: Some(encode_move_status(&due.status)),
         lease: 0,
     };
-    match store.swap(swap, WRITE).await {
+    let outcome = store.swap(swap, WRITE).await;
+    match &outcome {
         Ok(SwapOutcome::Done(revision)) => {
-            let gate: &mut Gate = &mut shared.gate();
-            gate.moves.on_status(&due.service, due.status, revision);
+            let mut gate = shared.gate();
+            gate.moves.on_status(&due.service, due.status, *revision);
         }
+        // Another instance was faster: the watch tells what it wrote.
         Ok(SwapOutcome::Conflict) => tracing::info!(kind = "move_conflict", service = due.service),
         Err(e) => tracing::warn!(kind = "move_write", service = due.service, error = %e),
     }
+    matches!(outcome, Ok(SwapOutcome::Done(_)))
 }
--- a/crates/apricotlug-steer/src/moves.rs
+++ b/crates/apricotlug-steer/src/moves.rs
@@ -142,18 +142,16 @@
         running.map(|(service, moving)| {
             let own = moving.own;
             Proof {
-                service: name_hash(service),
+                order: moving.id(service),
                 counts: [own.new_good, own.new_bad, own.old_good, own.old_bad],
             }
         })
     }
 
     /// Takes up what another run saw.
-    pub fn on_proof(&mut self, run: u64, service: u64, counts: [u64; 4]) {
-        let found = self
-            .moves
-            .iter_mut()
-            .find(|(name, _)| name_hash(name) == service);
+    pub fn on_proof(&mut self, run: u64, order: u64, counts: [u64; 4]) {
+        let mut moves = self.moves.iter_mut();
+        let found = moves.find(|(service, moving)| moving.id(service) == order);
         if let Some((_, moving)) = found {
             let [new_good, new_bad, old_good, old_bad] = counts;
             let evidence = Evidence {
@@ -196,6 +194,11 @@
 }
 
 impl Moving {
+    /// Returns a number for this order, the same at all instances.
+    fn id(&self, service: &str) -> u64 {
+        name_hash(service) ^ self.order_revision.rotate_left(32)
+    }
+
     fn evidence(&self) -> Evidence {
         self.others
             .values()
--- a/crates/apricotlug-steer/src/run.rs
+++ b/crates/apricotlug-steer/src/run.rs
@@ -25,9 +25,6 @@
 const HEDGE_FACTOR: f64 = 2.5;
 const HEDGE_LEAST_MS: f64 = 250.0;
 
-/// Multiple of the usual time from which an answer counts as slow against a new version.
-const SLOW_FACTOR: f64 = 2.5;
-
 /// Time after which a caller comes again where no backend server is there, in milliseconds.
 const NONE_THERE_MS: u64 = 300;
 
@@ -52,17 +49,47 @@
 }
 
 /// Slot that a request holds at a backend server until it ends.
-struct Permit {
-    shared: Arc<Shared>,
+struct Permit<'a> {
+    shared: &'a Shared,
+    job: &'a Job,
     choice: Cost,
+    version: String,
+    started_at: MonoTime,
+    slow_ms: f64,
     ended: Option<Ended>,
 }
 
-impl Drop for Permit {
-    fn drop(&mut self) {
+impl Permit<'_> {
+    fn ms(&self) -> f64 {
         let now = self.shared.clock.now();
-        let ended = self.ended.unwrap_or(Ended::Cancelled);
-        self.shared.gate().fleet.on_end(&self.choice, ended, now);
+        now.since(self.started_at).as_secs_f64() * 1_000.0
+    }
+
+    fn is_slow(&self) -> bool {
+        self.ms() > self.slow_ms
+    }
+}
+
+impl Drop for Permit<'_> {
+    fn drop(&mut self) {
+        let is_slow = self.is_slow();
+        // An attempt that was given up counts against a backend server that was silent for long.
+        let given_up = if is_slow {
+            Ended::Failed
+        } else {
+            Ended::Cancelled
+        };
+        let ended = self.ended.unwrap_or(given_up);
+        let mut gate = self.shared.gate();
+        gate.fleet
+            .on_end(&self.choice, ended, self.shared.clock.now());
+        let is_good = match ended {
+            Ended::Answered(_) => !is_slow,
+            Ended::Failed => false,
+            Ended::Unreachable | Ended::Refused | Ended::Cancelled => return,
+        };
+        gate.moves
+            .on_answer(&self.job.service, &self.version, is_good);
     }
 }
 
@@ -167,15 +194,17 @@
 
 async fn fly(shared: &Arc<Shared>, job: &Job, sending: Sending<'_>, placed: Placed) -> Landed {
     let mut permit = Permit {
-        shared: Arc::clone(shared),
+        shared,
+        job,
         choice: placed.choice,
+        version: placed.version.clone(),
+        started_at: shared.clock.now(),
+        slow_ms: placed.slow_ms,
         ended: None,
     };
-    let started_at = shared.clock.now();
     let result = attempt(shared, sending, &placed.target).await;
-    let now = shared.clock.now();
-    let ms = now.since(started_at).as_secs_f64() * 1_000.0;
-    let is_slow = ms > placed.slow_ms;
+    let ms = permit.ms();
+    let is_slow = permit.is_slow();
     tracing::info!(
         kind = "sent",
         request = job.asked.id,
@@ -195,13 +224,7 @@
         Err(Failed::Unknown(_)) => Ended::Failed,
     });
     if let Ok(answer) = &result {
-        learn(shared, placed.choice.key, answer, now);
-    }
-    let is_good = matches!(&result, Ok(answer) if answer.head.status < 500) && !is_slow;
-    let is_sign = !matches!(result, Err(Failed::Unreachable | Failed::Refused { .. }));
-    if is_sign {
-        let mut gate = shared.gate();
-        gate.moves.on_answer(&job.service, &placed.version, is_good);
+        learn(shared, placed.choice.key, answer, shared.clock.now());
     }
     Landed {
         target: placed.target,
@@ -368,13 +391,12 @@
             return Err(Refusal::new(503, "Service Unavailable", why).later(ms));
         }
         gate.fleet.on_send(&wanted, choice.key, now);
-        let time = gate.fleet.times(&job.service, route.target_ms);
         let entry = gate.fleet.entry(choice.key);
         return Ok(Placed {
             choice,
             load: entry.load(now),
             version: entry.backend.version.clone(),
-            slow_ms: time.cold_ms.max(route.target_ms.into()) * SLOW_FACTOR,
+            slow_ms: choice.slow_ms.max(route.target_ms.into()),
             target: Target {
                 key: choice.key,
                 id: entry.backend.id.clone(),
--- a/crates/apricotlug-steer/src/wire.rs
+++ b/crates/apricotlug-steer/src/wire.rs
@@ -45,8 +45,8 @@
 /// Answers of the versions of a service that moves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Proof {
-    /// Hash of the service's name.
-    pub service: u64,
+    /// Number of the order to move it.
+    pub order: u64,
     /// Good and bad answers of the new version, then of the old one.
     pub counts: [u64; 4],
 }
@@ -95,7 +95,7 @@
     let mut proofs = to.reborrow().init_proofs(from.proofs.len() as u32);
     for (i, one) in from.proofs.iter().enumerate() {
         let mut to = proofs.reborrow().get(i as u32);
-        to.set_service(one.service);
+        to.set_order(one.order);
         to.set_new_good(one.counts[0]);
         to.set_new_bad(one.counts[1]);
         to.set_old_good(one.counts[2]);
@@ -124,7 +124,7 @@
         requests: one.get_requests(),
     });
     let proofs = from.get_proofs()?.iter().map(|one| Proof {
-        service: one.get_service(),
+        order: one.get_order(),
         counts: [
             one.get_new_good(),
             one.get_new_bad(),
