Tests of the steering decisions; accounts' parts where little is told

Cause: tests written first showed that instances which have heard nobody each took an account for their own, and that an account far below its rate was refused where two of its requests met in one span. Change: instances that told nothing count with the others' demand; a request may pass beyond its part while half of the bucket is there; a run that is not the first starts with an empty bucket.

--- a/crates/apricotlug-policy/src/steer/quota.rs
+++ b/crates/apricotlug-policy/src/steer/quota.rs
@@ -18,6 +18,10 @@
 /// Least part of an account that an instance holds, against an even split.
 const MIN_PART: f64 = 0.5;
 
+/// Part of a bucket that must be there for a request to pass beyond its instance's part: where
+/// much is left, two requests at once are no sign of too many.
+const BORROW_FROM: f64 = 0.5;
+
 /// Weight of a new observation of an account's demand.
 const DEMAND_GAIN: f64 = 0.2;
 
@@ -36,6 +40,8 @@
     burst: f64,
     level: f64,
     credit: f64,
+    /// Whether one request beyond the credit may pass in this span.
+    may_borrow: bool,
     filled_at: MonoTime,
     /// Requests that this instance admitted since its start.
     admitted: u64,
@@ -80,7 +86,9 @@
         let burst = burst + extra;
         if is_new {
             bucket.filled_at = now;
-            bucket.level = if self.starts_full { burst } else { extra };
+            // What was admitted before this start is not known: the rate refills from nothing.
+            bucket.level = if self.starts_full { burst } else { 1.0 };
+            bucket.may_borrow = true;
         }
         bucket.rate = rate;
         bucket.burst = burst;
@@ -100,12 +108,13 @@
             return Ok(());
         }
         bucket.fill(now);
-        if bucket.level < 1.0 || bucket.credit < 1.0 {
+        let is_borrowed = bucket.credit < 1.0 && std::mem::take(&mut bucket.may_borrow);
+        if bucket.level < 1.0 || (bucket.credit < 1.0 && !is_borrowed) {
             let missing = (1.0 - bucket.level.min(0.0)) / bucket.rate;
             return Err((missing * 1_000.0).clamp(50.0, 2_000.0) as u64);
         }
         bucket.level -= 1.0;
-        bucket.credit -= 1.0;
+        bucket.credit -= if is_borrowed { 0.0 } else { 1.0 };
         bucket.admitted += 1;
         Ok(())
     }
@@ -177,12 +186,15 @@
         self.asked = 0.0;
         let all: f64 = self.demand + self.others.values().map(|(_, demand)| demand).sum::<f64>();
         let even = 1.0 / tick.instances.max(1) as f64;
-        let by_demand = if all > 0.0 { self.demand / all } else { even };
+        // Of instances that have told nothing yet, the demand is taken to be like the others'.
+        let told = (self.others.len() + 1) as f64 * even;
+        let by_demand = if all > 0.0 { self.demand / all * told.min(1.0) } else { even };
         // Instances that are not heard may spend an even part each.
         let heard = 1.0 - even * tick.silent as f64;
         let part = by_demand.max(even * MIN_PART) * heard.max(even);
         let fresh = (self.level.max(0.0) * part / REPORTS_IN_FLIGHT).min(self.burst);
         // What a span left over below one request counts on, so that small parts add up.
         self.credit = self.credit.clamp(0.0, 1.0) + fresh;
+        self.may_borrow = self.level >= self.burst * BORROW_FROM;
     }
 }
--- /dev/null
+++ b/crates/apricotlug-policy/tests/steer_fleet.rs
@@ -0,0 +1,258 @@
+//! Choice among backend servers: warmth, load, homes, evacuation, health.
+
+use std::{collections::HashMap, time::Duration};
+
+use apricotlug_model::{Backend, BackendState, MonoTime};
+use apricotlug_policy::steer::{BackendKey, Ended, Fleet, NoPlace, Wanted, object_hash};
+
+const TARGET_MS: u32 = 400;
+const SERVICE: &str = "stock";
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::default().after(Duration::from_millis(ms + 10_000))
+}
+
+fn backend(id: &str, data_centre: &str) -> Backend {
+    Backend {
+        id: id.to_owned(),
+        service: SERVICE.to_owned(),
+        addr: ([127, 0, 0, 1], 7_000).into(),
+        data_centre: data_centre.to_owned(),
+        version: "v1".to_owned(),
+        slots: 6,
+        state: BackendState::Ready,
+        cold_ms: 0,
+        born_ms: 1,
+    }
+}
+
+/// Two data centres of one region and one of another, each with so many backend servers.
+fn fleet(each: usize) -> Fleet {
+    let mut fleet = Fleet::default();
+    for (data_centre, region) in [("a", "west"), ("b", "west"), ("c", "east")] {
+        for i in 0..each {
+            let backend = backend(&format!("{data_centre}-{i}"), data_centre);
+            fleet.list(backend, region, at(0));
+        }
+    }
+    fleet
+}
+
+fn wanted(object: Option<u64>) -> Wanted<'static> {
+    Wanted {
+        service: SERVICE,
+        object,
+        is_large: false,
+        region: "west",
+        data_centre: "a",
+        homes: [&[], &[]],
+        evacuated: &[],
+        versions: None,
+        tried: &[],
+        cold_rate: 0.0,
+        instances: 3,
+        own_place: 0,
+    }
+}
+
+fn choose(fleet: &mut Fleet, wanted: &Wanted<'_>, now: MonoTime) -> Result<BackendKey, NoPlace> {
+    fleet.choose(wanted, TARGET_MS, now).map(|cost| cost.key)
+}
+
+fn objects() -> impl Iterator<Item = u64> {
+    (0..200).map(|i| object_hash(SERVICE, &format!("thing-{i}")))
+}
+
+#[test]
+fn instances_that_never_talked_send_an_object_to_the_same_backend_server() {
+    let (mut one, mut other) = (fleet(4), fleet(4));
+    for object in objects() {
+        let wanted = wanted(Some(object));
+        let key = choose(&mut one, &wanted, at(0)).unwrap();
+        assert_eq!(choose(&mut other, &wanted, at(0)).unwrap(), key);
+    }
+}
+
+#[test]
+fn a_backend_server_that_leaves_moves_only_its_own_objects() {
+    let mut fleet = fleet(4);
+    let before: Vec<_> = objects()
+        .map(|object| choose(&mut fleet, &wanted(Some(object)), at(0)).unwrap())
+        .collect();
+    let gone = before[0];
+    let id = fleet.entry(gone).backend.id.clone();
+    fleet.remove(&id);
+    for (object, key) in objects().zip(before) {
+        let now = choose(&mut fleet, &wanted(Some(object)), at(0)).unwrap();
+        assert!(now != gone);
+        assert!(
+            key == gone || now == key,
+            "an object moved that was at home elsewhere"
+        );
+    }
+}
+
+#[test]
+fn objects_spread_over_all_backend_servers_of_the_region() {
+    let mut fleet = fleet(4);
+    let mut counts: HashMap<BackendKey, u32> = HashMap::new();
+    for object in objects() {
+        let key = choose(&mut fleet, &wanted(Some(object)), at(0)).unwrap();
+        assert_eq!(fleet.entry(key).region, "west");
+        *counts.entry(key).or_default() += 1;
+    }
+    assert_eq!(counts.len(), 8);
+    assert!(
+        counts.values().all(|count| (10..=50).contains(count)),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn a_crowded_first_choice_gives_way_to_the_second_and_then_to_another_region() {
+    let mut fleet = fleet(2);
+    let object = objects().next();
+    let wanted = wanted(object);
+    let mut met = Vec::new();
+    for _ in 0..200 {
+        let Ok(key) = choose(&mut fleet, &wanted, at(0)) else {
+            break;
+        };
+        fleet.on_send(&wanted, key, at(0));
+        if !met.contains(&key) {
+            met.push(key);
+        }
+    }
+    assert!(met.len() >= 3, "{met:?}");
+    assert_eq!(fleet.entry(met[0]).region, "west");
+    assert!(met.iter().any(|key| fleet.entry(*key).region == "east"));
+}
+
+#[test]
+fn nothing_is_chosen_beyond_what_backend_servers_take() {
+    let mut fleet = fleet(1);
+    let wanted = wanted(None);
+    let mut sent = 0;
+    while let Ok(key) = choose(&mut fleet, &wanted, at(0)) {
+        fleet.on_send(&wanted, key, at(0));
+        sent += 1;
+        assert!(sent <= 3 * 6 * 3);
+    }
+    assert_eq!(choose(&mut fleet, &wanted, at(0)), Err(NoPlace::Full));
+}
+
+#[test]
+fn homes_evacuation_versions_and_tried_ones_are_kept_out() {
+    let east = ["east".to_owned()];
+    let evacuated = ["a".to_owned(), "b".to_owned()];
+    let cases: [(&str, Wanted<'_>); 3] = [
+        (
+            "homes of the route",
+            Wanted {
+                homes: [&east, &[]],
+                ..wanted(None)
+            },
+        ),
+        (
+            "homes of the account",
+            Wanted {
+                homes: [&[], &east],
+                ..wanted(None)
+            },
+        ),
+        (
+            "evacuated data centres",
+            Wanted {
+                evacuated: &evacuated,
+                ..wanted(None)
+            },
+        ),
+    ];
+    for (what, wanted) in cases {
+        let mut fleet = fleet(2);
+        let key = choose(&mut fleet, &wanted, at(0)).unwrap();
+        assert_eq!(fleet.entry(key).region, "east", "{what}");
+    }
+    let mut fleet = fleet(2);
+    let other = Wanted {
+        versions: Some(("v2", true)),
+        ..wanted(None)
+    };
+    assert_eq!(choose(&mut fleet, &other, at(0)), Err(NoPlace::None));
+    let old = Wanted {
+        versions: Some(("v2", false)),
+        ..wanted(None)
+    };
+    assert!(choose(&mut fleet, &old, at(0)).is_ok());
+    let all: Vec<_> = (0..6).map(BackendKey).collect();
+    let tried = Wanted {
+        tried: &all,
+        ..wanted(None)
+    };
+    assert_eq!(choose(&mut fleet, &tried, at(0)), Err(NoPlace::None));
+}
+
+#[test]
+fn one_that_drains_or_is_gone_is_never_chosen() {
+    let mut fleet = Fleet::default();
+    let mut draining = backend("x", "a");
+    draining.state = BackendState::Draining;
+    fleet.list(draining, "west", at(0));
+    assert_eq!(choose(&mut fleet, &wanted(None), at(0)), Err(NoPlace::None));
+    fleet.list(backend("y", "a"), "west", at(0));
+    assert!(choose(&mut fleet, &wanted(None), at(0)).is_ok());
+    fleet.remove("y");
+    assert_eq!(choose(&mut fleet, &wanted(None), at(0)), Err(NoPlace::None));
+}
+
+#[test]
+fn a_new_start_under_the_same_name_knows_nothing_of_before() {
+    let mut fleet = Fleet::default();
+    let old = fleet.list(backend("x", "a"), "west", at(0));
+    let wanted = wanted(None);
+    fleet.on_send(&wanted, old, at(0));
+    let mut again = backend("x", "a");
+    again.born_ms = 2;
+    let new = fleet.list(again, "west", at(100));
+    assert_ne!(new, old);
+    assert_eq!(fleet.entry(new).own, 0);
+    assert_eq!(choose(&mut fleet, &wanted, at(100)), Ok(new));
+}
+
+#[test]
+fn one_that_cannot_be_reached_rests_and_gets_another_chance() {
+    let mut fleet = Fleet::default();
+    let key = fleet.list(backend("x", "a"), "west", at(0));
+    let wanted = wanted(None);
+    let cost = fleet.choose(&wanted, TARGET_MS, at(0)).unwrap();
+    fleet.on_send(&wanted, key, at(0));
+    fleet.on_end(&cost, Ended::Unreachable, at(10));
+    assert_eq!(choose(&mut fleet, &wanted, at(20)), Err(NoPlace::None));
+    assert_eq!(choose(&mut fleet, &wanted, at(6_000)), Ok(key));
+}
+
+#[test]
+fn one_that_fails_part_of_its_requests_gets_fewer() {
+    let mut fleet = Fleet::default();
+    let bad = fleet.list(backend("bad", "a"), "west", at(0));
+    let good = fleet.list(backend("good", "a"), "west", at(0));
+    for i in 0..20 {
+        let mut cost = fleet.choose(&wanted(None), TARGET_MS, at(i * 50)).unwrap();
+        cost.key = bad;
+        fleet.on_send(&wanted(None), bad, at(i * 50));
+        fleet.on_end(&cost, Ended::Failed, at(i * 50 + 10));
+    }
+    assert_eq!(choose(&mut fleet, &wanted(None), at(1_000)), Ok(good));
+}
+
+#[test]
+fn after_an_evacuation_the_data_centre_counts_as_cold() {
+    let mut fleet = fleet(1);
+    fleet.on_evacuation_over("a", at(0), |_| 3_000);
+    let (_, entry) = fleet
+        .iter()
+        .find(|(_, e)| e.backend.data_centre == "a")
+        .unwrap();
+    assert!(entry.cold.is_cold(at(2_900)));
+    assert!(!entry.cold.is_cold(at(3_100)));
+}
