--- a/crates/apricotlug-policy/src/steer/fleet.rs
+++ b/crates/apricotlug-policy/src/steer/fleet.rs
@@ -127,9 +127,14 @@
         self.health.on_gone(now);
     }
 
-    /// Takes up that it is full.
-    pub fn on_full(&mut self, now: MonoTime) {
-        self.told = Some((now, self.backend.slots * MOST_LOAD as u32));
+    /// Takes up that it turned a request away. Where it cannot be full by all that is known, that is
+    /// a fault of its own.
+    pub fn on_refused(&mut self, now: MonoTime) {
+        if self.load(now) < self.backend.slots {
+            self.health.on_failure(now);
+        } else {
+            self.told = Some((now, self.backend.slots * MOST_LOAD as u32));
+        }
     }
 
     fn takes_requests(&self, now: MonoTime) -> bool {
@@ -567,7 +572,7 @@
             }
             Ended::Failed => entry.health.on_failure(now),
             Ended::Unreachable => entry.health.on_unreachable(now),
-            Ended::Refused => entry.on_full(now),
+            Ended::Refused => entry.on_refused(now),
             Ended::Cancelled => {}
         }
     }
--- a/crates/apricotlug-policy/src/steer/quota.rs
+++ b/crates/apricotlug-policy/src/steer/quota.rs
@@ -188,7 +188,11 @@
         let even = 1.0 / tick.instances.max(1) as f64;
         // Of instances that have told nothing yet, the demand is taken to be like the others'.
         let told = (self.others.len() + 1) as f64 * even;
-        let by_demand = if all > 0.0 { self.demand / all * told.min(1.0) } else { even };
+        let by_demand = if all > 0.0 {
+            self.demand / all * told.min(1.0)
+        } else {
+            even
+        };
         // Instances that are not heard may spend an even part each.
         let heard = 1.0 - even * tick.silent as f64;
         let part = by_demand.max(even * MIN_PART) * heard.max(even);
--- a/crates/apricotlug-policy/tests/steer_fleet.rs
+++ b/crates/apricotlug-policy/tests/steer_fleet.rs
@@ -256,3 +256,15 @@
     assert!(entry.cold.is_cold(at(2_900)));
     assert!(!entry.cold.is_cold(at(3_100)));
 }
+
+#[test]
+fn one_that_turns_requests_away_while_it_is_free_stays_in_use() {
+    let mut fleet = Fleet::default();
+    let key = fleet.list(backend("x", "a"), "west", at(0));
+    let cost = fleet.choose(&wanted(None), TARGET_MS, at(0)).unwrap();
+    fleet.on_send(&wanted(None), key, at(0));
+    fleet.on_end(&cost, Ended::Refused, at(5));
+    assert_eq!(choose(&mut fleet, &wanted(None), at(6)), Ok(key));
+    let other = fleet.list(backend("y", "a"), "west", at(6));
+    assert_eq!(choose(&mut fleet, &wanted(None), at(7)), Ok(other));
+}
