Service times by route; a route that was hardly seen is not refused for its time

Change: times are learned by route, waits by service; below 12 answers a route is not refused for the time that it takes.

--- a/crates/apricotlug-policy/src/steer/admit.rs
+++ b/crates/apricotlug-policy/src/steer/admit.rs
@@ -29,10 +29,11 @@
 const LATE_WAIT: f64 = 0.3;
 
 /// Decides about a request whose answer is expected after so many milliseconds, of which it waits
-/// some for a slot. Where no wait lies ahead it always goes: a free slot serves.
+/// some for a slot. Where no wait lies ahead it goes: a free slot serves. `is_known` tells whether
+/// the route's times are known well enough to refuse it for them.
 #[must_use]
-pub fn judge(patience: Patience, expected_ms: f64, wait_ms: f64) -> Verdict {
-    if expected_ms > patience.left_ms * USED_PART {
+pub fn judge(patience: Patience, expected_ms: f64, wait_ms: f64, is_known: bool) -> Verdict {
+    if is_known && expected_ms > patience.left_ms * USED_PART {
         return Verdict::TooLate;
     }
     let is_in_target = expected_ms <= patience.target_left_ms * USED_PART;
--- a/crates/apricotlug-policy/src/steer/fleet.rs
+++ b/crates/apricotlug-policy/src/steer/fleet.rs
@@ -6,7 +6,7 @@
 
 use super::{
     cold::ColdGate,
-    gauge::{Health, ServiceTime},
+    gauge::{Health, ServiceTime, TIME_GAIN},
     warmth::{object_hash, rank_weight},
 };
 
@@ -147,6 +147,8 @@
 pub struct Wanted<'a> {
     /// Service.
     pub service: &'a str,
+    /// Route.
+    pub route: &'a str,
     /// Hash of the object that it is about; `None` where that does not matter.
     pub object: Option<u64>,
     /// Whether the answer is large.
@@ -185,6 +187,8 @@
     pub warm: f64,
     /// Whether this instance sent the object there lately.
     pub is_seen: bool,
+    /// Whether the times of the route are known well enough to refuse it for them.
+    pub is_known: bool,
     /// Milliseconds from which its answer is slow whatever the object met there.
     pub slow_ms: f64,
 }
@@ -220,6 +224,7 @@
     ids: HashMap<String, BackendKey>,
     services: HashMap<String, Vec<BackendKey>>,
     times: HashMap<String, ServiceTime>,
+    busy: HashMap<String, f64>,
     ways: HashMap<String, f64>,
 }
 
@@ -351,12 +356,14 @@
         *way = ms.min(*way * 1.02 + 0.01);
     }
 
-    /// Returns the service times of a service.
-    pub fn times(&mut self, service: &str, target_ms: u32) -> ServiceTime {
-        *self
-            .times
-            .entry(service.to_owned())
-            .or_insert_with(|| ServiceTime::expected(target_ms))
+    /// Returns the service times of a route.
+    pub fn times(&mut self, route: &str, target_ms: u32) -> ServiceTime {
+        if let Some(time) = self.times.get(route) {
+            return *time;
+        }
+        let time = ServiceTime::expected(target_ms);
+        self.times.insert(route.to_owned(), time);
+        time
     }
 
     /// Chooses the backend server whose answer costs least.
@@ -369,7 +376,12 @@
         target_ms: u32,
         now: MonoTime,
     ) -> Result<Cost, NoPlace> {
-        let time = self.times(wanted.service, target_ms);
+        let time = self.times(wanted.route, target_ms);
+        let busy_ms = self
+            .busy
+            .get(wanted.service)
+            .copied()
+            .unwrap_or(time.busy_ms);
         let homes = self.homes(wanted, now);
         let scarcity = self.scarcity(wanted, now);
         let mut best: Option<(f64, Cost)> = None;
@@ -384,7 +396,8 @@
             if load >= slots * MOST_LOAD {
                 continue;
             }
-            let (cost, choice) = self.cost(wanted, (key, entry), time, &homes, scarcity, now);
+            let (cost, choice) =
+                self.cost(wanted, (key, entry), (time, busy_ms), &homes, scarcity, now);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, choice));
             }
@@ -493,7 +506,7 @@
         &self,
         wanted: &Wanted<'_>,
         (key, entry): (BackendKey, &Entry),
-        time: ServiceTime,
+        (time, busy_ms): (ServiceTime, f64),
         homes: &[(BackendKey, f64)],
         scarcity: f64,
         now: MonoTime,
@@ -503,7 +516,7 @@
         let (warm, stray) = Self::warmth(wanted, key, entry, homes, now);
         let slowness = entry.health.slowness(now);
         let service_ms = time.mean_ms(warm) * slowness;
-        let busy_ms = time.busy_ms * slowness;
+        let busy_ms = busy_ms * slowness;
         let wait_ms = (load + 1.0 - slots).max(0.0) / slots * busy_ms;
         let is_same_region = entry.region == wanted.region;
         let way_ms = self.way_ms(&entry.backend.data_centre, is_same_region);
@@ -531,6 +544,7 @@
             wait_ms,
             warm,
             is_seen,
+            is_known: time.is_known(),
         };
         (cost, choice)
     }
@@ -550,7 +564,7 @@
     }
 
     /// Notes that a request ended. `choice` is what was expected of it.
-    pub fn on_end(&mut self, choice: &Cost, ended: Ended, now: MonoTime) {
+    pub fn on_end(&mut self, choice: &Cost, route: &str, ended: Ended, now: MonoTime) {
         let entry = self.entry_mut(choice.key);
         entry.own = entry.own.saturating_sub(1);
         match ended {
@@ -561,9 +575,11 @@
                 let service = entry.backend.service.clone();
                 let data_centre = entry.backend.data_centre.clone();
                 let way_ms = self.way_ms(&data_centre, true).min(ms);
-                let time = self.times.get_mut(&service);
-                let was_warm = time
-                    .and_then(|time| time.observe(ms - way_ms - choice.wait_ms, choice.wait_ms));
+                let work_ms = ms - way_ms - choice.wait_ms;
+                let time = self.times.get_mut(route);
+                let was_warm = time.and_then(|time| time.observe(work_ms, choice.wait_ms));
+                let busy_ms = self.busy.entry(service).or_insert(work_ms.max(1.0));
+                *busy_ms += (work_ms.max(1.0) - *busy_ms) * TIME_GAIN;
                 if let (Some(was_warm), true) = (was_warm, choice.is_seen) {
                     let entry = self.entry_mut(choice.key);
                     let known = f64::from(u8::from(was_warm));
--- a/crates/apricotlug-policy/src/steer/gauge.rs
+++ b/crates/apricotlug-policy/src/steer/gauge.rs
@@ -5,7 +5,7 @@
 use apricotlug_model::MonoTime;
 
 /// Weight of a new observation of a service time.
-const TIME_GAIN: f64 = 0.05;
+pub(super) const TIME_GAIN: f64 = 0.05;
 
 /// Weight of a new outcome in the share of failures.
 const FAIL_GAIN: f64 = 0.15;
@@ -27,10 +27,13 @@
 /// is known too badly.
 const CLEAR_WAIT: f64 = 0.5;
 
+/// Answers from which the times of a route are known.
+const KNOWN_FROM: u32 = 12;
+
 /// Least ratio between cold and warm times.
 const LEAST_RATIO: f64 = 1.2;
 
-/// Service times of one service, in milliseconds.
+/// Service times of one route, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServiceTime {
     /// Time of a request for an object that was handled lately.
@@ -41,6 +44,7 @@
     pub busy_ms: f64,
     least_ms: f64,
     most_ms: f64,
+    seen: u32,
 }
 
 impl ServiceTime {
@@ -52,8 +56,9 @@
             warm_ms: target_ms * 0.3,
             cold_ms: target_ms * 1.0,
             busy_ms: target_ms * 0.6,
-            least_ms: target_ms * 0.1,
+            least_ms: 1.0,
             most_ms: target_ms * 5.0,
+            seen: 0,
         }
     }
 
@@ -61,6 +66,7 @@
     /// was warm, where that is clear: an observation counts for the time that it is nearer to.
     pub fn observe(&mut self, ms: f64, wait_ms: f64) -> Option<bool> {
         let ms = ms.clamp(self.least_ms, self.most_ms);
+        self.seen = self.seen.saturating_add(1);
         let move_to = |time: &mut f64| *time += (ms - *time) * TIME_GAIN;
         move_to(&mut self.busy_ms);
         if wait_ms > self.busy_ms * CLEAR_WAIT {
@@ -76,6 +82,12 @@
         Some(is_warm)
     }
 
+    /// Tells whether enough was seen to refuse a request for the time that it takes.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.seen >= KNOWN_FROM
+    }
+
     /// Returns the time expected where the object is warm with the given probability.
     #[must_use]
     pub fn mean_ms(&self, warm: f64) -> f64 {
--- a/crates/apricotlug-policy/tests/steer_admit.rs
+++ b/crates/apricotlug-policy/tests/steer_admit.rs
@@ -49,7 +49,11 @@
         ),
     ];
     for (what, patience, expected_ms, wait_ms, verdict) in cases {
-        assert_eq!(judge(patience, expected_ms, wait_ms), verdict, "{what}");
+        assert_eq!(
+            judge(patience, expected_ms, wait_ms, true),
+            verdict,
+            "{what}"
+        );
     }
 }
 
@@ -77,3 +81,13 @@
     assert_eq!(waits.spent_ms("orders", None), 0);
     assert_eq!(waits.spent_ms("other", Some(700)), 0);
 }
+
+#[test]
+fn a_route_that_was_hardly_seen_is_not_refused_for_the_time_that_it_takes() {
+    let hurried = Patience {
+        left_ms: 100.0,
+        ..FRESH
+    };
+    assert_eq!(judge(hurried, 400.0, 0.0, false), Verdict::Go);
+    assert_eq!(judge(hurried, 400.0, 0.0, true), Verdict::TooLate);
+}
--- a/crates/apricotlug-policy/tests/steer_fleet.rs
+++ b/crates/apricotlug-policy/tests/steer_fleet.rs
@@ -41,6 +41,7 @@
 fn wanted(object: Option<u64>) -> Wanted<'static> {
     Wanted {
         service: SERVICE,
+        route: "lookup",
         object,
         is_large: false,
         region: "west",
@@ -226,7 +227,7 @@
     let wanted = wanted(None);
     let cost = fleet.choose(&wanted, TARGET_MS, at(0)).unwrap();
     fleet.on_send(&wanted, key, at(0));
-    fleet.on_end(&cost, Ended::Unreachable, at(10));
+    fleet.on_end(&cost, "lookup", Ended::Unreachable, at(10));
     assert_eq!(choose(&mut fleet, &wanted, at(20)), Err(NoPlace::None));
     assert_eq!(choose(&mut fleet, &wanted, at(6_000)), Ok(key));
 }
@@ -240,7 +241,7 @@
         let mut cost = fleet.choose(&wanted(None), TARGET_MS, at(i * 50)).unwrap();
         cost.key = bad;
         fleet.on_send(&wanted(None), bad, at(i * 50));
-        fleet.on_end(&cost, Ended::Failed, at(i * 50 + 10));
+        fleet.on_end(&cost, "lookup", Ended::Failed, at(i * 50 + 10));
     }
     assert_eq!(choose(&mut fleet, &wanted(None), at(1_000)), Ok(good));
 }
@@ -263,7 +264,7 @@
     let key = fleet.list(backend("x", "a"), "west", at(0));
     let cost = fleet.choose(&wanted(None), TARGET_MS, at(0)).unwrap();
     fleet.on_send(&wanted(None), key, at(0));
-    fleet.on_end(&cost, Ended::Refused, at(5));
+    fleet.on_end(&cost, "lookup", Ended::Refused, at(5));
     assert_eq!(choose(&mut fleet, &wanted(None), at(6)), Ok(key));
     let other = fleet.list(backend("y", "a"), "west", at(6));
     assert_eq!(choose(&mut fleet, &wanted(None), at(7)), Ok(other));
--- a/crates/apricotlug-steer/src/run.rs
+++ b/crates/apricotlug-steer/src/run.rs
@@ -81,8 +81,9 @@
         };
         let ended = self.ended.unwrap_or(given_up);
         let mut gate = self.shared.gate();
-        gate.fleet
-            .on_end(&self.choice, ended, self.shared.clock.now());
+        let now = self.shared.clock.now();
+        let route = &self.job.route().id;
+        gate.fleet.on_end(&self.choice, route, ended, now);
         let is_good = match ended {
             Ended::Answered(_) => !is_slow,
             Ended::Failed => false,
@@ -362,6 +363,7 @@
     loop {
         let wanted = Wanted {
             service: &job.service,
+            route: &route.id,
             object: job.object,
             is_large: route.exchange == apricotlug_model::Exchange::Download,
             region: settings.region(),
@@ -380,7 +382,12 @@
             continue;
         }
         let choice = chosen.map_err(|reason| no_place(gate, reason, patience))?;
-        let why = match judge(patience, choice.expected_ms, choice.wait_ms) {
+        let why = match judge(
+            patience,
+            choice.expected_ms,
+            choice.wait_ms,
+            choice.is_known,
+        ) {
             Verdict::Go => None,
             Verdict::TooLate => Some("too_late"),
             Verdict::Crowded => Some("crowded"),
