Relays where instances are many: a few read the store and tell the others

Change: above 16 instances two in each region watch the store and exchange datagrams; the others ask one of them every 400 ms, tell what they admitted and saw, and are told the same of all others with the age of the news; old news is asked of the store.

--- a/crates/apricotlug-policy/src/steer/quota.rs
+++ b/crates/apricotlug-policy/src/steer/quota.rs
@@ -32,6 +32,8 @@
     pub instances: usize,
     /// Instances that may go on admitting without being heard.
     pub silent: usize,
+    /// Whether what is told stands for all instances, however few told it.
+    pub is_told: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -49,8 +51,24 @@
     asked: f64,
     /// Requests that come in here between two ticks, smoothed.
     demand: f64,
-    /// The same of each other instance, with the total that it reported last.
-    others: HashMap<u64, (u64, f64)>,
+    /// What each other instance reported.
+    others: HashMap<u64, Reported>,
+    /// What forgotten instances admitted since they were first heard.
+    kept: i64,
+}
+
+/// What another instance reported.
+#[derive(Clone, Copy, Debug, Default)]
+struct Reported {
+    first: u64,
+    last: u64,
+    demand: f64,
+}
+
+impl Reported {
+    fn since_first(&self) -> i64 {
+        self.last as i64 - self.first as i64
+    }
 }
 
 /// Buckets of all accounts.
@@ -135,12 +153,21 @@
         }
     }
 
-    /// Returns what this instance admitted since its start, by account, with its demand.
-    pub fn totals(&self) -> impl Iterator<Item = (&str, u64, f64)> {
-        self.buckets
-            .iter()
-            .filter(|(_, bucket)| bucket.rate > 0.0)
-            .map(|(id, bucket)| (id.as_str(), bucket.admitted, bucket.demand))
+    /// Returns what this instance admitted since its start, by account, with its demand; together
+    /// with what the runs admitted for which it speaks.
+    pub fn totals(
+        &self,
+        speaks_for: impl Fn(u64) -> bool,
+    ) -> impl Iterator<Item = (&str, u64, f64)> {
+        let limited = self.buckets.iter().filter(|(_, bucket)| bucket.rate > 0.0);
+        limited.map(move |(id, bucket)| {
+            let others = bucket.others.iter().filter(|(run, _)| speaks_for(**run));
+            let (admitted, demand) = others.fold((bucket.kept, 0.0), |(sum, demand), (_, one)| {
+                (sum + one.since_first(), demand + one.demand)
+            });
+            let admitted = (bucket.admitted as i64 + admitted).max(0) as u64;
+            (id.as_str(), admitted, bucket.demand + demand)
+        })
     }
 
     /// Takes up what another run of an instance admitted since its start. `is_first` where
@@ -156,19 +183,34 @@
         let Some(bucket) = self.buckets.get_mut(account) else {
             return;
         };
-        let seen = bucket
-            .others
-            .entry(from)
-            .or_insert((if is_first { admitted } else { 0 }, 0.0));
+        let first = if is_first { admitted } else { 0 };
+        let start = Reported {
+            first,
+            last: first,
+            demand,
+        };
+        let seen = bucket.others.entry(from).or_insert(start);
         // A total that goes down puts something back.
-        bucket.level -= admitted as f64 - seen.0 as f64;
-        *seen = (admitted, demand);
+        bucket.level -= admitted as f64 - seen.last as f64;
+        seen.last = admitted;
+        seen.demand = demand;
     }
 
-    /// Forgets a run of an instance.
-    pub fn forget(&mut self, from: u64) {
+    /// Forgets all runs but those that a test keeps.
+    pub fn retain(&mut self, keeps: impl Fn(u64) -> bool) {
         for bucket in self.buckets.values_mut() {
-            bucket.others.remove(&from);
+            bucket.others.retain(|run, _| keeps(*run));
+        }
+    }
+
+    /// Forgets a run of an instance. Where this instance speaks for it, what it admitted counts on.
+    pub fn forget(&mut self, from: u64, speaks_for: bool) {
+        for bucket in self.buckets.values_mut() {
+            if let Some(one) = bucket.others.remove(&from)
+                && speaks_for
+            {
+                bucket.kept += one.since_first();
+            }
         }
     }
 }
@@ -184,10 +226,14 @@
         self.fill(now);
         self.demand += (self.asked - self.demand) * DEMAND_GAIN;
         self.asked = 0.0;
-        let all: f64 = self.demand + self.others.values().map(|(_, demand)| demand).sum::<f64>();
+        let all: f64 = self.demand + self.others.values().map(|one| one.demand).sum::<f64>();
         let even = 1.0 / tick.instances.max(1) as f64;
         // Of instances that have told nothing yet, the demand is taken to be like the others'.
-        let told = (self.others.len() + 1) as f64 * even;
+        let told = if tick.is_told {
+            1.0
+        } else {
+            (self.others.len() + 1) as f64 * even
+        };
         let by_demand = if all > 0.0 {
             self.demand / all * told.min(1.0)
         } else {
--- a/crates/apricotlug-policy/tests/steer_limits.rs
+++ b/crates/apricotlug-policy/tests/steer_limits.rs
@@ -56,10 +56,11 @@
                         Tick {
                             instances: n,
                             silent: 0,
+                            is_told: false,
                         },
                         now,
                     );
-                    let (_, total, demand) = quotas.totals().next().unwrap();
+                    let (_, total, demand) = quotas.totals(|_| false).next().unwrap();
                     self.reports
                         .push((ms + rng.random_range(1..400), i, total, demand));
                 }
@@ -157,6 +158,7 @@
                 Tick {
                     instances: 9,
                     silent: 8,
+                    is_told: false,
                 },
                 at(ms),
             );
--- a/crates/apricotlug-steer/schema/pulse.capnp
+++ b/crates/apricotlug-steer/schema/pulse.capnp
@@ -32,3 +32,32 @@
   busy @5 :List(Busy);
   proofs @6 :List(Proof);
 }
+
+struct Change {
+  # Change of an item of the store. A removed one has no value.
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+  isRemoved @3 :Bool;
+}
+
+struct Ask {
+  # Asks another instance for what the store holds.
+  run @0 :UInt64;
+  after @1 :UInt64;
+  # 0: everything.
+  waitMs @2 :UInt32;
+  spent @3 :List(Spent);
+  proofs @4 :List(Proof);
+}
+
+struct Told {
+  run @0 :UInt64;
+  revision @1 :UInt64;
+  isFull @2 :Bool;
+  ageMs @3 :UInt32;
+  changes @4 :List(Change);
+  spent @5 :List(Spent);
+  # What all instances but the asking one admitted.
+  proofs @6 :List(Proof);
+}
--- a/crates/apricotlug-steer/src/follow.rs
+++ b/crates/apricotlug-steer/src/follow.rs
@@ -1,13 +1,15 @@
 //! Follows the store: lists everything once, then takes up changes as they come.
 
-use std::{sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use apricotlug_adapter::{StoreClient, StoreError, watch_space};
-use async_std::task;
+use apricotlug_adapter::{Change, Page, StoreClient, StoreError, watch_space};
+use apricotlug_model::MonoTime;
+use async_std::{net::TcpStream, task};
 
 use crate::{
     apply::{Lapsed, apply_changes, apply_page},
     news::News,
+    relay,
     shared::Shared,
 };
 
@@ -23,40 +25,50 @@
 /// Pause after an answer, so that changes that come together are taken up together.
 const GATHER: Duration = Duration::from_millis(60);
 
+/// Wait of a watch on a store that was away.
+const NO_WAIT: Duration = Duration::from_millis(1);
+
 /// First pause after a failure, and the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const MAX_PAUSE: Duration = Duration::from_millis(400);
 
+/// Time that a question to a relay waits for changes: with each one goes what was admitted here.
+const RELAY_WAIT: Duration = Duration::from_millis(400);
+
+/// Age of a relay's news from which the store is asked instead.
+const RELAY_OLD: Duration = Duration::from_millis(1_900);
+
+/// Time for which the store is asked after a relay failed.
+const RELAY_PAUSE: Duration = Duration::from_secs(3);
+
+/// Where news comes from.
+struct Source {
+    store: StoreClient,
+    relay: Option<(SocketAddr, TcpStream)>,
+    /// Point until which relays are not asked.
+    no_relay_until: MonoTime,
+    revision: Option<u64>,
+    is_lost: bool,
+}
+
 /// Follows the store for ever.
-pub async fn follow(shared: Arc<Shared>, mut store: StoreClient, lapsed: Arc<Lapsed>) {
-    let mut revision = None;
+pub async fn follow(shared: Arc<Shared>, store: StoreClient, lapsed: Arc<Lapsed>) {
+    let mut source = Source {
+        store,
+        relay: None,
+        no_relay_until: MonoTime::default(),
+        revision: None,
+        is_lost: false,
+    };
     let mut pause = FIRST_PAUSE;
-    let mut is_lost = false;
     loop {
-        let asked_at = News::clock_us();
-        let step = step(
-            &shared,
-            &mut store,
-            &lapsed,
-            revision,
-            &mut is_lost,
-            asked_at,
-        )
-        .await;
-        match step {
-            Ok(next) => {
-                revision = Some(next);
+        match source.step(&shared, &lapsed).await {
+            Ok(()) => {
                 pause = FIRST_PAUSE;
                 task::sleep(GATHER).await;
             }
             Err(e) => {
-                if matches!(e, StoreError::HistoryGone) {
-                    revision = None;
-                }
-                if !is_lost {
-                    tracing::warn!(kind = "dependency_lost", dependency = "store", error = %e);
-                }
-                is_lost = is_lost || !matches!(e, StoreError::HistoryGone);
+                source.on_failure(&e);
                 task::sleep(pause).await;
                 pause = (pause * 2).min(MAX_PAUSE);
             }
@@ -64,39 +76,122 @@
     }
 }
 
-async fn step(
-    shared: &Shared,
-    store: &mut StoreClient,
-    lapsed: &Lapsed,
-    revision: Option<u64>,
-    is_lost: &mut bool,
-    asked_at: u64,
-) -> Result<u64, StoreError> {
-    let Some(after) = revision else {
-        let page = store.list(watch_space(), LIST).await?;
-        on_answer(shared, lapsed, is_lost);
-        let next = page.revision;
-        tracing::info!(kind = "listed", items = page.items.len(), revision = next);
-        apply_page(shared, lapsed, page);
+impl Source {
+    async fn step(&mut self, shared: &Shared, lapsed: &Lapsed) -> Result<(), StoreError> {
+        match (self.relay_for(shared), self.revision) {
+            (Some(relay), Some(after)) => {
+                if let Err(e) = self.ask(shared, lapsed, relay, after).await {
+                    tracing::info!(kind = "relay_failed", %relay, error = %e);
+                    self.no_relay_until = shared.clock.now().after(RELAY_PAUSE);
+                }
+                Ok(())
+            }
+            (_, Some(after)) => self.watch(shared, lapsed, after).await,
+            (_, None) => self.list(shared, lapsed).await,
+        }
+    }
+
+    /// Returns the relay to ask, where instances are many and this is none itself.
+    fn relay_for(&self, shared: &Shared) -> Option<SocketAddr> {
+        let gate = shared.gate();
+        let hubs = gate.hubs();
+        let is_asking = hubs.is_needed && !hubs.is_own && !hubs.near.is_empty();
+        let may_ask = is_asking && self.no_relay_until.is_past(shared.clock.now());
+        may_ask.then(|| hubs.near[shared.run as usize % hubs.near.len()])
+    }
+
+    async fn ask(
+        &mut self,
+        shared: &Shared,
+        lapsed: &Lapsed,
+        relay: SocketAddr,
+        after: u64,
+    ) -> io::Result<()> {
+        let asked_at = News::clock_us();
+        let told = relay::ask(shared, &mut self.relay, relay, after, RELAY_WAIT).await?;
+        shared.gate().on_told(&told, shared.clock.now());
+        let age = Duration::from_millis(told.age_ms.into());
+        if age > RELAY_OLD {
+            return Err(io::Error::new(io::ErrorKind::TimedOut, "old news"));
+        }
+        self.on_answer(shared, lapsed);
+        if told.is_full {
+            let items = told.changes.into_iter().filter_map(|change| match change {
+                Change::Put(item) => Some(item),
+                Change::Removed(_) => None,
+            });
+            let page = Page {
+                items: items.collect(),
+                revision: told.revision,
+            };
+            take_page(shared, lapsed, page);
+        } else {
+            take_changes(shared, lapsed, told.changes, told.revision);
+        }
+        self.revision = Some(after.max(told.revision));
+        let age_us = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        shared.news.prove(asked_at.saturating_sub(age_us));
+        Ok(())
+    }
+
+    async fn list(&mut self, shared: &Shared, lapsed: &Lapsed) -> Result<(), StoreError> {
+        let asked_at = News::clock_us();
+        let page = self.store.list(watch_space(), LIST).await?;
+        self.on_answer(shared, lapsed);
+        tracing::info!(
+            kind = "listed",
+            items = page.items.len(),
+            revision = page.revision
+        );
+        self.revision = Some(page.revision);
+        take_page(shared, lapsed, page);
         shared.news.prove(asked_at);
-        return Ok(next);
-    };
-    // A store that was away is asked without waiting, so that its return shows at once.
-    let wait = if *is_lost {
-        Duration::from_millis(1)
-    } else {
-        WAIT
-    };
-    let (changes, next) = store.watch(watch_space(), after, wait, SLACK).await?;
-    on_answer(shared, lapsed, is_lost);
-    apply_changes(shared, lapsed, changes);
-    shared.news.prove(asked_at);
-    Ok(next)
-}
+        Ok(())
+    }
+
+    async fn watch(
+        &mut self,
+        shared: &Shared,
+        lapsed: &Lapsed,
+        after: u64,
+    ) -> Result<(), StoreError> {
+        let asked_at = News::clock_us();
+        // A store that was away is asked without waiting, so that its return shows at once.
+        let wait = if self.is_lost { NO_WAIT } else { WAIT };
+        let watching = self.store.watch(watch_space(), after, wait, SLACK);
+        let (changes, next) = watching.await?;
+        self.on_answer(shared, lapsed);
+        take_changes(shared, lapsed, changes, next);
+        self.revision = Some(next);
+        shared.news.prove(asked_at);
+        Ok(())
+    }
+
+    fn on_answer(&mut self, shared: &Shared, lapsed: &Lapsed) {
+        if std::mem::take(&mut self.is_lost) {
+            tracing::info!(kind = "dependency_regained", dependency = "store");
+            lapsed.on_store_back(shared.clock.now());
+        }
+    }
 
-fn on_answer(shared: &Shared, lapsed: &Lapsed, is_lost: &mut bool) {
-    if std::mem::take(is_lost) {
-        tracing::info!(kind = "dependency_regained", dependency = "store");
-        lapsed.on_store_back(shared.clock.now());
+    fn on_failure(&mut self, error: &StoreError) {
+        if matches!(error, StoreError::HistoryGone) {
+            self.revision = None;
+            return;
+        }
+        if !self.is_lost {
+            tracing::warn!(kind = "dependency_lost", dependency = "store", %error);
+        }
+        self.is_lost = true;
     }
 }
+
+fn take_page(shared: &Shared, lapsed: &Lapsed, page: Page) {
+    shared.log.on_page(&page);
+    apply_page(shared, lapsed, page);
+}
+
+fn take_changes(shared: &Shared, lapsed: &Lapsed, changes: Vec<Change>, revision: u64) {
+    shared.log.on_changes(&changes, revision);
+    apply_changes(shared, lapsed, changes);
+}
--- a/crates/apricotlug-steer/src/gate.rs
+++ b/crates/apricotlug-steer/src/gate.rs
@@ -8,11 +8,17 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
-    moves::Moves,
-    peers::Peers,
-    wire::{Busy, Proof, Pulse, Spent},
+    moves::{KEPT, Moves},
+    peers::{Hubs, Peers},
+    wire::{Ask, Busy, Proof, Pulse, Spent, Told},
 };
 
+/// Silence after which a relay's word no longer stands for all others.
+const RELAY_SILENT: Duration = Duration::from_millis(1_200);
+
+/// Silence after which an instance no longer asks here.
+const ASKER_SILENT: Duration = Duration::from_millis(3_000);
+
 /// State of all decisions.
 #[derive(Debug)]
 pub struct Gate {
@@ -30,6 +36,11 @@
     pub rng: SmallRng,
     again: HashMap<String, AgainBudget>,
     retry: (Duration, f64, f64),
+    /// Runs that ask this instance, and when they did last: it speaks for them to others.
+    asking: HashMap<u64, MonoTime>,
+    /// Run that tells this instance what all others do, and when it did last.
+    relay: Option<(u64, MonoTime)>,
+    hubs: Hubs,
     accounts: HashMap<u64, String>,
     busy: HashMap<u64, Vec<Busy>>,
     hashes: HashMap<u64, BackendKey>,
@@ -56,6 +67,9 @@
             rng: SmallRng::from_rng(&mut rand::rng()),
             again: HashMap::default(),
             retry: (retry_window, bounds.retry_ratio, bounds.retry_slack),
+            asking: HashMap::default(),
+            relay: None,
+            hubs: Hubs::default(),
             accounts: HashMap::default(),
             busy: HashMap::default(),
             hashes: HashMap::default(),
@@ -92,39 +106,123 @@
     }
 
     /// Starts a span between two datagrams.
-    pub fn tick(&mut self, now: MonoTime) {
-        let tick = Tick {
-            instances: self.peers.count(),
-            silent: self.peers.unheard(now),
+    pub fn tick(&mut self, settings: &SiteSettings, now: MonoTime) {
+        self.hubs = self.peers.hubs(settings, now);
+        self.drop_silent(now);
+        let instances = self.peers.count();
+        let is_told = self
+            .relay
+            .is_some_and(|(_, at)| now.since(at) < RELAY_SILENT);
+        let tick = match (self.hubs.is_needed, self.hubs.is_own) {
+            (false, _) => Tick {
+                instances,
+                silent: self.peers.unheard(now),
+                is_told: false,
+            },
+            (true, true) => Tick {
+                instances,
+                silent: 0,
+                is_told: true,
+            },
+            (true, false) => Tick {
+                instances,
+                silent: if is_told { 0 } else { instances - 1 },
+                is_told,
+            },
         };
         self.quotas.tick(tick, now);
+    }
+
+    fn drop_silent(&mut self, now: MonoTime) {
         for run in self.peers.silent_runs(now) {
             self.set_busy(run, Vec::new());
         }
         for run in self.peers.sweep(now) {
             self.forget(run);
         }
+        let gone = self.asking.iter();
+        let gone = gone.filter(|(_, at)| now.since(**at) >= ASKER_SILENT);
+        let gone: Vec<_> = gone.map(|(run, _)| *run).collect();
+        for run in gone {
+            self.quotas.forget(run, true);
+            self.moves.forget(run, true);
+            self.asking.remove(&run);
+        }
+        if self.hubs.is_needed && !self.hubs.is_own {
+            let relay = self.relay.map(|(run, _)| run);
+            self.quotas.retain(|run| Some(run) == relay);
+        }
     }
 
     /// Forgets a run of another instance.
     pub fn forget(&mut self, run: u64) {
-        self.quotas.forget(run);
-        self.moves.forget(run);
+        let speaks_for = self.asking.remove(&run).is_some();
+        self.quotas.forget(run, speaks_for);
+        self.moves.forget(run, speaks_for);
         self.set_busy(run, Vec::new());
         self.busy.remove(&run);
     }
 
+    /// Returns which instances send datagrams and answer others.
+    #[must_use]
+    pub fn hubs(&self) -> &Hubs {
+        &self.hubs
+    }
+
+    /// Takes up what an instance that asks tells of itself.
+    pub fn on_ask(&mut self, ask: &Ask, now: MonoTime) {
+        let is_first = self.asking.insert(ask.run, now).is_none();
+        self.on_spent(ask.run, &ask.spent, is_first);
+        for proof in &ask.proofs {
+            self.moves.on_proof(ask.run, proof.order, proof.counts);
+        }
+    }
+
+    /// Returns what all instances but the given run admitted and saw.
+    #[must_use]
+    pub fn told_to(&self, run: u64) -> (Vec<Spent>, Vec<Proof>) {
+        (
+            spent(&self.quotas, |other| other != run),
+            self.moves.proofs(|other| other != run).collect(),
+        )
+    }
+
+    /// Returns what this instance admitted and saw itself.
+    #[must_use]
+    pub fn own_report(&self) -> (Vec<Spent>, Vec<Proof>) {
+        (
+            spent(&self.quotas, |_| false),
+            self.moves.proofs(|_| false).collect(),
+        )
+    }
+
+    /// Takes up what a relay tells of all others.
+    pub fn on_told(&mut self, told: &Told, now: MonoTime) {
+        let old = self.relay.replace((told.run, now)).map(|(run, _)| run);
+        let is_first = old != Some(told.run);
+        if let Some(old) = old.filter(|_| is_first) {
+            self.quotas.forget(old, false);
+            self.moves.drop_run(old);
+        }
+        self.on_spent(told.run, &told.spent, is_first);
+        for proof in &told.proofs {
+            self.moves.on_proof(told.run, proof.order, proof.counts);
+        }
+    }
+
+    fn on_spent(&mut self, run: u64, all: &[Spent], is_first: bool) {
+        for one in all {
+            if let Some(account) = self.accounts.get(&one.account) {
+                let demand = f64::from(one.demand);
+                self.quotas
+                    .on_report(run, account, one.admitted, demand, is_first);
+            }
+        }
+    }
+
     /// Builds a datagram.
     #[must_use]
     pub fn pulse(&self, name: &str, run: u64, sequence: u64, is_leaving: bool) -> Pulse {
-        let spent = self
-            .quotas
-            .totals()
-            .map(|(account, admitted, demand)| Spent {
-                account: name_hash(account),
-                admitted,
-                demand: demand as f32,
-            });
         let busy = self.fleet.iter().filter(|(_, entry)| entry.own > 0);
         let busy = busy.map(|(_, entry)| Busy {
             backend: name_hash(&entry.backend.id),
@@ -135,9 +233,12 @@
             run,
             sequence,
             is_leaving,
-            spent: spent.collect(),
+            spent: spent(&self.quotas, |run| self.asking.contains_key(&run)),
             busy: busy.collect(),
-            proofs: self.moves.proofs().collect(),
+            proofs: self
+                .moves
+                .proofs(|run| run == KEPT || self.asking.contains_key(&run))
+                .collect(),
         }
     }
 
@@ -151,13 +252,7 @@
         if !is_news {
             return;
         }
-        for spent in pulse.spent {
-            if let Some(account) = self.accounts.get(&spent.account) {
-                let demand = f64::from(spent.demand);
-                self.quotas
-                    .on_report(run, account, spent.admitted, demand, is_first);
-            }
-        }
+        self.on_spent(run, &pulse.spent, is_first);
         for Proof { order, counts } in pulse.proofs {
             self.moves.on_proof(run, order, counts);
         }
@@ -185,3 +280,13 @@
 pub fn name_hash(name: &str) -> u64 {
     object_hash("", name)
 }
+
+fn spent(quotas: &Quotas, speaks_for: impl Fn(u64) -> bool) -> Vec<Spent> {
+    let totals = quotas.totals(speaks_for);
+    let spent = totals.map(|(account, admitted, demand)| Spent {
+        account: name_hash(account),
+        admitted,
+        demand: demand as f32,
+    });
+    spent.collect()
+}
--- a/crates/apricotlug-steer/src/instance.rs
+++ b/crates/apricotlug-steer/src/instance.rs
@@ -12,7 +12,7 @@
 use thiserror::Error;
 
 use crate::{
-    apply::Lapsed, caller, follow::follow, member, moves::Due, pages, pulse, shared::Shared,
+    apply::Lapsed, caller, follow::follow, member, moves::Due, pages, pulse, relay, shared::Shared,
 };
 
 /// Span between two looks at moves, lapsed entries and idle connections.
@@ -72,6 +72,7 @@
                 what: "other instances",
                 source,
             })?;
+        let askers = bind(listen.peer, "questions of other instances").await?;
         let store = StoreClient::new(settings.store);
         tracing::info!(
             kind = "start",
@@ -90,6 +91,7 @@
         task::spawn(keep(Arc::clone(&shared), lapsed, store));
         task::spawn(pulse::send(Arc::clone(&shared), Arc::clone(&socket)));
         task::spawn(pulse::receive(Arc::clone(&shared), socket));
+        task::spawn(relay::serve(Arc::clone(&shared), askers));
         task::spawn(caller::accept(Arc::clone(&shared), callers));
         task::spawn(pages::serve_lookups(Arc::clone(&shared), lookups));
         task::spawn(pages::serve_ready(Arc::clone(&shared), ready));
--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -21,6 +21,7 @@
 mod pool;
 mod prepare;
 mod pulse;
+mod relay;
 mod run;
 mod shared;
 mod wire;
@@ -32,5 +33,8 @@
 
 pub use instance::{Instance, StartError};
 pub use news::News;
-pub use peers::{Member, MemberInfo, Peers};
-pub use wire::{Busy, Proof, Pulse, Spent, WireError, decode, encode};
+pub use peers::{Hubs, Member, MemberInfo, Peers};
+pub use wire::{
+    Ask, Busy, Proof, Pulse, Spent, Told, WireError, decode, decode_ask, decode_told, encode,
+    encode_ask, encode_told,
+};
--- a/crates/apricotlug-steer/src/moves.rs
+++ b/crates/apricotlug-steer/src/moves.rs
@@ -8,6 +8,12 @@
 
 use crate::{gate::name_hash, wire::Proof};
 
+/// Stands for runs that are gone and for which this instance speaks.
+pub const KEPT: u64 = 0;
+
+/// Stands for other runs that are gone.
+const KEPT_UNTOLD: u64 = 1;
+
 /// Move of one service.
 #[derive(Clone, Debug)]
 struct Moving {
@@ -136,14 +142,15 @@
         *count += 1;
     }
 
-    /// Returns what this instance saw, for datagrams.
-    pub fn proofs(&self) -> impl Iterator<Item = Proof> {
+    /// Returns what this instance saw, together with what the runs saw for which it speaks.
+    pub fn proofs(&self, speaks_for: impl Fn(u64) -> bool) -> impl Iterator<Item = Proof> {
         let running = self.moves.iter().filter(|(_, moving)| !moving.is_final());
-        running.map(|(service, moving)| {
-            let own = moving.own;
+        running.map(move |(service, moving)| {
+            let others = moving.others.iter().filter(|(run, _)| speaks_for(**run));
+            let all = others.fold(moving.own, |all, (_, one)| all.and(*one));
             Proof {
                 order: moving.id(service),
-                counts: [own.new_good, own.new_bad, own.old_good, own.old_bad],
+                counts: [all.new_good, all.new_bad, all.old_good, all.old_bad],
             }
         })
     }
@@ -164,16 +171,25 @@
         }
     }
 
-    /// Forgets nothing of what a run saw: its answers were given. Only its slot is merged.
-    pub fn forget(&mut self, run: u64) {
+    /// Merges what a run saw into what is kept: its answers were given. `speaks_for` tells whether
+    /// others learn of it from this instance.
+    pub fn forget(&mut self, run: u64, speaks_for: bool) {
+        let kept_in = if speaks_for { KEPT } else { KEPT_UNTOLD };
         for moving in self.moves.values_mut() {
             if let Some(evidence) = moving.others.remove(&run) {
-                let kept = moving.others.entry(0).or_default();
+                let kept = moving.others.entry(kept_in).or_default();
                 *kept = kept.and(evidence);
             }
         }
     }
 
+    /// Drops what a run told of others.
+    pub fn drop_run(&mut self, run: u64) {
+        for moving in self.moves.values_mut() {
+            moving.others.remove(&run);
+        }
+    }
+
     /// Returns the statuses that are to be written now.
     pub fn due(&mut self, now: MonoTime) -> Vec<Due> {
         let due = self.moves.iter_mut().filter_map(|(service, moving)| {
--- a/crates/apricotlug-steer/src/pages.rs
+++ b/crates/apricotlug-steer/src/pages.rs
@@ -98,7 +98,7 @@
     let mut live: Vec<(String, SocketAddr)> = Vec::new();
     {
         let gate = shared.gate();
-        let members = gate.peers.iter().filter(|(_, member)| member.is_live(now));
+        let members = gate.peers.live(now);
         live.extend(members.map(|(_, m)| (m.info.data_centre.clone(), m.info.caller)));
     }
     if !shared.drain.is_leaving() || live.is_empty() {
--- a/crates/apricotlug-steer/src/peers.rs
+++ b/crates/apricotlug-steer/src/peers.rs
@@ -1,7 +1,8 @@
 //! Other instances: those that the store lists, and those that are heard.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
+use apricotlug_config::SiteSettings;
 use apricotlug_model::{HashMap, MonoTime};
 use serde::{Deserialize, Serialize};
 
@@ -14,6 +15,25 @@
 /// Time for which an instance that the store has just listed counts as heard.
 const NEW: Duration = Duration::from_millis(2_000);
 
+/// Instances above which a few in each region tell the others.
+const RELAY_FROM: usize = 16;
+
+/// Instances of a region that tell the others.
+const HUBS: usize = 2;
+
+/// Instances that read the store and tell the others.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Hubs {
+    /// Whether there are so many instances that not all talk to all.
+    pub is_needed: bool,
+    /// Whether this instance is one of them.
+    pub is_own: bool,
+    /// Addresses of those of the own region, without this one.
+    pub near: Vec<SocketAddr>,
+    /// Addresses of all, without this one.
+    pub all: Vec<SocketAddr>,
+}
+
 /// What an instance tells of itself in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberInfo {
@@ -49,11 +69,10 @@
         self.heard_at.is_some_and(|at| now.since(at) < within)
     }
 
-    /// Tells whether callers may be sent to it.
-    #[must_use]
-    pub fn is_live(&self, now: MonoTime) -> bool {
-        let is_new = self.is_listed && now.since(self.listed_at) < NEW;
-        !self.is_leaving && (is_new || self.is_heard(now, SILENT))
+    fn is_live(&self, now: MonoTime, is_large: bool) -> bool {
+        // Where instances are many, few send datagrams: the list alone tells who lives.
+        let is_trusted = is_large || now.since(self.listed_at) < NEW;
+        !self.is_leaving && ((self.is_listed && is_trusted) || self.is_heard(now, SILENT))
     }
 }
 
@@ -160,8 +179,53 @@
     /// Returns the number of live instances before a name, in the order of names.
     #[must_use]
     pub fn rank_of(&self, own: &str, now: MonoTime) -> usize {
-        let before = self.0.iter().filter(|(name, _)| name.as_str() < own);
-        before.filter(|(_, member)| member.is_live(now)).count()
+        self.live(now).filter(|(name, _)| *name < own).count()
+    }
+
+    /// Iterates over the instances to which callers may be sent.
+    pub fn live(&self, now: MonoTime) -> impl Iterator<Item = (&str, &Member)> {
+        let is_large = self.is_large();
+        self.iter()
+            .filter(move |(_, member)| member.is_live(now, is_large))
+    }
+
+    fn is_large(&self) -> bool {
+        self.count() > RELAY_FROM
+    }
+
+    /// Returns the instances that tell the others: the first live ones of each region by name.
+    #[must_use]
+    pub fn hubs(&self, settings: &SiteSettings, now: MonoTime) -> Hubs {
+        if !self.is_large() {
+            return Hubs::default();
+        }
+        let mut regions: BTreeMap<&str, Vec<(&str, Option<SocketAddr>)>> = BTreeMap::new();
+        for (name, member) in self.live(now) {
+            let region = settings.region_of(&member.info.data_centre);
+            let all = regions.entry(region).or_default();
+            all.push((name, Some(member.info.peer)));
+        }
+        let own = regions.entry(settings.region()).or_default();
+        own.push((&settings.instance, None));
+        let mut hubs = Hubs {
+            is_needed: true,
+            ..Hubs::default()
+        };
+        for (region, all) in &mut regions {
+            all.sort_unstable();
+            for (_, peer) in all.iter().take(HUBS) {
+                match peer {
+                    None => hubs.is_own = true,
+                    Some(addr) => {
+                        hubs.all.push(*addr);
+                        if *region == settings.region() {
+                            hubs.near.push(*addr);
+                        }
+                    }
+                }
+            }
+        }
+        hubs
     }
 
     /// Iterates over all instances.
--- a/crates/apricotlug-steer/src/pulse.rs
+++ b/crates/apricotlug-steer/src/pulse.rs
@@ -15,9 +15,6 @@
 /// Ticks between two datagrams to an instance of another region: bytes between regions are dear.
 const FAR_TICKS: u64 = 3;
 
-/// Instances to which a datagram goes in one tick at most; further ones take turns.
-const MOST_A_TICK: usize = 16;
-
 /// Sends datagrams for ever.
 pub async fn send(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut sequence = 0;
@@ -39,13 +36,18 @@
     let now = shared.clock.now();
     let is_leaving = shared.drain.is_leaving();
     let mut gate = shared.gate();
-    gate.tick(now);
+    gate.tick(&settings, now);
     let pulse = gate.pulse(&settings.instance, shared.run, sequence, is_leaving);
-    let turns = (gate.peers.count().div_ceil(MOST_A_TICK)) as u64;
+    let hubs = gate.hubs();
+    if hubs.is_needed {
+        let is_due = hubs.is_own && sequence % FAR_TICKS == 0;
+        let targets = if is_due { hubs.all.clone() } else { Vec::new() };
+        return (encode(&pulse), targets);
+    }
     let targets = gate.peers.iter().enumerate().filter(|(i, (_, member))| {
         let is_far = settings.region_of(&member.info.data_centre) != settings.region();
-        let every = if is_far { turns * FAR_TICKS } else { turns };
-        (sequence + *i as u64) % every == 0
+        let every = if is_far { FAR_TICKS } else { 1 };
+        (sequence + *i as u64).is_multiple_of(every)
     });
     let targets = targets.map(|(_, (_, member))| member.info.peer).collect();
     (encode(&pulse), targets)
--- /dev/null
+++ b/crates/apricotlug-steer/src/relay/mod.rs
@@ -0,0 +1,56 @@
+//! Relays: where instances are many, a few in each region read the store and tell the others.
+//!
+//! An instance asks a relay as it would watch the store. With each question it tells what it
+//! admitted and saw; the answer brings the same of all others, so that datagrams go between relays
+//! only. Every answer bears the age of what it tells, and an instance that is told old news asks
+//! the store itself.
+
+mod ask;
+mod log;
+mod serve;
+
+pub use ask::ask;
+pub use log::Log;
+pub use serve::serve;
+
+use std::{io, time::Duration};
+
+use async_std::{
+    future::timeout,
+    io::{ReadExt, WriteExt},
+    net::TcpStream,
+};
+
+/// Largest message, in bytes: everything that a store holds for one installation.
+const MAX_BYTES: u32 = 32 << 20;
+
+/// Reads one message with its length before it.
+async fn read(mut stream: &TcpStream, within: Duration) -> io::Result<Vec<u8>> {
+    let reading = async {
+        let mut len = [0; 4];
+        stream.read_exact(&mut len).await?;
+        let len = u32::from_be_bytes(len);
+        if len > MAX_BYTES {
+            return Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "message too long",
+            ));
+        }
+        let mut bytes = vec![0; len as usize];
+        stream.read_exact(&mut bytes).await?;
+        Ok(bytes)
+    };
+    timeout(within, reading)
+        .await
+        .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+/// Writes one message with its length before it.
+async fn write(mut stream: &TcpStream, message: &[u8], within: Duration) -> io::Result<()> {
+    let len = u32::try_from(message.len()).unwrap_or(u32::MAX);
+    let mut bytes = len.to_be_bytes().to_vec();
+    bytes.extend_from_slice(message);
+    timeout(within, stream.write_all(&bytes))
+        .await
+        .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
--- a/crates/apricotlug-steer/src/shared.rs
+++ b/crates/apricotlug-steer/src/shared.rs
@@ -7,7 +7,7 @@
 use apricotlug_model::Plan;
 use async_channel::{Receiver, Sender};
 
-use crate::{gate::Gate, news::News, pool::Pool};
+use crate::{gate::Gate, news::News, pool::Pool, relay::Log};
 
 /// What operators ask for, as last read.
 #[derive(Clone, Debug, Default)]
@@ -31,6 +31,8 @@
     gate: Mutex<Gate>,
     settings: RwLock<Arc<SiteSettings>>,
     view: RwLock<Arc<View>>,
+    /// What is known of the store, for instances that ask.
+    pub log: Log,
     /// Idle connections to backend servers.
     pub pool: Pool,
     /// Requests in flight.
@@ -51,6 +53,7 @@
             gate: Mutex::new(Gate::new(&settings)),
             settings: RwLock::new(Arc::new(settings)),
             view: RwLock::default(),
+            log: Log::default(),
             pool: Pool::default(),
             drain: Drain::default(),
             metrics: Metrics::default(),
--- a/crates/apricotlug-steer/src/wire.rs
+++ b/crates/apricotlug-steer/src/wire.rs
@@ -6,11 +6,16 @@
 };
 use thiserror::Error;
 
-use crate::pulse_capnp::pulse;
+use apricotlug_adapter::{Change, Item};
+
+use crate::pulse_capnp::{ask, proof, pulse, spent, told};
 
 /// Longest datagram that is sent, in bytes: it fits one packet of a usual link with its headers.
 pub const MAX_BYTES: usize = 16 * 1024;
 
+/// Largest answer that is read, in words of 8 bytes.
+const MAX_TOLD_WORDS: usize = 8 << 20;
+
 /// Why a datagram cannot be read.
 #[derive(Debug, Error)]
 pub enum WireError {
@@ -79,32 +84,67 @@
     to.set_run(from.run);
     to.set_sequence(from.sequence);
     to.set_is_leaving(from.is_leaving);
-    let mut spent = to.reborrow().init_spent(from.spent.len() as u32);
-    for (i, one) in from.spent.iter().enumerate() {
-        let mut to = spent.reborrow().get(i as u32);
-        to.set_account(one.account);
-        to.set_admitted(one.admitted);
-        to.set_demand(one.demand);
-    }
+    put_spent(
+        to.reborrow().init_spent(from.spent.len() as u32),
+        &from.spent,
+    );
     let mut busy = to.reborrow().init_busy(from.busy.len() as u32);
     for (i, one) in from.busy.iter().enumerate() {
         let mut to = busy.reborrow().get(i as u32);
         to.set_backend(one.backend);
         to.set_requests(one.requests);
     }
-    let mut proofs = to.reborrow().init_proofs(from.proofs.len() as u32);
-    for (i, one) in from.proofs.iter().enumerate() {
-        let mut to = proofs.reborrow().get(i as u32);
+    put_proofs(to.init_proofs(from.proofs.len() as u32), &from.proofs);
+    pack(&message)
+}
+
+fn pack(message: &Builder<capnp::message::HeapAllocator>) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    // Writing to memory does not fail.
+    let _ = serialize_packed::write_message(&mut bytes, message);
+    bytes
+}
+
+fn put_spent(mut to: capnp::struct_list::Builder<'_, spent::Owned>, from: &[Spent]) {
+    for (i, one) in from.iter().enumerate() {
+        let mut to = to.reborrow().get(i as u32);
+        to.set_account(one.account);
+        to.set_admitted(one.admitted);
+        to.set_demand(one.demand);
+    }
+}
+
+fn get_spent(from: capnp::struct_list::Reader<'_, spent::Owned>) -> Vec<Spent> {
+    let all = from.iter().map(|one| Spent {
+        account: one.get_account(),
+        admitted: one.get_admitted(),
+        demand: one.get_demand(),
+    });
+    all.collect()
+}
+
+fn put_proofs(mut to: capnp::struct_list::Builder<'_, proof::Owned>, from: &[Proof]) {
+    for (i, one) in from.iter().enumerate() {
+        let mut to = to.reborrow().get(i as u32);
         to.set_order(one.order);
         to.set_new_good(one.counts[0]);
         to.set_new_bad(one.counts[1]);
         to.set_old_good(one.counts[2]);
         to.set_old_bad(one.counts[3]);
     }
-    let mut bytes = Vec::new();
-    // Writing to memory does not fail.
-    let _ = serialize_packed::write_message(&mut bytes, &message);
-    bytes
+}
+
+fn get_proofs(from: capnp::struct_list::Reader<'_, proof::Owned>) -> Vec<Proof> {
+    let all = from.iter().map(|one| Proof {
+        order: one.get_order(),
+        counts: [
+            one.get_new_good(),
+            one.get_new_bad(),
+            one.get_old_good(),
+            one.get_old_bad(),
+        ],
+    });
+    all.collect()
 }
 
 /// Decodes a datagram.
@@ -114,31 +154,149 @@
 pub fn decode(mut bytes: &[u8]) -> Result<Pulse, WireError> {
     let message = serialize_packed::read_message(&mut bytes, ReaderOptions::new())?;
     let from = message.get_root::<pulse::Reader<'_>>()?;
-    let spent = from.get_spent()?.iter().map(|one| Spent {
-        account: one.get_account(),
-        admitted: one.get_admitted(),
-        demand: one.get_demand(),
-    });
     let busy = from.get_busy()?.iter().map(|one| Busy {
         backend: one.get_backend(),
         requests: one.get_requests(),
     });
-    let proofs = from.get_proofs()?.iter().map(|one| Proof {
-        order: one.get_order(),
-        counts: [
-            one.get_new_good(),
-            one.get_new_bad(),
-            one.get_old_good(),
-            one.get_old_bad(),
-        ],
-    });
     Ok(Pulse {
         name: from.get_name()?.to_str()?.to_owned(),
         run: from.get_run(),
         sequence: from.get_sequence(),
         is_leaving: from.get_is_leaving(),
-        spent: spent.collect(),
+        spent: get_spent(from.get_spent()?),
         busy: busy.collect(),
-        proofs: proofs.collect(),
+        proofs: get_proofs(from.get_proofs()?),
+    })
+}
+
+/// Question of one instance to another for what the store holds.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Ask {
+    /// Run that asks.
+    pub run: u64,
+    /// Revision that it knows; 0 where it knows nothing.
+    pub after: u64,
+    /// Milliseconds for which it waits for something new.
+    pub wait_ms: u32,
+    /// What it admitted.
+    pub spent: Vec<Spent>,
+    /// What it saw of moves.
+    pub proofs: Vec<Proof>,
+}
+
+/// Answer to that question.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Told {
+    /// Run that answers.
+    pub run: u64,
+    /// Revision up to which the changes go.
+    pub revision: u64,
+    /// Whether the changes are everything that the store holds.
+    pub is_full: bool,
+    /// Age of what is told, in milliseconds.
+    pub age_ms: u32,
+    /// Changes in the order in which they were made.
+    pub changes: Vec<Change>,
+    /// What all instances but the asking one admitted.
+    pub spent: Vec<Spent>,
+    /// What all instances but the asking one saw of moves.
+    pub proofs: Vec<Proof>,
+}
+
+/// Encodes a question.
+#[must_use]
+pub fn encode_ask(from: &Ask) -> Vec<u8> {
+    let mut message = Builder::new_default();
+    let mut to = message.init_root::<ask::Builder<'_>>();
+    to.set_run(from.run);
+    to.set_after(from.after);
+    to.set_wait_ms(from.wait_ms);
+    put_spent(
+        to.reborrow().init_spent(from.spent.len() as u32),
+        &from.spent,
+    );
+    put_proofs(to.init_proofs(from.proofs.len() as u32), &from.proofs);
+    pack(&message)
+}
+
+/// Decodes a question.
+///
+/// # Errors
+/// Returns why it cannot be read.
+pub fn decode_ask(mut bytes: &[u8]) -> Result<Ask, WireError> {
+    let message = serialize_packed::read_message(&mut bytes, ReaderOptions::new())?;
+    let from = message.get_root::<ask::Reader<'_>>()?;
+    Ok(Ask {
+        run: from.get_run(),
+        after: from.get_after(),
+        wait_ms: from.get_wait_ms(),
+        spent: get_spent(from.get_spent()?),
+        proofs: get_proofs(from.get_proofs()?),
+    })
+}
+
+/// Encodes an answer.
+#[must_use]
+pub fn encode_told(from: &Told) -> Vec<u8> {
+    let mut message = Builder::new_default();
+    let mut to = message.init_root::<told::Builder<'_>>();
+    to.set_run(from.run);
+    to.set_revision(from.revision);
+    to.set_is_full(from.is_full);
+    to.set_age_ms(from.age_ms);
+    let mut changes = to.reborrow().init_changes(from.changes.len() as u32);
+    for (i, change) in from.changes.iter().enumerate() {
+        let mut to = changes.reborrow().get(i as u32);
+        match change {
+            Change::Put(item) => {
+                to.set_key(&item.key);
+                to.set_value(&item.value);
+                to.set_revision(item.revision);
+            }
+            Change::Removed(key) => {
+                to.set_key(key);
+                to.set_is_removed(true);
+            }
+        }
+    }
+    put_spent(
+        to.reborrow().init_spent(from.spent.len() as u32),
+        &from.spent,
+    );
+    put_proofs(to.init_proofs(from.proofs.len() as u32), &from.proofs);
+    pack(&message)
+}
+
+/// Decodes an answer.
+///
+/// # Errors
+/// Returns why it cannot be read.
+pub fn decode_told(mut bytes: &[u8]) -> Result<Told, WireError> {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_TOLD_WORDS));
+    let message = serialize_packed::read_message(&mut bytes, options)?;
+    let from = message.get_root::<told::Reader<'_>>()?;
+    let mut changes = Vec::new();
+    for one in from.get_changes()? {
+        let key = one.get_key()?.to_str()?.to_owned();
+        changes.push(if one.get_is_removed() {
+            Change::Removed(key)
+        } else {
+            let (value, revision) = (one.get_value()?.to_vec(), one.get_revision());
+            Change::Put(Item {
+                key,
+                value,
+                revision,
+            })
+        });
+    }
+    Ok(Told {
+        run: from.get_run(),
+        revision: from.get_revision(),
+        is_full: from.get_is_full(),
+        age_ms: from.get_age_ms(),
+        changes,
+        spent: get_spent(from.get_spent()?),
+        proofs: get_proofs(from.get_proofs()?),
     })
 }
