Relays tell where requests are

Cause: with relays instances no longer knew of each other's requests, and the few backend servers of one region were overrun (callers there 1,560 ms instead of 720). Change: questions bear the asking instance's requests by backend server, answers the sums of all others from two on.

--- a/crates/apricotlug-steer/schema/pulse.capnp
+++ b/crates/apricotlug-steer/schema/pulse.capnp
@@ -49,6 +49,7 @@
   waitMs @2 :UInt32;
   spent @3 :List(Spent);
   proofs @4 :List(Proof);
+  busy @5 :List(Busy);
 }
 
 struct Told {
@@ -60,4 +61,5 @@
   spent @5 :List(Spent);
   # What all instances but the asking one admitted.
   proofs @6 :List(Proof);
+  busy @7 :List(Busy);
 }
--- a/crates/apricotlug-steer/src/gate.rs
+++ b/crates/apricotlug-steer/src/gate.rs
@@ -16,6 +16,9 @@
 /// Silence after which a relay's word no longer stands for all others.
 const RELAY_SILENT: Duration = Duration::from_millis(1_200);
 
+/// Requests at a backend server from which a relay tells of them.
+const TOLD_FROM: u16 = 2;
+
 /// Silence after which an instance no longer asks here.
 const ASKER_SILENT: Duration = Duration::from_millis(3_000);
 
@@ -134,8 +137,11 @@
     }
 
     fn drop_silent(&mut self, now: MonoTime) {
+        let relay = self.relay.map(|(run, _)| run);
         for run in self.peers.silent_runs(now) {
-            self.set_busy(run, Vec::new());
+            if !self.asking.contains_key(&run) && Some(run) != relay {
+                self.set_busy(run, Vec::new());
+            }
         }
         for run in self.peers.sweep(now) {
             self.forget(run);
@@ -146,10 +152,11 @@
         for run in gone {
             self.quotas.forget(run, true);
             self.moves.forget(run, true);
+            self.set_busy(run, Vec::new());
+            self.busy.remove(&run);
             self.asking.remove(&run);
         }
         if self.hubs.is_needed && !self.hubs.is_own {
-            let relay = self.relay.map(|(run, _)| run);
             self.quotas.retain(|run| Some(run) == relay);
         }
     }
@@ -176,24 +183,40 @@
         for proof in &ask.proofs {
             self.moves.on_proof(ask.run, proof.order, proof.counts);
         }
+        self.set_busy(ask.run, ask.busy.clone());
     }
 
-    /// Returns what all instances but the given run admitted and saw.
-    #[must_use]
-    pub fn told_to(&self, run: u64) -> (Vec<Spent>, Vec<Proof>) {
-        (
-            spent(&self.quotas, |other| other != run),
-            self.moves.proofs(|other| other != run).collect(),
-        )
+    /// Fills an answer to a run with what all instances but that one admitted, saw and send.
+    pub fn tell(&self, run: u64, told: &mut Told) {
+        told.spent = spent(&self.quotas, |other| other != run);
+        told.proofs = self.moves.proofs(|other| other != run).collect();
+        told.busy = self.busy(|other| other != run);
+        told.busy.retain(|one| one.requests >= TOLD_FROM);
     }
 
-    /// Returns what this instance admitted and saw itself.
-    #[must_use]
-    pub fn own_report(&self) -> (Vec<Spent>, Vec<Proof>) {
-        (
-            spent(&self.quotas, |_| false),
-            self.moves.proofs(|_| false).collect(),
-        )
+    /// Fills a question with what this instance admitted, saw and sends itself.
+    pub fn report(&self, ask: &mut Ask) {
+        ask.spent = spent(&self.quotas, |_| false);
+        ask.proofs = self.moves.proofs(|_| false).collect();
+        ask.busy = self.busy(|_| false);
+    }
+
+    /// Returns where the requests of this instance are, with those of the runs for which it speaks.
+    fn busy(&self, speaks_for: impl Fn(u64) -> bool) -> Vec<Busy> {
+        let mut sums: HashMap<u64, u16> = HashMap::default();
+        for (_, entry) in self.fleet.iter().filter(|(_, entry)| entry.own > 0) {
+            let own = u16::try_from(entry.own).unwrap_or(u16::MAX);
+            sums.insert(name_hash(&entry.backend.id), own);
+        }
+        for (_, all) in self.busy.iter().filter(|(run, _)| speaks_for(**run)) {
+            for one in all {
+                let sum = sums.entry(one.backend).or_default();
+                *sum = sum.saturating_add(one.requests);
+            }
+        }
+        let sums = sums.into_iter();
+        sums.map(|(backend, requests)| Busy { backend, requests })
+            .collect()
     }
 
     /// Takes up what a relay tells of all others.
@@ -203,11 +226,13 @@
         if let Some(old) = old.filter(|_| is_first) {
             self.quotas.forget(old, false);
             self.moves.drop_run(old);
+            self.set_busy(old, Vec::new());
         }
         self.on_spent(told.run, &told.spent, is_first);
         for proof in &told.proofs {
             self.moves.on_proof(told.run, proof.order, proof.counts);
         }
+        self.set_busy(told.run, told.busy.clone());
     }
 
     fn on_spent(&mut self, run: u64, all: &[Spent], is_first: bool) {
@@ -223,18 +248,13 @@
     /// Builds a datagram.
     #[must_use]
     pub fn pulse(&self, name: &str, run: u64, sequence: u64, is_leaving: bool) -> Pulse {
-        let busy = self.fleet.iter().filter(|(_, entry)| entry.own > 0);
-        let busy = busy.map(|(_, entry)| Busy {
-            backend: name_hash(&entry.backend.id),
-            requests: u16::try_from(entry.own).unwrap_or(u16::MAX),
-        });
         Pulse {
             name: name.to_owned(),
             run,
             sequence,
             is_leaving,
             spent: spent(&self.quotas, |run| self.asking.contains_key(&run)),
-            busy: busy.collect(),
+            busy: self.busy(|run| self.asking.contains_key(&run)),
             proofs: self
                 .moves
                 .proofs(|run| run == KEPT || self.asking.contains_key(&run))
--- a/crates/apricotlug-steer/src/relay/ask.rs
+++ b/crates/apricotlug-steer/src/relay/ask.rs
@@ -32,14 +32,13 @@
         Some((_, stream)) => stream,
         None => connect(relay).await?,
     };
-    let (spent, proofs) = shared.gate().own_report();
-    let question = Ask {
+    let mut question = Ask {
         run: shared.run,
         after,
         wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
-        spent,
-        proofs,
+        ..Ask::default()
     };
+    shared.gate().report(&mut question);
     write(&stream, &encode_ask(&question), SLACK).await?;
     let bytes = read(&stream, wait + SLACK).await?;
     let told = decode_told(&bytes).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?;
--- a/crates/apricotlug-steer/src/relay/serve.rs
+++ b/crates/apricotlug-steer/src/relay/serve.rs
@@ -75,8 +75,7 @@
         News::Full(changes) => (true, changes),
     };
     let age = shared.news.age();
-    let (spent, proofs) = shared.gate().told_to(ask.run);
-    Told {
+    let mut told = Told {
         run: shared.run,
         revision: shared.log.revision(),
         is_full,
@@ -84,7 +83,8 @@
             u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
         }),
         changes,
-        spent,
-        proofs,
-    }
+        ..Told::default()
+    };
+    shared.gate().tell(ask.run, &mut told);
+    told
 }
--- a/crates/apricotlug-steer/src/wire.rs
+++ b/crates/apricotlug-steer/src/wire.rs
@@ -8,7 +8,7 @@
 
 use apricotlug_adapter::{Change, Item};
 
-use crate::pulse_capnp::{ask, proof, pulse, spent, told};
+use crate::pulse_capnp::{ask, busy, proof, pulse, spent, told};
 
 /// Longest datagram that is sent, in bytes: it fits one packet of a usual link with its headers.
 pub const MAX_BYTES: usize = 16 * 1024;
@@ -88,12 +88,7 @@
         to.reborrow().init_spent(from.spent.len() as u32),
         &from.spent,
     );
-    let mut busy = to.reborrow().init_busy(from.busy.len() as u32);
-    for (i, one) in from.busy.iter().enumerate() {
-        let mut to = busy.reborrow().get(i as u32);
-        to.set_backend(one.backend);
-        to.set_requests(one.requests);
-    }
+    put_busy(to.reborrow().init_busy(from.busy.len() as u32), &from.busy);
     put_proofs(to.init_proofs(from.proofs.len() as u32), &from.proofs);
     pack(&message)
 }
@@ -123,6 +118,22 @@
     all.collect()
 }
 
+fn put_busy(mut to: capnp::struct_list::Builder<'_, busy::Owned>, from: &[Busy]) {
+    for (i, one) in from.iter().enumerate() {
+        let mut to = to.reborrow().get(i as u32);
+        to.set_backend(one.backend);
+        to.set_requests(one.requests);
+    }
+}
+
+fn get_busy(from: capnp::struct_list::Reader<'_, busy::Owned>) -> Vec<Busy> {
+    let all = from.iter().map(|one| Busy {
+        backend: one.get_backend(),
+        requests: one.get_requests(),
+    });
+    all.collect()
+}
+
 fn put_proofs(mut to: capnp::struct_list::Builder<'_, proof::Owned>, from: &[Proof]) {
     for (i, one) in from.iter().enumerate() {
         let mut to = to.reborrow().get(i as u32);
@@ -154,17 +165,13 @@
 pub fn decode(mut bytes: &[u8]) -> Result<Pulse, WireError> {
     let message = serialize_packed::read_message(&mut bytes, ReaderOptions::new())?;
     let from = message.get_root::<pulse::Reader<'_>>()?;
-    let busy = from.get_busy()?.iter().map(|one| Busy {
-        backend: one.get_backend(),
-        requests: one.get_requests(),
-    });
     Ok(Pulse {
         name: from.get_name()?.to_str()?.to_owned(),
         run: from.get_run(),
         sequence: from.get_sequence(),
         is_leaving: from.get_is_leaving(),
         spent: get_spent(from.get_spent()?),
-        busy: busy.collect(),
+        busy: get_busy(from.get_busy()?),
         proofs: get_proofs(from.get_proofs()?),
     })
 }
@@ -182,6 +189,8 @@
     pub spent: Vec<Spent>,
     /// What it saw of moves.
     pub proofs: Vec<Proof>,
+    /// Where its requests are.
+    pub busy: Vec<Busy>,
 }
 
 /// Answer to that question.
@@ -201,6 +210,8 @@
     pub spent: Vec<Spent>,
     /// What all instances but the asking one saw of moves.
     pub proofs: Vec<Proof>,
+    /// Where the requests of all instances but the asking one are.
+    pub busy: Vec<Busy>,
 }
 
 /// Encodes a question.
@@ -215,7 +226,11 @@
         to.reborrow().init_spent(from.spent.len() as u32),
         &from.spent,
     );
-    put_proofs(to.init_proofs(from.proofs.len() as u32), &from.proofs);
+    put_proofs(
+        to.reborrow().init_proofs(from.proofs.len() as u32),
+        &from.proofs,
+    );
+    put_busy(to.init_busy(from.busy.len() as u32), &from.busy);
     pack(&message)
 }
 
@@ -232,6 +247,7 @@
         wait_ms: from.get_wait_ms(),
         spent: get_spent(from.get_spent()?),
         proofs: get_proofs(from.get_proofs()?),
+        busy: get_busy(from.get_busy()?),
     })
 }
 
@@ -263,7 +279,11 @@
         to.reborrow().init_spent(from.spent.len() as u32),
         &from.spent,
     );
-    put_proofs(to.init_proofs(from.proofs.len() as u32), &from.proofs);
+    put_proofs(
+        to.reborrow().init_proofs(from.proofs.len() as u32),
+        &from.proofs,
+    );
+    put_busy(to.init_busy(from.busy.len() as u32), &from.busy);
     pack(&message)
 }
 
@@ -298,5 +318,6 @@
         changes,
         spent: get_spent(from.get_spent()?),
         proofs: get_proofs(from.get_proofs()?),
+        busy: get_busy(from.get_busy()?),
     })
 }
