--- a/crates/apricotlug-steer/src/pulse.rs
+++ b/crates/apricotlug-steer/src/pulse.rs
@@ -40,7 +40,7 @@
     let pulse = gate.pulse(&settings.instance, shared.run, sequence, is_leaving);
     let hubs = gate.hubs();
     if hubs.is_needed {
-        let is_due = hubs.is_own && sequence % FAR_TICKS == 0;
+        let is_due = hubs.is_own && sequence.is_multiple_of(FAR_TICKS);
         let targets = if is_due { hubs.all.clone() } else { Vec::new() };
         return (encode(&pulse), targets);
     }
