An instance that the store turns away lives on the word of another; accounts after a restart

Change: while the store fails, another instance of the region is asked, and its word counts with the age of its news; a run that is not the first starts each account with the excess that the rule leaves, not with nothing.

--- a/crates/apricotlug-policy/src/steer/quota.rs
+++ b/crates/apricotlug-policy/src/steer/quota.rs
@@ -104,8 +104,8 @@
         let burst = burst + extra;
         if is_new {
             bucket.filled_at = now;
-            // What was admitted before this start is not known: the rate refills from nothing.
-            bucket.level = if self.starts_full { burst } else { 1.0 };
+            // What was admitted before this start is not known: only the excess is there for sure.
+            bucket.level = if self.starts_full { burst } else { extra };
             bucket.may_borrow = true;
         }
         bucket.rate = rate;
--- a/crates/apricotlug-steer/src/follow.rs
+++ b/crates/apricotlug-steer/src/follow.rs
@@ -38,6 +38,9 @@
 /// Age of a relay's news from which the store is asked instead.
 const RELAY_OLD: Duration = Duration::from_millis(1_900);
 
+/// Time for which other instances are asked after the store failed.
+const PEER_SPAN: Duration = Duration::from_secs(3);
+
 /// Time for which the store is asked after a relay failed.
 const RELAY_PAUSE: Duration = Duration::from_secs(3);
 
@@ -47,6 +50,10 @@
     relay: Option<(SocketAddr, TcpStream)>,
     /// Point until which relays are not asked.
     no_relay_until: MonoTime,
+    /// Point until which other instances stand in for a store that turns this one away.
+    peers_until: MonoTime,
+    /// Questions asked, so that the next one goes to another instance where one fails.
+    turn: usize,
     revision: Option<u64>,
     is_lost: bool,
 }
@@ -57,6 +64,8 @@
         store,
         relay: None,
         no_relay_until: MonoTime::default(),
+        peers_until: MonoTime::default(),
+        turn: 0,
         revision: None,
         is_lost: false,
     };
@@ -68,7 +77,7 @@
                 task::sleep(GATHER).await;
             }
             Err(e) => {
-                source.on_failure(&e);
+                source.on_failure(&e, shared.clock.now());
                 task::sleep(pause).await;
                 pause = (pause * 2).min(MAX_PAUSE);
             }
@@ -78,11 +87,14 @@
 
 impl Source {
     async fn step(&mut self, shared: &Shared, lapsed: &Lapsed) -> Result<(), StoreError> {
-        match (self.relay_for(shared), self.revision) {
+        let relay = self.relay_for(shared).or_else(|| self.peer_for(shared));
+        match (relay, self.revision) {
             (Some(relay), Some(after)) => {
                 if let Err(e) = self.ask(shared, lapsed, relay, after).await {
                     tracing::info!(kind = "relay_failed", %relay, error = %e);
+                    self.turn += 1;
                     self.no_relay_until = shared.clock.now().after(RELAY_PAUSE);
+                    self.peers_until = MonoTime::default();
                 }
                 Ok(())
             }
@@ -100,6 +112,28 @@
         may_ask.then(|| hubs.near[shared.run as usize % hubs.near.len()])
     }
 
+    /// Returns another instance to ask while the store turns this one away: one of the own region
+    /// where there is one.
+    fn peer_for(&self, shared: &Shared) -> Option<SocketAddr> {
+        let now = shared.clock.now();
+        if self.peers_until.is_past(now) {
+            return None;
+        }
+        let settings = shared.settings();
+        let gate = shared.gate();
+        let mut peers: Vec<_> = gate
+            .peers
+            .live(now)
+            .map(|(name, member)| {
+                let is_far = settings.region_of(&member.info.data_centre) != settings.region();
+                (is_far, name, member.info.peer)
+            })
+            .collect();
+        peers.sort_unstable();
+        let (_, _, peer) = peers.get(self.turn % peers.len().max(1))?;
+        Some(*peer)
+    }
+
     async fn ask(
         &mut self,
         shared: &Shared,
@@ -109,12 +143,17 @@
     ) -> io::Result<()> {
         let asked_at = News::clock_us();
         let told = relay::ask(shared, &mut self.relay, relay, after, RELAY_WAIT).await?;
-        shared.gate().on_told(&told, shared.clock.now());
+        let is_relay = shared.gate().hubs().is_needed;
+        if is_relay {
+            shared.gate().on_told(&told, shared.clock.now());
+        }
         let age = Duration::from_millis(told.age_ms.into());
         if age > RELAY_OLD {
             return Err(io::Error::new(io::ErrorKind::TimedOut, "old news"));
         }
-        self.on_answer(shared, lapsed);
+        if is_relay {
+            self.on_answer(shared, lapsed);
+        }
         if told.is_full {
             let items = told.changes.into_iter().filter_map(|change| match change {
                 Change::Put(item) => Some(item),
@@ -174,7 +213,7 @@
         }
     }
 
-    fn on_failure(&mut self, error: &StoreError) {
+    fn on_failure(&mut self, error: &StoreError, now: MonoTime) {
         if matches!(error, StoreError::HistoryGone) {
             self.revision = None;
             return;
@@ -183,6 +222,7 @@
             tracing::warn!(kind = "dependency_lost", dependency = "store", %error);
         }
         self.is_lost = true;
+        self.peers_until = now.after(PEER_SPAN);
     }
 }
 
--- a/crates/apricotlug-steer/src/gate.rs
+++ b/crates/apricotlug-steer/src/gate.rs
@@ -178,6 +178,10 @@
 
     /// Takes up what an instance that asks tells of itself.
     pub fn on_ask(&mut self, ask: &Ask, now: MonoTime) {
+        // Where all talk to all, its datagrams tell the same.
+        if !self.hubs.is_needed {
+            return;
+        }
         let is_first = self.asking.insert(ask.run, now).is_none();
         self.on_spent(ask.run, &ask.spent, is_first);
         for proof in &ask.proofs {
--- a/tests/steer.rs
+++ b/tests/steer.rs
@@ -511,3 +511,36 @@
         }
     }
 }
+
+#[test]
+fn an_instance_that_the_store_turns_away_serves_on_by_the_word_of_another_one() {
+    let mut world = world(1);
+    let side = world.add_side_instance(BINARY, "west-2", "west-b");
+    world.wait_backends(side);
+    let knows = |i: usize| world.processes[i].has_line("member");
+    wait_until("both know each other", || knows(0) && knows(side));
+    for fault in [StoreFault::Busy, StoreFault::Silent] {
+        world.store.set_side_fault(fault);
+        let process = &world.processes[side];
+        let prefix = format!("/by-{fault:?}/").to_lowercase();
+        wait_until("the store is missed", || {
+            process.has_line("dependency_lost")
+        });
+        world.config["listeners"][0]["rules"][0]["match"]["pathPrefix"] = json!(prefix);
+        world.publish();
+        let caller = world.processes[side].caller();
+        let path = format!("{prefix}x");
+        wait_until("the new plan is in force", || {
+            caller.get(&path, "r-1").status == 200
+        });
+        // Far longer than a key may work without news.
+        let (from, mut served) = (std::time::Instant::now(), 0);
+        wait_until("it was served for long", || {
+            served += u32::from(caller.get(&path, "r-2").status == 200);
+            from.elapsed() > std::time::Duration::from_secs(5)
+        });
+        let missed = caller.get(&path, "r-3").status;
+        assert_eq!(missed, 200, "{fault:?} after {served} served");
+        world.store.set_side_fault(StoreFault::None);
+    }
+}
