--- /dev/null
+++ b/crates/apricotlug-config/tests/site.rs
@@ -0,0 +1,57 @@
+//! Settings of an instance on the platform: accepted values, and each fault with its code.
+
+mod support;
+
+use apricotlug_config::parse_site;
+use apricotlug_model::FindingCode::{
+    self, MissingField, OutOfRange, UnknownField, UnknownReference, WrongType,
+};
+
+const EXAMPLE: &str = include_str!("../../../examples/steer.toml");
+
+#[test]
+fn example_settings_are_accepted() {
+    let settings = parse_site("steer.toml", EXAMPLE).unwrap();
+    assert_eq!(settings.region(), "finistere");
+    assert_eq!(settings.region_of("rennes-a"), "ille-vilaine");
+    assert_eq!(settings.region_of("nowhere"), "");
+    assert_eq!(settings.bounds.lookup_ms, 5_000);
+    assert_eq!(settings.bounds.retry_ratio, 0.2);
+    assert_eq!(settings.min_lease_ms, 1_000);
+    assert!(settings.is_first_start && settings.bounds.is_revocation_strict);
+}
+
+#[test]
+fn each_fault_is_found_with_its_place() {
+    let cases: &[(&str, &str, &[FindingCode])] = &[
+        ("instance = \"brest-1\"", "", &[MissingField]),
+        (
+            "data_centre = \"brest-a\"",
+            "data_centre = \"x\"",
+            &[UnknownReference],
+        ),
+        ("first_start = true", "first_start = 1", &[WrongType]),
+        ("grace = \"6s\"", "grace = \"6\"", &[OutOfRange]),
+        ("grace = \"6s\"", "grace = \"-6s\"", &[OutOfRange]),
+        ("grace = \"6s\"", "grace = 6", &[WrongType]),
+        ("retry_ratio = 0.2", "retry_ratio = \"0.2\"", &[WrongType]),
+        ("retry_ratio = 0.2", "retry_ratio = -0.2", &[OutOfRange]),
+        (
+            "quota_slack = 20",
+            "quota_slack = 20\nmore = 1",
+            &[UnknownField],
+        ),
+        ("127.0.0.1:7100", "127.0.0.1:0", &[OutOfRange]),
+        (
+            "caller = \"127.0.0.1:7000\"",
+            "caller = \"nowhere\"",
+            &[OutOfRange],
+        ),
+    ];
+    for (from, to, codes) in cases {
+        let text = EXAMPLE.replacen(from, to, 1);
+        assert_ne!(text, EXAMPLE, "{from}");
+        let findings = parse_site("steer.toml", &text).unwrap_err();
+        assert_eq!(support::codes(&findings), *codes, "{to:?}");
+    }
+}
