--- a/crates/apricotlug-policy/src/steer/fleet.rs
+++ b/crates/apricotlug-policy/src/steer/fleet.rs
@@ -167,8 +167,7 @@
     pub tried: &'a [BackendKey],
     /// Requests per second that a cold backend server bears.
     pub cold_rate: f64,
-    /// Live instances, this one included, and this one's place among them for the backend server
-    /// with a hash.
+    /// Instances, this one included, among which the rate of a cold backend server is split.
     pub instances: usize,
     /// Place of this instance among all.
     pub own_place: usize,
