Relays tell listings as changes, and those with the widest links read the store

Change: a listing is told as what it changes; relays are those with the widest links (new setting link_mbps); the age allowed follows from the waits. The choice in large fleets is begun: homes by data centre, regions by object.

--- a/crates/apricotlug-config/src/site.rs
+++ b/crates/apricotlug-config/src/site.rs
@@ -25,6 +25,8 @@
     pub log_level: LogLevel,
     /// Whether no instance of the system ran before.
     pub is_first_start: bool,
+    /// Bandwidth of the machine's link, in Mbit/s: those with the widest tell the others.
+    pub link_mbps: f64,
     /// Own addresses.
     pub listen: SiteListen,
     /// Address of the platform's store.
@@ -107,6 +109,7 @@
     let data_centre = fields.id(doc, "data_centre");
     let log_level = fields.choice(doc, "log_level", &LogLevel::WORDS);
     let is_first_start = fields.flag(doc, "first_start");
+    let link_mbps = fields.number(doc, "link_mbps");
     let regions = fields.table(doc, "regions", "`regions`");
     let regions = regions.map(|regions| read_regions(doc, &regions));
     let listen = fields.table(doc, "listen", "`listen`");
@@ -135,6 +138,7 @@
         regions,
         log_level: log_level?,
         is_first_start: is_first_start?,
+        link_mbps: link_mbps?,
         listen: listen?,
         store,
         min_lease_ms,
--- a/crates/apricotlug-policy/src/steer/mod.rs
+++ b/crates/apricotlug-policy/src/steer/mod.rs
@@ -3,20 +3,28 @@
 
 mod admit;
 mod again;
+mod choose;
 mod cold;
+mod entry;
 mod fleet;
 mod gauge;
 mod quota;
+mod ranks;
+mod regions;
 mod rollout;
 mod waits;
 mod warmth;
+mod wide;
 
 pub use admit::{Patience, Verdict, judge, retry_after_ms};
 pub use again::AgainBudget;
+pub use choose::{Cost, NoPlace, Wanted};
 pub use cold::ColdGate;
-pub use fleet::{BackendKey, Cost, Ended, Entry, Fleet, NoPlace, Wanted};
+pub use entry::{BackendKey, Ended, Entry};
+pub use fleet::Fleet;
 pub use gauge::{Health, ServiceTime};
 pub use quota::{Quotas, Tick};
+pub use regions::{RegionLoad, RegionSplit};
 pub use rollout::{Evidence, Judgement, Rollout, Stage};
 pub use waits::Waits;
 pub use warmth::{object_hash, rank_weight};
--- a/crates/apricotlug-steer/src/apply.rs
+++ b/crates/apricotlug-steer/src/apply.rs
@@ -7,8 +7,7 @@
 };
 
 use apricotlug_adapter::{
-    Change, Item, Page, Place, decode_backend, decode_move, decode_move_status, decode_plan,
-    place_of,
+    Change, Item, Place, decode_backend, decode_move, decode_move_status, decode_plan, place_of,
 };
 use apricotlug_model::MonoTime;
 
@@ -63,42 +62,6 @@
     }
 }
 
-/// Takes up a full listing: what is not in it is gone.
-pub fn apply_page(shared: &Shared, lapsed: &Lapsed, page: Page) {
-    let keys: HashSet<&str> = page.items.iter().map(|item| item.key.as_str()).collect();
-    let places: Vec<Place> = keys.iter().map(|key| place_of(key)).collect();
-    let has = |place: &Place| places.contains(place);
-    let (backends, members) = {
-        let gate = shared.gate();
-        let listed = gate.fleet.iter().filter(|(_, entry)| entry.is_listed);
-        let backends: Vec<_> = listed.map(|(_, entry)| entry.backend.id.clone()).collect();
-        (backends, gate.peers.listed())
-    };
-    for id in backends {
-        if !has(&Place::Backend(id.clone())) {
-            remove(shared, lapsed, Place::Backend(id));
-        }
-    }
-    for name in members {
-        if !has(&Place::Member(name.clone())) {
-            remove(shared, lapsed, Place::Member(name));
-        }
-    }
-    for data_centre in shared.view().evacuated.clone() {
-        if !has(&Place::Evacuation(data_centre.clone())) {
-            remove(shared, lapsed, Place::Evacuation(data_centre));
-        }
-    }
-    // A plan first: what follows may name its services.
-    let (plans, rest): (Vec<_>, Vec<_>) = page
-        .items
-        .into_iter()
-        .partition(|item| place_of(&item.key) == Place::Plan);
-    for item in plans.into_iter().chain(rest) {
-        put(shared, lapsed, item);
-    }
-}
-
 /// Takes up changes in the order in which they were made.
 pub fn apply_changes(shared: &Shared, lapsed: &Lapsed, changes: Vec<Change>) {
     for change in changes {
--- a/crates/apricotlug-steer/src/follow.rs
+++ b/crates/apricotlug-steer/src/follow.rs
@@ -7,7 +7,7 @@
 use async_std::{net::TcpStream, task};
 
 use crate::{
-    apply::{Lapsed, apply_changes, apply_page},
+    apply::{Lapsed, apply_changes},
     news::News,
     relay,
     shared::Shared,
@@ -35,8 +35,13 @@
 /// Time that a question to a relay waits for changes: with each one goes what was admitted here.
 const RELAY_WAIT: Duration = Duration::from_millis(400);
 
-/// Age of a relay's news from which the store is asked instead.
-const RELAY_OLD: Duration = Duration::from_millis(1_900);
+/// Age of a relay's news from which the store is asked instead. News is as old as the question that
+/// proved it, so a relay whose watch waits to its end tells news of two waits: only one that lost an
+/// answer is older.
+const RELAY_OLD: Duration = WAIT
+    .saturating_mul(2)
+    .saturating_add(SLACK)
+    .saturating_add(GATHER);
 
 /// Time for which other instances are asked after the store failed.
 const PEER_SPAN: Duration = Duration::from_secs(3);
@@ -163,7 +168,7 @@
                 items: items.collect(),
                 revision: told.revision,
             };
-            take_page(shared, lapsed, page);
+            take_page(shared, lapsed, &page);
         } else {
             take_changes(shared, lapsed, told.changes, told.revision);
         }
@@ -183,7 +188,7 @@
             revision = page.revision
         );
         self.revision = Some(page.revision);
-        take_page(shared, lapsed, page);
+        take_page(shared, lapsed, &page);
         shared.news.prove(asked_at);
         Ok(())
     }
@@ -226,9 +231,9 @@
     }
 }
 
-fn take_page(shared: &Shared, lapsed: &Lapsed, page: Page) {
-    shared.log.on_page(&page);
-    apply_page(shared, lapsed, page);
+fn take_page(shared: &Shared, lapsed: &Lapsed, page: &Page) {
+    let changes = shared.log.on_page(page);
+    apply_changes(shared, lapsed, changes);
 }
 
 fn take_changes(shared: &Shared, lapsed: &Lapsed, changes: Vec<Change>, revision: u64) {
--- a/crates/apricotlug-steer/src/member.rs
+++ b/crates/apricotlug-steer/src/member.rs
@@ -61,6 +61,7 @@
         caller: settings.listen.caller,
         peer: settings.listen.peer,
         data_centre: settings.data_centre.clone(),
+        link_mbps: settings.link_mbps as u32,
     };
     let value = serde_json::to_vec(&info).map_err(|e| StoreError::Format(e.to_string()))?;
     let swap = Swap {
--- a/crates/apricotlug-steer/src/peers.rs
+++ b/crates/apricotlug-steer/src/peers.rs
@@ -1,6 +1,6 @@
 //! Other instances: those that the store lists, and those that are heard.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use apricotlug_config::SiteSettings;
 use apricotlug_model::{HashMap, MonoTime};
@@ -45,6 +45,9 @@
     pub peer: SocketAddr,
     /// Data centre.
     pub data_centre: String,
+    /// Bandwidth of its link, in Mbit/s.
+    #[serde(default)]
+    pub link_mbps: u32,
 }
 
 /// Another instance.
@@ -193,27 +196,31 @@
         self.count() > RELAY_FROM
     }
 
-    /// Returns the instances that tell the others: the first live ones of each region by name.
+    /// Returns the instances that tell the others: the live ones of each region with the widest
+    /// links, by name among equals.
     #[must_use]
     pub fn hubs(&self, settings: &SiteSettings, now: MonoTime) -> Hubs {
         if !self.is_large() {
             return Hubs::default();
         }
-        let mut regions: BTreeMap<&str, Vec<(&str, Option<SocketAddr>)>> = BTreeMap::new();
+        type Candidate<'a> = (Reverse<u32>, &'a str, Option<SocketAddr>);
+        let mut regions: BTreeMap<&str, Vec<Candidate<'_>>> = BTreeMap::new();
         for (name, member) in self.live(now) {
             let region = settings.region_of(&member.info.data_centre);
             let all = regions.entry(region).or_default();
-            all.push((name, Some(member.info.peer)));
+            let width = Reverse(member.info.link_mbps);
+            all.push((width, name, Some(member.info.peer)));
         }
         let own = regions.entry(settings.region()).or_default();
-        own.push((&settings.instance, None));
+        let width = Reverse(settings.link_mbps as u32);
+        own.push((width, &settings.instance, None));
         let mut hubs = Hubs {
             is_needed: true,
             ..Hubs::default()
         };
         for (region, all) in &mut regions {
             all.sort_unstable();
-            for (_, peer) in all.iter().take(HUBS) {
+            for (_, _, peer) in all.iter().take(HUBS) {
                 match peer {
                     None => hubs.is_own = true,
                     Some(addr) => {
--- a/crates/apricotlug-steer/src/relay/mod.rs
+++ b/crates/apricotlug-steer/src/relay/mod.rs
@@ -10,7 +10,7 @@
 mod serve;
 
 pub use ask::ask;
-pub use log::Log;
+pub use log::{Log, Unseen};
 pub use serve::serve;
 
 use std::{io, time::Duration};
--- a/crates/apricotlug-steer/src/relay/serve.rs
+++ b/crates/apricotlug-steer/src/relay/serve.rs
@@ -8,7 +8,7 @@
     task,
 };
 
-use super::{log::News, read, write};
+use super::{log::Unseen, read, write};
 use crate::{
     shared::Shared,
     wire::{Ask, Told, decode_ask, encode_told},
@@ -64,15 +64,15 @@
     shared.gate().on_ask(&ask, shared.clock.now());
     let wait = Duration::from_millis(ask.wait_ms.into()).min(MOST_WAIT);
     let mut news = shared.log.after(ask.after);
-    if let News::None(changed) = &news {
+    if let Unseen::None(changed) = &news {
         // Either end of the wait leads to the same answer: what is there then.
         let _ = timeout(wait, changed.recv()).await;
         news = shared.log.after(ask.after);
     }
     let (is_full, changes) = match news {
-        News::None(_) => (false, Vec::new()),
-        News::Changes(changes) => (false, changes),
-        News::Full(changes) => (true, changes),
+        Unseen::None(_) => (false, Vec::new()),
+        Unseen::Changes(changes) => (false, changes),
+        Unseen::Full(changes) => (true, changes),
     };
     let age = shared.news.age();
     let mut told = Told {
