--- a/crates/apricotlug-policy/src/steer/choose.rs
+++ b/crates/apricotlug-policy/src/steer/choose.rs
@@ -304,9 +304,15 @@
         let is_same_region = entry.region == wanted.region;
         let way_ms = self.way_ms(&entry.backend.data_centre, is_same_region);
         let expected_ms = way_ms + wait_ms + service_ms;
-        let far_ms = far_ms(wanted, entry);
-        let stray_ms = (time.cold_ms - time.warm_ms) * (stray + 1.0 - warm) * scarcity;
         let is_wide = wanted.instances > WIDE_FROM;
+        let is_first = homes.first().is_none_or(|(first, _)| *first == key);
+        let astray_ms = if is_wide && !is_same_region && !is_first {
+            DATA_CENTRE_MS
+        } else {
+            0.0
+        };
+        let far_ms = far_ms(wanted, entry) + astray_ms;
+        let stray_ms = (time.cold_ms - time.warm_ms) * (stray + 1.0 - warm) * scarcity;
         let pressure_ms = fullness(load, slots, is_wide) * PRESSURE * busy_ms;
         let fail_ms = entry.health.fail(now) * FAIL_MS;
         let cost = expected_ms + far_ms + stray_ms + pressure_ms + fail_ms;
--- a/crates/apricotlug-policy/src/steer/regions.rs
+++ b/crates/apricotlug-policy/src/steer/regions.rs
@@ -15,9 +15,14 @@
 
 /// Part of the own region's slots in use above which more objects go elsewhere, and below which
 /// some come back.
-const HIGH: f64 = 0.75;
+const HIGH: f64 = 0.7;
 const LOW: f64 = 0.55;
 
+/// Part of a region's slots that may be in use before nothing more is sent there from others, and
+/// the least part of its slots that counts as room all the same.
+const ROOM_TO: f64 = 0.85;
+const LEAST_ROOM: f64 = 0.03;
+
 /// Span between two looks at the load.
 const LOOK: Duration = Duration::from_millis(200);
 
@@ -71,13 +76,14 @@
         } else {
             0.0
         };
+        let span = self.looked_at.map_or(0.0, |at| now.since(at).as_secs_f64());
         self.own = match self.looked_at {
             None => fair,
             Some(_) if slots < self.own_slots * (1.0 - LOST_PART) => {
                 self.own * slots / self.own_slots
             }
-            Some(at) => {
-                let most = SLEW_PER_S * now.since(at).as_secs_f64();
+            Some(_) => {
+                let most = SLEW_PER_S * span;
                 let used = load / slots.max(1.0);
                 // Nothing is gained by sending more where others are as full.
                 let far = loads.iter().filter(|load| load.region != region);
@@ -95,7 +101,40 @@
         self.used = busy.sum::<f64>() / all.max(1.0);
         self.own_slots = slots;
         self.looked_at = Some(now);
-        self.others = others(region, loads, all);
+        let wanted = others(region, loads, all);
+        self.move_others(wanted, SLEW_PER_S * span);
+    }
+
+    /// Moves the parts of the other regions towards what is wanted, each by so much at most.
+    fn move_others(&mut self, mut wanted: Vec<(String, f64)>, most: f64) {
+        let held = std::mem::take(&mut self.others);
+        let is_alike = held
+            .iter()
+            .map(|(region, _)| region)
+            .eq(wanted.iter().map(|(r, _)| r));
+        if is_alike {
+            for ((_, part), (_, held)) in wanted.iter_mut().zip(&held) {
+                *part = part.clamp(held - most, held + most);
+            }
+        }
+        let sum: f64 = wanted.iter().map(|(_, part)| part).sum();
+        for (_, part) in &mut wanted {
+            *part /= sum.max(f64::EPSILON);
+        }
+        self.others = wanted;
+    }
+
+    /// Tells whether a region has room for requests of others.
+    #[must_use]
+    pub fn has_room(&self, region: &str) -> bool {
+        let least = 0.5
+            * self
+                .others
+                .iter()
+                .map(|(_, part)| *part)
+                .fold(0.0, f64::max);
+        let mut others = self.others.iter();
+        others.any(|(other, part)| other == region && *part >= least)
     }
 
     /// Returns the region for a draw between 0 and 1; `None` for the own one.
@@ -143,25 +182,20 @@
     }
 }
 
-/// Returns the parts that the other regions have of what leaves the own one: by the room that
-/// their own callers leave, or by all their room where none does.
+/// Returns the parts that the other regions have of what leaves the own one: by the slots that
+/// their own callers leave over and that are not in use.
 fn others(region: &str, loads: &[RegionLoad], all: f64) -> Vec<(String, f64)> {
     let far = || {
         loads
             .iter()
             .filter(|load| load.region != region && load.slots > 0.0)
     };
-    let spare = |load: &RegionLoad| (load.slots / all - load.callers).max(0.0);
-    let sum: f64 = far().map(spare).sum();
-    let room: f64 = far().map(|load| load.slots).sum();
-    let part = |load: &RegionLoad| {
-        if sum > 0.0 {
-            spare(load) / sum
-        } else {
-            load.slots / room
-        }
+    let room = |load: &RegionLoad| {
+        let spare = (load.slots - load.callers * all).max(load.slots * LEAST_ROOM);
+        spare * (ROOM_TO - load.load / load.slots).max(LEAST_ROOM)
     };
+    let sum: f64 = far().map(room).sum();
     far()
-        .map(|load| (load.region.clone(), part(load)))
+        .map(|load| (load.region.clone(), room(load) / sum))
         .collect()
 }
--- a/crates/apricotlug-policy/src/steer/wide.rs
+++ b/crates/apricotlug-policy/src/steer/wide.rs
@@ -1,8 +1,10 @@
 //! Choice among many backend servers by many instances.
 //!
-//! An object has a home in each data centre, so that most requests stay near and meet it warm, and
-//! a region that is drawn for it. Homes take an even part of the load by hashing alone; load that
-//! is known moves only what would wait.
+//! An object has one home in each region, and a region that is drawn for it: few requests meet it
+//! cold. Objects with large answers have one in each data centre, so that these stay near. Homes
+//! take an even part of the load by hashing alone; load that is known moves only what would wait.
+
+use std::cmp::Reverse;
 
 use apricotlug_model::{HashMap, MonoTime};
 
@@ -11,7 +13,7 @@
     entry::BackendKey,
     fleet::Fleet,
     gauge::ServiceTime,
-    ranks::rank,
+    ranks::{Place, Ranking, rank},
     regions::RegionLoad,
     warmth::rank_weight,
 };
@@ -38,14 +40,23 @@
         let object = wanted
             .object
             .unwrap_or_else(|| rank_weight(self.turn, wanted.own_place as u64));
-        let order = self.order(wanted, object);
+        let ranking = Ranking {
+            object,
+            versions: wanted.versions,
+            place: if wanted.is_large {
+                Place::DataCentre
+            } else {
+                Place::Region
+            },
+        };
+        let order = self.order(wanted, &ranking);
         self.look(wanted, now);
         let split = self.splits.get_mut(wanted.service)?;
         split.on_request();
         let may_spill = split.may_spill();
         let draw = rank_weight(REGION_SALT, object) as f64 / u64::MAX as f64;
         let region = split.region_of(draw).unwrap_or(wanted.region).to_owned();
-        let homes = self.wide_homes(wanted, &order, now);
+        let homes = self.wide_homes(wanted, &ranking, &order, &region, now);
         let scarcity = self.known_scarcity(wanted.service);
         let in_region = |key: &BackendKey| self.entry(*key).region == region;
         let near = order.iter().copied().filter(in_region);
@@ -55,7 +66,11 @@
         {
             return Some(best);
         }
-        let far = order.iter().copied().filter(|key| !in_region(key));
+        let is_lost = best.is_err();
+        let split = self.splits.get(wanted.service)?;
+        let has_room = |key: &BackendKey| is_lost || split.has_room(&self.entry(*key).region);
+        let far = order.iter().copied();
+        let far = far.filter(|key| !in_region(key) && has_room(key));
         let other = self.cheapest(wanted, far, time, &homes, scarcity, now);
         match (best, other) {
             (Ok(best), Ok(other)) if other.expected_ms < best.expected_ms => {
@@ -69,43 +84,50 @@
         }
     }
 
-    fn order(&mut self, wanted: &Wanted<'_>, object: u64) -> Vec<BackendKey> {
+    fn order(&mut self, wanted: &Wanted<'_>, ranking: &Ranking<'_>) -> Vec<BackendKey> {
         let kept = self.ranks.get(wanted.service);
-        if let Some(order) = kept.and_then(|ranks| ranks.get(object, wanted.versions)) {
+        if let Some(order) = kept.and_then(|ranks| ranks.get(ranking)) {
             return order.to_vec();
         }
-        let order = rank(self.of_service(wanted.service), object, wanted.versions);
+        let order = rank(self.of_service(wanted.service), ranking);
         if wanted.object.is_some() {
             let ranks = self.ranks.entry(wanted.service.to_owned()).or_default();
-            ranks.put(object, wanted.versions, order.clone());
+            ranks.put(ranking, order.clone());
         }
         order
     }
 
-    /// Returns the homes of an object: the first of each data centre that takes requests. That of
-    /// the own data centre comes first.
+    /// Returns the homes of an object: the first of each place that takes requests, those of its
+    /// region before others.
     fn wide_homes(
         &self,
         wanted: &Wanted<'_>,
+        ranking: &Ranking<'_>,
         order: &[BackendKey],
+        region: &str,
         now: MonoTime,
     ) -> Vec<(BackendKey, f64)> {
         let mut homes: Vec<(BackendKey, f64)> = Vec::new();
         let mut last = "";
         for key in order {
             let entry = self.entry(*key);
-            let data_centre = entry.backend.data_centre.as_str();
+            let place = ranking.place.of(entry);
             let is_open = !wanted.evacuated.contains(&entry.backend.data_centre);
-            if data_centre == last || !is_open || !entry.takes_requests(now) {
+            if place == last || !is_open || !entry.takes_requests(now) {
                 continue;
             }
-            last = data_centre;
+            last = place;
             homes.push((*key, WARM_HOME));
-            if data_centre == wanted.data_centre {
-                let end = homes.len() - 1;
-                homes.swap(0, end);
-            }
         }
+        // The nearest home comes first; far away, the one that ranks highest.
+        let is_far = region != wanted.region;
+        let weight = |key: BackendKey| rank_weight(self.entry(key).hash, ranking.object);
+        homes.sort_by_key(|(key, _)| {
+            let entry = self.entry(*key);
+            let is_other = entry.region != region;
+            let is_distant = !is_far && entry.backend.data_centre != wanted.data_centre;
+            (is_other, is_distant, Reverse(weight(*key)))
+        });
         homes
     }
 
