Objects move off homes that are full on average

Cause: objects fall unevenly on backend servers by hashing (busiest to mean 1.56), and what is heard of other instances is older than most requests last, so that choices by it go to and fro. Change: the load of others is their average over two seconds with a part of the last word; an object moves to its second choice where that is emptier on average, one object after the other.

--- a/crates/apricotlug-policy/src/steer/choose.rs
+++ b/crates/apricotlug-policy/src/steer/choose.rs
@@ -104,6 +104,22 @@
     pub own_place: usize,
 }
 
+impl Wanted<'_> {
+    /// Tells whether instances are so many that each one sees little of the load.
+    fn is_wide(&self) -> bool {
+        self.instances > WIDE_FROM
+    }
+
+    /// Returns the requests that are taken to run and wait at a backend server.
+    fn load(&self, entry: &Entry, now: MonoTime) -> f64 {
+        if self.is_wide() {
+            entry.expected_load(now)
+        } else {
+            entry.load(now).into()
+        }
+    }
+}
+
 /// Expected cost of a choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Cost {
@@ -144,7 +160,7 @@
         now: MonoTime,
     ) -> Result<Cost, NoPlace> {
         let time = self.times(wanted.route, target_ms);
-        if wanted.instances > WIDE_FROM
+        if wanted.is_wide()
             && let Some(choice) = self.choose_wide(wanted, time, target_ms, now)
         {
             return Ok(choice);
@@ -175,9 +191,7 @@
                 continue;
             }
             reason = NoPlace::Full;
-            let slots = f64::from(entry.backend.slots);
-            let load = f64::from(entry.load(now));
-            if load >= slots * MOST_LOAD {
+            if wanted.load(entry, now) >= f64::from(entry.backend.slots) * MOST_LOAD {
                 continue;
             }
             let (cost, choice) =
@@ -295,7 +309,7 @@
         now: MonoTime,
     ) -> (f64, Cost) {
         let slots = f64::from(entry.backend.slots);
-        let load = f64::from(entry.load(now));
+        let load = wanted.load(entry, now);
         let (warm, stray) = Self::warmth(wanted, key, entry, homes, now);
         let slowness = entry.health.slowness(now);
         let service_ms = time.mean_ms(warm) * slowness;
@@ -304,7 +318,7 @@
         let is_same_region = entry.region == wanted.region;
         let way_ms = self.way_ms(&entry.backend.data_centre, is_same_region);
         let expected_ms = way_ms + wait_ms + service_ms;
-        let is_wide = wanted.instances > WIDE_FROM;
+        let is_wide = wanted.is_wide();
         let is_first = homes.first().is_none_or(|(first, _)| *first == key);
         let astray_ms = if is_wide && !is_same_region && !is_first {
             DATA_CENTRE_MS
--- a/crates/apricotlug-policy/src/steer/entry.rs
+++ b/crates/apricotlug-policy/src/steer/entry.rs
@@ -4,11 +4,18 @@
 
 use apricotlug_model::{Backend, BackendState, HashMap, MonoTime};
 
-use super::{cold::ColdGate, gauge::Health};
+use super::{cold::ColdGate, gauge::Health, warmth::object_hash};
 
 /// Time for which a load that a backend server told counts.
 const LOAD_FRESH: Duration = Duration::from_millis(400);
 
+/// Weight of a new look in the average of what other instances send: the average goes over about
+/// two seconds.
+const MEAN_GAIN: f64 = 0.1;
+
+/// Weight of the last word of the other instances against their average.
+const HEARD_PART: f64 = 0.3;
+
 /// Most requests that run and wait at a backend server, in multiples of its slots.
 pub(super) const MOST_LOAD: f64 = 3.0;
 
@@ -35,12 +42,36 @@
     pub others: u32,
     pub(super) hash: u64,
     pub(super) told: Option<(MonoTime, u32)>,
+    /// Requests of other instances there on average, and how often that was looked at.
+    others_mean: f64,
+    looks: u32,
     /// Part of the requests for objects seen lately that met them warm.
     pub(super) known: f64,
     pub(super) sent: HashMap<u64, MonoTime>,
 }
 
 impl Entry {
+    /// Creates an entry of which nothing but its own word is known.
+    pub(super) fn new(backend: Backend, region: &str, cold_until: MonoTime) -> Self {
+        let mut cold = ColdGate::default();
+        cold.set(cold_until);
+        Self {
+            hash: object_hash(&backend.service, &backend.id),
+            backend,
+            region: region.to_owned(),
+            is_listed: true,
+            health: Health::default(),
+            cold,
+            own: 0,
+            others: 0,
+            told: None,
+            others_mean: 0.0,
+            looks: 0,
+            known: 1.0,
+            sent: HashMap::default(),
+        }
+    }
+
     /// Returns the requests that run and wait there, as far as is known.
     #[must_use]
     pub fn load(&self, now: MonoTime) -> u32 {
@@ -51,6 +82,34 @@
         }
     }
 
+    /// Returns the requests that are expected to run and wait there, where what is heard of the
+    /// other instances is older than most requests last: their average says more than the last word.
+    pub(super) fn expected_load(&self, now: MonoTime) -> f64 {
+        let heard = f64::from(self.others);
+        let others = self.others_mean + (heard - self.others_mean) * HEARD_PART;
+        let known = f64::from(self.own) + others;
+        match self.told {
+            Some((at, told)) if now.since(at) < LOAD_FRESH => {
+                let age = now.since(at).as_secs_f64() / LOAD_FRESH.as_secs_f64();
+                let told = f64::from(told).max(self.own.into());
+                known * age + told * (1.0 - age)
+            }
+            _ => known,
+        }
+    }
+
+    /// Returns the part of its slots that is in use on average.
+    pub(super) fn mean_use(&self) -> f64 {
+        (f64::from(self.own) + self.others_mean) / f64::from(self.backend.slots.max(1))
+    }
+
+    /// Takes up what is heard of the other instances into their average.
+    pub(super) fn look(&mut self) {
+        self.looks = self.looks.saturating_add(1);
+        let gain = MEAN_GAIN.max(1.0 / f64::from(self.looks));
+        self.others_mean += (f64::from(self.others) - self.others_mean) * gain;
+    }
+
     /// Takes up the load that it told.
     pub fn on_load(&mut self, now: MonoTime, running: u32, waiting: u32) {
         self.told = Some((now, (running + waiting).saturating_sub(1)));
--- a/crates/apricotlug-policy/src/steer/fleet.rs
+++ b/crates/apricotlug-policy/src/steer/fleet.rs
@@ -9,12 +9,10 @@
 
 use super::{
     choose::{Cost, Wanted},
-    cold::ColdGate,
     entry::{BackendKey, Ended, Entry},
-    gauge::{Health, ServiceTime, TIME_GAIN},
+    gauge::{ServiceTime, TIME_GAIN},
     ranks::Ranks,
     regions::RegionSplit,
-    warmth::object_hash,
 };
 
 /// Weight of a new observation of whether a backend server still knew an object.
@@ -23,9 +21,9 @@
 /// All backend servers.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
-    entries: Vec<Entry>,
+    pub(super) entries: Vec<Entry>,
     ids: HashMap<String, BackendKey>,
-    services: HashMap<String, Vec<BackendKey>>,
+    pub(super) services: HashMap<String, Vec<BackendKey>>,
     times: HashMap<String, ServiceTime>,
     pub(super) busy: HashMap<String, f64>,
     ways: HashMap<String, f64>,
@@ -99,8 +97,6 @@
             self.remove_key(key);
         }
         let key = BackendKey(self.entries.len() as u32);
-        let mut cold = ColdGate::default();
-        cold.set(cold_until);
         self.ids.insert(backend.id.clone(), key);
         self.ranks.remove(&backend.service);
         self.places
@@ -111,19 +107,7 @@
             .entry(backend.service.clone())
             .or_default()
             .push(key);
-        self.entries.push(Entry {
-            hash: object_hash(&backend.service, &backend.id),
-            backend,
-            region: region.to_owned(),
-            is_listed: true,
-            health: Health::default(),
-            cold,
-            own: 0,
-            others: 0,
-            told: None,
-            known: 1.0,
-            sent: HashMap::default(),
-        });
+        self.entries.push(Entry::new(backend, region, cold_until));
         key
     }
 
--- a/crates/apricotlug-policy/src/steer/wide.rs
+++ b/crates/apricotlug-policy/src/steer/wide.rs
@@ -4,8 +4,6 @@
 //! cold. Objects with large answers have one in each data centre, so that these stay near. Homes
 //! take an even part of the load by hashing alone; load that is known moves only what would wait.
 
-use std::cmp::Reverse;
-
 use apricotlug_model::{HashMap, MonoTime};
 
 use super::{
@@ -21,6 +19,17 @@
 /// Chance that an object is warm at its home in a data centre.
 const WARM_HOME: f64 = 0.8;
 
+/// Chance that an object is warm where it goes when its home is crowded.
+const WARM_SECOND: f64 = 0.3;
+
+/// How much fuller than its second choice an object's first one is, in parts of its slots, before
+/// the first objects move, and how much more until all have moved.
+const MOVE_FROM: f64 = 0.15;
+const MOVE_SPAN: f64 = 0.6;
+
+/// Salt of the draw that gives an object its place in that order.
+const MOVE_SALT: u64 = 0x5eed_0f7e_9107_0002;
+
 /// Wait, in parts of the route's target, from which a request may leave its region.
 const SPILL_WAIT: f64 = 0.3;
 
@@ -54,7 +63,7 @@
         let split = self.splits.get_mut(wanted.service)?;
         split.on_request();
         let may_spill = split.may_spill();
-        let draw = rank_weight(REGION_SALT, object) as f64 / u64::MAX as f64;
+        let draw = spread(object, REGION_SALT);
         let region = split.region_of(draw).unwrap_or(wanted.region).to_owned();
         let homes = self.wide_homes(wanted, &ranking, &order, &region, now);
         let scarcity = self.known_scarcity(wanted.service);
@@ -107,36 +116,52 @@
         region: &str,
         now: MonoTime,
     ) -> Vec<(BackendKey, f64)> {
-        let mut homes: Vec<(BackendKey, f64)> = Vec::new();
-        let mut last = "";
-        for key in order {
+        let open = order.iter().copied().filter(|key| {
             let entry = self.entry(*key);
-            let place = ranking.place.of(entry);
             let is_open = !wanted.evacuated.contains(&entry.backend.data_centre);
-            if place == last || !is_open || !entry.takes_requests(now) {
-                continue;
-            }
-            last = place;
-            homes.push((*key, WARM_HOME));
-        }
-        // The nearest home comes first; far away, the one that ranks highest.
+            is_open && entry.takes_requests(now)
+        });
+        let open: Vec<_> = open.collect();
+        let places = open.chunk_by(|one, other| {
+            ranking.place.of(self.entry(*one)) == ranking.place.of(self.entry(*other))
+        });
+        let homes = places.flat_map(|place| self.homes_of(ranking.object, place));
+        let mut homes: Vec<(BackendKey, f64)> = homes.collect();
+        // The home in the region of the object comes first, the nearest one of large answers.
         let is_far = region != wanted.region;
-        let weight = |key: BackendKey| rank_weight(self.entry(key).hash, ranking.object);
         homes.sort_by_key(|(key, _)| {
             let entry = self.entry(*key);
             let is_other = entry.region != region;
             let is_distant = !is_far && entry.backend.data_centre != wanted.data_centre;
-            (is_other, is_distant, Reverse(weight(*key)))
+            (is_other, is_distant)
         });
         homes
     }
 
+    /// Returns the home of an object in a place and the one that stands in for it. An object moves
+    /// from a first choice that is fuller than the second on average; how much fuller differs from
+    /// object to object, so that they move one by one until both are alike.
+    fn homes_of(&self, object: u64, place: &[BackendKey]) -> [(BackendKey, f64); 2] {
+        let first = place[0];
+        let second = *place.get(1).unwrap_or(&first);
+        let margin = MOVE_FROM + spread(object, MOVE_SALT) * MOVE_SPAN;
+        let more = self.entry(first).mean_use() - self.entry(second).mean_use();
+        if more > margin {
+            [(second, WARM_HOME), (first, WARM_SECOND)]
+        } else {
+            [(first, WARM_HOME), (second, WARM_SECOND)]
+        }
+    }
+
     /// Looks at the load of all regions where that is due.
     fn look(&mut self, wanted: &Wanted<'_>, now: MonoTime) {
         let split = self.splits.get(wanted.service);
         if split.is_some_and(|split| !split.is_due(now)) {
             return;
         }
+        for key in self.services.get(wanted.service).into_iter().flatten() {
+            self.entries[key.0 as usize].look();
+        }
         let loads = self.region_loads(wanted, now);
         let split = self.splits.entry(wanted.service.to_owned()).or_default();
         split.look(wanted.region, &loads, now);
@@ -176,3 +201,8 @@
             .map_or(0.0, |split| scarcity(split.used()))
     }
 }
+
+/// Returns a draw between 0 and 1 that is the same for an object everywhere.
+fn spread(object: u64, salt: u64) -> f64 {
+    rank_weight(salt, object) as f64 / u64::MAX as f64
+}
