A second attempt without budget gives its slot back

Cause: the slot of a second backend server was taken before the retry budget was asked, and never given back where there was none: backend servers that held two requests counted as full (load 6.7 known, 1.9 true), so that requests were refused as crowded. Change: the slot is a value that is freed when dropped, from its choice on.

--- a/crates/apricotlug-steer/src/run.rs
+++ b/crates/apricotlug-steer/src/run.rs
@@ -115,11 +115,9 @@
     why: &'static str,
 }
 
-struct Placed {
-    choice: Cost,
+struct Placed<'a> {
+    permit: Permit<'a>,
     target: Target,
-    version: String,
-    slow_ms: f64,
     load: u32,
 }
 
@@ -179,30 +177,23 @@
     shared: &'a Arc<Shared>,
     job: &'a Job,
     sending: Sending<'a>,
-    placed: Placed,
+    placed: Placed<'a>,
     tried: &mut Tried,
     flights: &mut FuturesUnordered<BoxFuture<'a, Landed>>,
 ) -> MonoTime {
-    tried.keys.push(placed.choice.key);
+    tried.keys.push(placed.permit.choice.key);
     tried.sent += 1;
     tried.last.clone_from(&placed.target.id);
-    let expected = placed.choice.expected_ms;
+    let expected = placed.permit.choice.expected_ms;
     let hedge_ms = (expected * HEDGE_FACTOR).max(expected + HEDGE_LEAST_MS);
     let started_at = shared.clock.now();
     flights.push(fly(shared, job, sending, placed).boxed());
     started_at.after(Duration::from_secs_f64(hedge_ms / 1_000.0))
 }
 
-async fn fly(shared: &Arc<Shared>, job: &Job, sending: Sending<'_>, placed: Placed) -> Landed {
-    let mut permit = Permit {
-        shared,
-        job,
-        choice: placed.choice,
-        version: placed.version.clone(),
-        started_at: shared.clock.now(),
-        slow_ms: placed.slow_ms,
-        ended: None,
-    };
+async fn fly(shared: &Arc<Shared>, job: &Job, sending: Sending<'_>, placed: Placed<'_>) -> Landed {
+    let mut permit = placed.permit;
+    let choice = permit.choice;
     let result = attempt(shared, sending, &placed.target).await;
     let ms = permit.ms();
     let is_slow = permit.is_slow();
@@ -213,8 +204,8 @@
         backend = placed.target.id,
         data_centre = placed.target.data_centre,
         load = placed.load,
-        warm = placed.choice.warm,
-        expected_ms = placed.choice.expected_ms as u64,
+        warm = choice.warm,
+        expected_ms = choice.expected_ms as u64,
         ms = ms as u64
     );
     permit.ended = Some(match &result {
@@ -225,11 +216,11 @@
         Err(Failed::Unknown(_)) => Ended::Failed,
     });
     if let Ok(answer) = &result {
-        learn(shared, placed.choice.key, answer, shared.clock.now());
+        learn(shared, choice.key, answer, shared.clock.now());
     }
     Landed {
         target: placed.target,
-        version: placed.version,
+        version: permit.version.clone(),
         result,
         ms,
         is_slow,
@@ -343,7 +334,8 @@
     }
 }
 
-fn place(shared: &Shared, job: &Job, tried: &Tried) -> Result<Placed, Refusal> {
+/// Chooses a backend server and takes a slot there, which is free again when the result is dropped.
+fn place<'a>(shared: &'a Shared, job: &'a Job, tried: &Tried) -> Result<Placed<'a>, Refusal> {
     let settings = shared.settings();
     let now = shared.clock.now();
     let mut guard = shared.gate();
@@ -400,10 +392,16 @@
         gate.fleet.on_send(&wanted, choice.key, now);
         let entry = gate.fleet.entry(choice.key);
         return Ok(Placed {
-            choice,
+            permit: Permit {
+                shared,
+                job,
+                choice,
+                version: entry.backend.version.clone(),
+                started_at: now,
+                slow_ms: choice.slow_ms.max(route.target_ms.into()),
+                ended: None,
+            },
             load: entry.load(now),
-            version: entry.backend.version.clone(),
-            slow_ms: choice.slow_ms.max(route.target_ms.into()),
             target: Target {
                 key: choice.key,
                 id: entry.backend.id.clone(),
