Callers are sent to the instances that can carry them

Cause: 52 of 64 machines of the grown site have a link of 10 Mbit/s and a tenth of a core; a large answer takes 72 ms in and out of each, and load known to one of 64 instances is a small part of all. Change: look-ups name the instances whose links are about as wide as the widest of the region, the others stand by; bounds on retries and cold starts are split among those that carry traffic. Where all links are alike all are named, as before.

--- a/crates/apricotlug-policy/src/steer/choose.rs
+++ b/crates/apricotlug-policy/src/steer/choose.rs
@@ -69,10 +69,6 @@
 /// The same of a large answer.
 const DATA_CENTRE_LARGE_MS: f64 = 120.0;
 
-/// Instances above which each one chooses among the homes of an object only: what it sees of the
-/// load is a small part of all, and what it hears of the rest is old.
-const WIDE_FROM: usize = 16;
-
 /// What a request needs of a backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct Wanted<'a> {
@@ -102,17 +98,15 @@
     pub instances: usize,
     /// Place of this instance among all.
     pub own_place: usize,
+    /// Whether instances are so many that what each one sees of the load is a small part of it, and
+    /// what it hears of the rest is old: it then chooses among the homes of the object only.
+    pub is_wide: bool,
 }
 
 impl Wanted<'_> {
-    /// Tells whether instances are so many that each one sees little of the load.
-    fn is_wide(&self) -> bool {
-        self.instances > WIDE_FROM
-    }
-
     /// Returns the requests that are taken to run and wait at a backend server.
     fn load(&self, entry: &Entry, now: MonoTime) -> f64 {
-        if self.is_wide() {
+        if self.is_wide {
             entry.expected_load(now)
         } else {
             entry.load(now).into()
@@ -160,7 +154,7 @@
         now: MonoTime,
     ) -> Result<Cost, NoPlace> {
         let time = self.times(wanted.route, target_ms);
-        if wanted.is_wide()
+        if wanted.is_wide
             && let Some(choice) = self.choose_wide(wanted, time, target_ms, now)
         {
             return Ok(choice);
@@ -318,16 +312,15 @@
         let is_same_region = entry.region == wanted.region;
         let way_ms = self.way_ms(&entry.backend.data_centre, is_same_region);
         let expected_ms = way_ms + wait_ms + service_ms;
-        let is_wide = wanted.is_wide();
         let is_first = homes.first().is_none_or(|(first, _)| *first == key);
-        let astray_ms = if is_wide && !is_same_region && !is_first {
+        let astray_ms = if wanted.is_wide && !is_same_region && !is_first {
             DATA_CENTRE_MS
         } else {
             0.0
         };
         let far_ms = far_ms(wanted, entry) + astray_ms;
         let stray_ms = (time.cold_ms - time.warm_ms) * (stray + 1.0 - warm) * scarcity;
-        let pressure_ms = fullness(load, slots, is_wide) * PRESSURE * busy_ms;
+        let pressure_ms = fullness(load, slots, wanted.is_wide) * PRESSURE * busy_ms;
         let fail_ms = entry.health.fail(now) * FAIL_MS;
         let cost = expected_ms + far_ms + stray_ms + pressure_ms + fail_ms;
         let is_seen = warm >= WARM_SEEN * entry.known && wanted.object.is_some();
--- a/crates/apricotlug-policy/tests/steer_fleet.rs
+++ b/crates/apricotlug-policy/tests/steer_fleet.rs
@@ -53,6 +53,7 @@
         cold_rate: 0.0,
         instances: 3,
         own_place: 0,
+        is_wide: false,
     }
 }
 
--- a/crates/apricotlug-steer/src/gate.rs
+++ b/crates/apricotlug-steer/src/gate.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     moves::{KEPT, Moves},
-    peers::{Hubs, Peers},
+    peers::{Carriers, Hubs, Peers},
     wire::{Ask, Busy, Proof, Pulse, Spent, Told},
 };
 
@@ -44,6 +44,7 @@
     /// Run that tells this instance what all others do, and when it did last.
     relay: Option<(u64, MonoTime)>,
     hubs: Hubs,
+    carriers: Carriers,
     accounts: HashMap<u64, String>,
     busy: HashMap<u64, Vec<Busy>>,
     hashes: HashMap<u64, BackendKey>,
@@ -73,6 +74,7 @@
             asking: HashMap::default(),
             relay: None,
             hubs: Hubs::default(),
+            carriers: Carriers::default(),
             accounts: HashMap::default(),
             busy: HashMap::default(),
             hashes: HashMap::default(),
@@ -104,13 +106,14 @@
 
     /// Takes one retry of a service out of its budget, if there is one.
     pub fn take_again(&mut self, service: &str, now: MonoTime) -> bool {
-        let instances = self.peers.count();
+        let instances = self.carriers.count;
         self.again(service).take(now, instances)
     }
 
     /// Starts a span between two datagrams.
     pub fn tick(&mut self, settings: &SiteSettings, now: MonoTime) {
         self.hubs = self.peers.hubs(settings, now);
+        self.carriers = self.peers.carriers(settings);
         self.drop_silent(now);
         let instances = self.peers.count();
         let is_told = self
@@ -176,6 +179,12 @@
         &self.hubs
     }
 
+    /// Returns the instances that carry the traffic.
+    #[must_use]
+    pub fn carriers(&self) -> Carriers {
+        self.carriers
+    }
+
     /// Takes up what an instance that asks tells of itself.
     pub fn on_ask(&mut self, ask: &Ask, now: MonoTime) {
         // Where all talk to all, its datagrams tell the same.
--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -33,7 +33,7 @@
 
 pub use instance::{Instance, StartError};
 pub use news::News;
-pub use peers::{Hubs, Member, MemberInfo, Peers};
+pub use peers::{Carriers, Hubs, Member, MemberInfo, Peers};
 pub use relay::{Log, Unseen};
 pub use wire::{
     Ask, Busy, Proof, Pulse, Spent, Told, WireError, decode, decode_ask, decode_told, encode,
--- a/crates/apricotlug-steer/src/pages.rs
+++ b/crates/apricotlug-steer/src/pages.rs
@@ -7,7 +7,7 @@
 use async_std::net::TcpListener;
 use tide::{Body, Response, StatusCode};
 
-use crate::shared::Shared;
+use crate::{peers::CARRIER_PART, shared::Shared};
 
 /// Time for which a look-up's answer is good, unless the installation sets a shorter one.
 const GOOD_FOR: Duration = Duration::from_millis(2_000);
@@ -90,37 +90,61 @@
     res
 }
 
-/// Returns the instances for a caller: those of its data centre, else those of its region, else
-/// all. Callers of a route with homes stay in their own region too: they are served from there.
+/// Instance that a caller may be sent to.
+struct Live {
+    data_centre: String,
+    caller: SocketAddr,
+    link_mbps: u32,
+}
+
+/// Returns the instances for a caller: those of its data centre that carry traffic, else those of
+/// its region, else all. Callers of a route with homes stay in their own region too: they are
+/// served from there.
 fn addresses(shared: &Shared, asker: &Asker) -> Vec<SocketAddr> {
     let settings = shared.settings();
     let now = shared.clock.now();
-    let mut live: Vec<(String, SocketAddr)> = Vec::new();
+    let mut live: Vec<Live> = Vec::new();
     {
         let gate = shared.gate();
         let members = gate.peers.live(now);
-        live.extend(members.map(|(_, m)| (m.info.data_centre.clone(), m.info.caller)));
+        live.extend(members.map(|(_, member)| Live {
+            data_centre: member.info.data_centre.clone(),
+            caller: member.info.caller,
+            link_mbps: member.info.link_mbps,
+        }));
     }
     if !shared.drain.is_leaving() || live.is_empty() {
-        live.push((settings.data_centre.clone(), settings.listen.caller));
+        live.push(Live {
+            data_centre: settings.data_centre.clone(),
+            caller: settings.listen.caller,
+            link_mbps: settings.link_mbps as u32,
+        });
     }
-    let near = pick(&live, |data_centre| data_centre == asker.data_centre);
-    let region = pick(&live, |data_centre| {
-        settings.region_of(data_centre) == asker.region
+    let is_regional = |one: &Live| settings.region_of(&one.data_centre) == asker.region;
+    let near = pick(&live, is_regional, |one| {
+        one.data_centre == asker.data_centre
     });
+    let region = pick(&live, is_regional, is_regional);
     let mut picked = match (near.len(), region.len()) {
         (FEWEST_NEAR.., _) => near,
         (_, 1..) => region,
-        _ => pick(&live, |_| true),
+        _ => pick(&live, |_| true, |_| true),
     };
     picked.sort();
     picked.truncate(MOST_ADDRESSES);
     picked
 }
 
-fn pick(live: &[(String, SocketAddr)], is_wanted: impl Fn(&str) -> bool) -> Vec<SocketAddr> {
+/// Returns the wanted ones whose links are about as wide as the widest one among all to compare.
+fn pick(
+    live: &[Live],
+    is_compared: impl Fn(&Live) -> bool,
+    is_wanted: impl Fn(&Live) -> bool,
+) -> Vec<SocketAddr> {
+    let compared = live.iter().filter(|one| is_compared(one));
+    let widest = compared.map(|one| one.link_mbps).max().unwrap_or_default();
     let wanted = live
         .iter()
-        .filter(|(data_centre, _)| is_wanted(data_centre));
-    wanted.map(|(_, addr)| *addr).collect()
+        .filter(|one| is_wanted(one) && one.link_mbps.saturating_mul(CARRIER_PART) >= widest);
+    wanted.map(|one| one.caller).collect()
 }
--- a/crates/apricotlug-steer/src/peers.rs
+++ b/crates/apricotlug-steer/src/peers.rs
@@ -18,6 +18,10 @@
 /// Instances above which a few in each region tell the others.
 const RELAY_FROM: usize = 16;
 
+/// Multiple of an instance's link that the widest one of its region may have while it still carries
+/// traffic.
+pub(crate) const CARRIER_PART: u32 = 2;
+
 /// Instances of a region that tell the others.
 const HUBS: usize = 2;
 
@@ -34,6 +38,15 @@
     pub all: Vec<SocketAddr>,
 }
 
+/// Instances that carry the traffic, among which bounds on it are split.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Carriers {
+    /// How many there are.
+    pub count: usize,
+    /// Place of this instance among them in the order of names; behind all where it is none.
+    pub own_place: usize,
+}
+
 /// What an instance tells of itself in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberInfo {
@@ -173,10 +186,37 @@
         unheard.count()
     }
 
-    /// Returns the place of a name among all instances, in the order of names.
+    /// Returns the instances that carry the traffic: in each region those whose links are about as
+    /// wide as the widest one. All are taken that may be at work, and this one itself.
     #[must_use]
-    pub fn place_of(&self, own: &str) -> usize {
-        self.0.keys().filter(|name| name.as_str() < own).count()
+    pub fn carriers(&self, settings: &SiteSettings) -> Carriers {
+        let width = settings.link_mbps as u32;
+        let mut widest: HashMap<&str, u32> = HashMap::default();
+        widest.insert(settings.region(), width);
+        for member in self.0.values() {
+            let region = settings.region_of(&member.info.data_centre);
+            let most = widest.entry(region).or_default();
+            *most = member.info.link_mbps.max(*most);
+        }
+        let carries = |region: &str, width: u32| {
+            let most = widest.get(region).copied().unwrap_or_default();
+            width.saturating_mul(CARRIER_PART) >= most
+        };
+        let others = self.iter().filter(|(_, member)| {
+            let region = settings.region_of(&member.info.data_centre);
+            carries(region, member.info.link_mbps)
+        });
+        let names: Vec<_> = others.map(|(name, _)| name).collect();
+        let own = settings.instance.as_str();
+        let is_own = carries(settings.region(), width);
+        Carriers {
+            count: names.len() + usize::from(is_own),
+            own_place: if is_own {
+                names.iter().filter(|name| **name < own).count()
+            } else {
+                names.len()
+            },
+        }
     }
 
     /// Returns the number of live instances before a name, in the order of names.
--- a/crates/apricotlug-steer/src/run.rs
+++ b/crates/apricotlug-steer/src/run.rs
@@ -365,8 +365,9 @@
             versions: target.map(|target| (target, is_target)),
             tried: &tried.keys,
             cold_rate: service.map_or(0.0, |service| service.cold_rate),
-            instances: gate.peers.count(),
-            own_place: gate.peers.place_of(&settings.instance),
+            instances: gate.carriers().count,
+            own_place: gate.carriers().own_place,
+            is_wide: gate.hubs().is_needed,
         };
         let chosen = gate.fleet.choose(&wanted, route.target_ms, now);
         if chosen.is_err() && std::mem::take(&mut may_fall_back) {
