--- a/crates/apricotlug-steer/tests/shared.rs
+++ b/crates/apricotlug-steer/tests/shared.rs
@@ -6,8 +6,8 @@
 use apricotlug_config::{SiteSettings, parse_site};
 use apricotlug_model::MonoTime;
 use apricotlug_steer::{
-    Ask, Busy, Hubs, Log, MemberInfo, Peers, Proof, Pulse, Spent, Told, Unseen, decode, decode_ask,
-    decode_told, encode, encode_ask, encode_told,
+    Ask, Busy, Carriers, Hubs, Log, MemberInfo, Peers, Proof, Pulse, Spent, Told, Unseen, decode,
+    decode_ask, decode_told, encode, encode_ask, encode_told,
 };
 
 const SETTINGS: &str = include_str!("../../../examples/steer.toml");
@@ -213,3 +213,41 @@
     let wide: Vec<_> = [14, 18].map(|run| info(run, "brest-a").peer).into();
     assert_eq!(hubs.near, wide);
 }
+
+#[test]
+fn bounds_are_split_among_the_instances_that_carry_traffic() {
+    let mut peers = peers(20);
+    let all = peers.carriers(&settings("p-03"));
+    assert_eq!(
+        all,
+        Carriers {
+            count: 21,
+            own_place: 2
+        }
+    );
+    for run in [4, 5, 8] {
+        let data_centre = if run % 2 == 0 { "brest-a" } else { "rennes-a" };
+        let wide = MemberInfo {
+            link_mbps: 10_000,
+            ..info(run, data_centre)
+        };
+        peers.list(&format!("p-{run:02}"), wide, at(0));
+    }
+    let narrow = peers.carriers(&settings("p-99"));
+    assert_eq!(
+        narrow,
+        Carriers {
+            count: 3,
+            own_place: 3
+        }
+    );
+    let mut own = settings("p-06");
+    own.link_mbps = 10_000.0;
+    assert_eq!(
+        peers.carriers(&own),
+        Carriers {
+            count: 4,
+            own_place: 2
+        }
+    );
+}
