Why a request was not placed, dropped log lines, idle instances ask less

Cause: a refusal as crowded named no inputs; nothing told how many log lines found no room; 52 standing-by instances asked their relay every 400 ms, and many starts woke each other's watches. Change: line not_placed and the words of 'apricotlug why' for it; counter and line log_lines_dropped; waits of 1 s and 300 ms. Nine tenths of the retry ratio are used, which is counted where requests come in.

--- a/crates/apricotlug-edge/src/metrics.rs
+++ b/crates/apricotlug-edge/src/metrics.rs
@@ -50,6 +50,7 @@
     requests: Counter<u64>,
     attempts: Counter<u64>,
     lookups: Counter<u64>,
+    log_lines_dropped: Counter<u64>,
     latency: Histogram<f64>,
 }
 
@@ -70,6 +71,7 @@
             requests: meter.u64_counter("apricotlug_requests").build(),
             attempts: meter.u64_counter("apricotlug_attempts").build(),
             lookups: meter.u64_counter("apricotlug_lookups").build(),
+            log_lines_dropped: meter.u64_counter("apricotlug_log_lines_dropped").build(),
             latency: meter
                 .f64_histogram("apricotlug_latency_seconds")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
@@ -101,6 +103,11 @@
         self.lookups.add(1, &[]);
     }
 
+    /// Counts log lines that found no room in the queue.
+    pub fn on_log_lines_dropped(&self, lines: u64) {
+        self.log_lines_dropped.add(lines, &[]);
+    }
+
     /// Renders all instruments as text, one line a value.
     #[must_use]
     pub fn page(&self) -> String {
--- a/crates/apricotlug-policy/src/steer/again.rs
+++ b/crates/apricotlug-policy/src/steer/again.rs
@@ -7,8 +7,12 @@
 /// Buckets into which the window is cut.
 const BUCKETS: u32 = 20;
 
-/// Part of the allowed ratio and slack that is used; the rest covers instances that join.
-const USED_PART: f64 = 0.75;
+/// Part of the allowed ratio that is used; the rest covers requests that are counted late. The ratio
+/// is of the requests that came in here, so the sum over all instances keeps it.
+const USED_RATIO: f64 = 0.9;
+
+/// Part of the allowed slack that is used; the rest covers instances that join.
+const USED_SLACK: f64 = 0.75;
 
 /// Bound on retries of one service at one instance.
 #[derive(Clone, Debug)]
@@ -43,7 +47,7 @@
         let requests: u32 = self.buckets.iter().map(|(_, requests, _)| requests).sum();
         let again: u32 = self.buckets.iter().map(|(_, _, again)| again).sum();
         let slack = self.slack / instances.max(1) as f64;
-        let allowed = (f64::from(requests) * self.ratio + slack) * USED_PART;
+        let allowed = f64::from(requests) * self.ratio * USED_RATIO + slack * USED_SLACK;
         if f64::from(again) + 1.0 > allowed {
             return false;
         }
--- a/crates/apricotlug-steer/src/follow.rs
+++ b/crates/apricotlug-steer/src/follow.rs
@@ -25,6 +25,13 @@
 /// Pause after an answer, so that changes that come together are taken up together.
 const GATHER: Duration = Duration::from_millis(60);
 
+/// The same while the instance has just started: where many start together, each one's entry would
+/// otherwise wake all others.
+const GATHER_FIRST: Duration = Duration::from_millis(300);
+
+/// Time from the first listing for which that holds.
+const SETTLE: Duration = Duration::from_secs(3);
+
 /// Wait of a watch on a store that was away.
 const NO_WAIT: Duration = Duration::from_millis(1);
 
@@ -35,6 +42,9 @@
 /// Time that a question to a relay waits for changes: with each one goes what was admitted here.
 const RELAY_WAIT: Duration = Duration::from_millis(400);
 
+/// The same of an instance that carries no traffic: it has nothing to tell, and changes end the wait.
+const RELAY_WAIT_IDLE: Duration = Duration::from_millis(1_000);
+
 /// Age of a relay's news from which the store is asked instead. News is as old as the question that
 /// proved it, so a relay whose watch waits to its end tells news of two waits: only one that lost an
 /// answer is older.
@@ -75,11 +85,15 @@
         is_lost: false,
     };
     let mut pause = FIRST_PAUSE;
+    let mut settled_at = None;
     loop {
         match source.step(&shared, &lapsed).await {
             Ok(()) => {
                 pause = FIRST_PAUSE;
-                task::sleep(GATHER).await;
+                let now = shared.clock.now();
+                let settled_at = *settled_at.get_or_insert(now.after(SETTLE));
+                let is_settled = settled_at.is_past(now);
+                task::sleep(if is_settled { GATHER } else { GATHER_FIRST }).await;
             }
             Err(e) => {
                 source.on_failure(&e, shared.clock.now());
@@ -147,7 +161,13 @@
         after: u64,
     ) -> io::Result<()> {
         let asked_at = News::clock_us();
-        let told = relay::ask(shared, &mut self.relay, relay, after, RELAY_WAIT).await?;
+        let is_carrier = shared.gate().carriers().is_own;
+        let wait = if is_carrier {
+            RELAY_WAIT
+        } else {
+            RELAY_WAIT_IDLE
+        };
+        let told = relay::ask(shared, &mut self.relay, relay, after, wait).await?;
         let is_relay = shared.gate().hubs().is_needed;
         if is_relay {
             shared.gate().on_told(&told, shared.clock.now());
--- a/crates/apricotlug-steer/src/gate.rs
+++ b/crates/apricotlug-steer/src/gate.rs
@@ -14,7 +14,7 @@
 };
 
 /// Silence after which a relay's word no longer stands for all others.
-const RELAY_SILENT: Duration = Duration::from_millis(1_200);
+const RELAY_SILENT: Duration = Duration::from_millis(1_800);
 
 /// Requests at a backend server from which a relay tells of them.
 const TOLD_FROM: u16 = 2;
--- a/crates/apricotlug-steer/src/instance.rs
+++ b/crates/apricotlug-steer/src/instance.rs
@@ -15,6 +15,9 @@
     apply::Lapsed, caller, follow::follow, member, moves::Due, pages, pulse, relay, shared::Shared,
 };
 
+/// Span between two looks at how many log lines were dropped.
+const TELL_DROPPED: Duration = Duration::from_secs(1);
+
 /// Span between two looks at moves, lapsed entries and idle connections.
 const KEEP: Duration = Duration::from_millis(150);
 
@@ -58,9 +61,14 @@
 impl Instance {
     /// Binds all addresses and starts all tasks.
     ///
+    /// `dropped` reads how many log lines found no room so far.
+    ///
     /// # Errors
     /// Returns which address cannot be bound.
-    pub async fn start(settings: SiteSettings) -> Result<Self, StartError> {
+    pub async fn start(
+        settings: SiteSettings,
+        dropped: impl Fn() -> u64 + Send + Sync + 'static,
+    ) -> Result<Self, StartError> {
         let listen = settings.listen;
         let callers = bind(listen.caller, "callers").await?;
         let ready = bind(listen.ready, "readiness").await?;
@@ -89,6 +97,7 @@
         ));
         task::spawn(member::keep(Arc::clone(&shared), store.clone()));
         task::spawn(keep(Arc::clone(&shared), lapsed, store));
+        task::spawn(tell_dropped(Arc::clone(&shared), dropped));
         task::spawn(pulse::send(Arc::clone(&shared), Arc::clone(&socket)));
         task::spawn(pulse::receive(Arc::clone(&shared), socket));
         task::spawn(relay::serve(Arc::clone(&shared), askers));
@@ -123,6 +132,20 @@
     }
 }
 
+/// Tells how many log lines found no room, where there are new ones.
+async fn tell_dropped(shared: Arc<Shared>, dropped: impl Fn() -> u64) {
+    let mut known = 0;
+    loop {
+        task::sleep(TELL_DROPPED).await;
+        let all = dropped();
+        if all > known {
+            shared.metrics.on_log_lines_dropped(all - known);
+            tracing::warn!(kind = "log_lines_dropped", lines = all - known, all);
+            known = all;
+        }
+    }
+}
+
 async fn bind(addr: SocketAddr, what: &'static str) -> Result<TcpListener, StartError> {
     let bound = TcpListener::bind(addr).await;
     bound.map_err(|source| StartError { addr, what, source })
--- a/crates/apricotlug-steer/src/peers.rs
+++ b/crates/apricotlug-steer/src/peers.rs
@@ -43,6 +43,8 @@
 pub struct Carriers {
     /// How many there are.
     pub count: usize,
+    /// Whether this instance is one.
+    pub is_own: bool,
     /// Place of this instance among them in the order of names; behind all where it is none.
     pub own_place: usize,
 }
@@ -211,6 +213,7 @@
         let is_own = carries(settings.region(), width);
         Carriers {
             count: names.len() + usize::from(is_own),
+            is_own,
             own_place: if is_own {
                 names.iter().filter(|name| **name < own).count()
             } else {
--- a/crates/apricotlug-steer/src/run.rs
+++ b/crates/apricotlug-steer/src/run.rs
@@ -388,6 +388,18 @@
         if let Some(why) = why {
             let draw = gate.rng.random::<f64>();
             let ms = retry_after_ms(patience, choice.expected_ms, draw);
+            tracing::info!(
+                kind = "not_placed",
+                request = job.asked.id,
+                result = why,
+                backend = gate.fleet.entry(choice.key).backend.id,
+                load = gate.fleet.entry(choice.key).load(now),
+                expected_ms = choice.expected_ms as u64,
+                wait_ms = choice.wait_ms as u64,
+                target_left_ms = patience.target_left_ms as u64,
+                left_ms = patience.left_ms as u64,
+                retry_ms = ms
+            );
             return Err(Refusal::new(503, "Service Unavailable", why).later(ms));
         }
         gate.fleet.on_send(&wanted, choice.key, now);
--- a/crates/apricotlug-steer/tests/shared.rs
+++ b/crates/apricotlug-steer/tests/shared.rs
@@ -222,6 +222,7 @@
         all,
         Carriers {
             count: 21,
+            is_own: true,
             own_place: 2
         }
     );
@@ -238,6 +239,7 @@
         narrow,
         Carriers {
             count: 3,
+            is_own: false,
             own_place: 3
         }
     );
@@ -247,6 +249,7 @@
         peers.carriers(&own),
         Carriers {
             count: 4,
+            is_own: true,
             own_place: 2
         }
     );
--- a/src/commands/steer.rs
+++ b/src/commands/steer.rs
@@ -44,9 +44,9 @@
             println!("{}: no findings", self.settings);
             return Ok(ExitCode::SUCCESS);
         }
-        let _logs = logs::start(settings.log_level);
+        let logs = logs::start(settings.log_level);
         let asked = signals::all().context("cannot watch signals")?;
-        let instance = Instance::start(settings).await?;
+        let instance = Instance::start(settings, logs.dropped()).await?;
         while asked.recv().await? == Asked::Reload {
             self.reload(&instance);
         }
--- a/src/commands/why.rs
+++ b/src/commands/why.rs
@@ -139,6 +139,40 @@
             line.number("status"),
             line.text("code")
         ),
+        "sent" => format!(
+            "sent to {} in {}, where {} requests ran or waited; the object was {} there; \
+             expected after {} ms, came after {} ms",
+            line.text("backend"),
+            line.text("data_centre"),
+            line.number("load").saturating_sub(1),
+            warmth(line.fraction("warm")),
+            line.number("expected_ms"),
+            line.number("ms"),
+        ),
+        "attempt" => format!(
+            "the attempt on {} (version {}) ended after {} ms: {}",
+            line.text("backend"),
+            line.text("version"),
+            line.number("ms"),
+            attempt(line.text("result")),
+        ),
+        "not_placed" => format!(
+            "not sent: at best {} with {} requests, answer expected after {} ms of which {} ms \
+             waiting, while {} ms were left of the target and {} ms in all; told to come back \
+             after {} ms",
+            line.text("backend"),
+            line.number("load"),
+            line.number("expected_ms"),
+            line.number("wait_ms"),
+            line.number("target_left_ms"),
+            line.number("left_ms"),
+            line.number("retry_ms"),
+        ),
+        "undelivered" => format!(
+            "the answer did not reach the caller: {}",
+            line.text("error")
+        ),
+        "request" if line.has("plan") || line.has("ms") => ended_steered(line),
         "request" => ended(line),
         kind => format!("{kind}: {}", line.to_json()),
     }
@@ -160,6 +194,63 @@
     )
 }
 
+/// Puts the end of a request on the platform into words.
+fn ended_steered(line: &Line) -> String {
+    format!(
+        "account {} on route {} under plan {}, news {} ms old: {}; status {}, {} attempts, {} ms",
+        line.text("account"),
+        line.text("route"),
+        line.number("plan"),
+        line.number("news_ms"),
+        result(line.text("result")),
+        line.number("status"),
+        line.number("attempts"),
+        line.number("ms"),
+    )
+}
+
+fn warmth(chance: f64) -> &'static str {
+    match chance {
+        _ if chance >= 0.9 => "seen lately",
+        _ if chance >= 0.5 => "at home",
+        _ => "probably not known",
+    }
+}
+
+fn result(result: &str) -> &str {
+    match result {
+        "answered" => "answered by a backend server",
+        "over_rate" => "refused, the account's rate was used up here",
+        "no_news" => "refused, no fresh news of withdrawn keys",
+        "no_plan" => "refused, no configuration is known yet",
+        "no_route" => "refused, no route fits",
+        "unknown_key" => "refused, no account has this key",
+        "crowded" => "refused unsent, its wait would have made it late",
+        "too_late" => "refused unsent, the answer would have come after its time",
+        "all_full" => "refused unsent, every backend server was full",
+        "none_there" => "refused unsent, no backend server may serve it",
+        "refused" => "refused, the backend servers turned it away unread",
+        "timeout" => "given up, the route's or the caller's time was over",
+        "caller_left" => "given up, the caller left",
+        other => other,
+    }
+}
+
+fn attempt(result: &str) -> &str {
+    match result {
+        "unreachable" => "no connection, surely not run",
+        "refused" => "turned away, surely not run",
+        "misdirected" => "another backend server has the address, surely not run",
+        "failed" => "it ran and failed",
+        "closed_unanswered" => "the connection ended without an answer, perhaps run",
+        "cut_head" | "answer_head" | "answer_body" | "framing" => {
+            "its answer was cut or unreadable, perhaps run"
+        }
+        "unsigned" => "its answer bore no signature, perhaps run",
+        other => other,
+    }
+}
+
 fn placed(reason: &str) -> &str {
     match reason {
         "Home" => "the better of two in the home data centre",
--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -39,6 +39,18 @@
         self.0.get(field).and_then(Value::as_u64).unwrap_or(0)
     }
 
+    /// Returns a number with its fraction, or 0.
+    #[must_use]
+    pub fn fraction(&self, field: &str) -> f64 {
+        self.0.get(field).and_then(Value::as_f64).unwrap_or(0.0)
+    }
+
+    /// Tells whether there is a field.
+    #[must_use]
+    pub fn has(&self, field: &str) -> bool {
+        self.0.contains_key(field)
+    }
+
     /// Tells whether a field is true.
     #[must_use]
     pub fn is(&self, field: &str) -> bool {
