Relays that change their part count nothing twice; old runs start no debt

Cause: a relay that turned into an instance that asks was counted with all it had told for others, again and to all; a run first heard after a tick counted with all it ever spent. The same held an instance back that started again among others, on small sites too. Change: a change of part starts a new count; only a run that has just begun counts from nothing; a bucket is never further below zero than one window's rate.

--- a/crates/apricotlug-policy/src/steer/quota.rs
+++ b/crates/apricotlug-policy/src/steer/quota.rs
@@ -190,8 +190,10 @@
             demand,
         };
         let seen = bucket.others.entry(from).or_insert(start);
-        // A total that goes down puts something back.
-        bucket.level -= admitted as f64 - seen.last as f64;
+        // A total that goes down puts something back. What was spent before a whole window is no
+        // reason to refuse: an account that was told too much is held back for a window at most.
+        let debt = bucket.rate * self.window_s;
+        bucket.level = (bucket.level - (admitted as f64 - seen.last as f64)).max(-debt);
         seen.last = admitted;
         seen.demand = demand;
     }
--- a/crates/apricotlug-policy/tests/steer_limits.rs
+++ b/crates/apricotlug-policy/tests/steer_limits.rs
@@ -236,3 +236,22 @@
     let gate = ColdGate::default();
     assert!(gate.may_send(at(0), 13.0, 9, 8));
 }
+
+#[test]
+fn an_account_that_was_told_too_much_is_refused_for_one_window_at_most() {
+    let mut quotas = Quotas::new(WINDOW, OVERAGE, SLACK, true);
+    quotas.set("shop", 20.0, 20.0, at(0));
+    quotas.on_report(1, "shop", 0, 1.0, true);
+    quotas.on_report(1, "shop", 1_000_000, 1.0, false);
+    let tick = Tick {
+        instances: 1,
+        silent: 0,
+        is_told: true,
+    };
+    quotas.tick(tick, at(4_000));
+    assert!(quotas.admit("shop", at(4_000)).is_err());
+    for ms in [5_500, 5_650, 5_800] {
+        quotas.tick(tick, at(ms));
+    }
+    assert!(quotas.admit("shop", at(5_900)).is_ok());
+}
--- a/crates/apricotlug-steer/src/gate.rs
+++ b/crates/apricotlug-steer/src/gate.rs
@@ -19,6 +19,9 @@
 /// Requests at a backend server from which a relay tells of them.
 const TOLD_FROM: u16 = 2;
 
+/// Datagrams of a run up to which it counts as just begun: three seconds' worth.
+const YOUNG: u64 = 20;
+
 /// Silence after which an instance no longer asks here.
 const ASKER_SILENT: Duration = Duration::from_millis(3_000);
 
@@ -192,6 +195,10 @@
             return;
         }
         let is_first = self.asking.insert(ask.run, now).is_none();
+        if is_first {
+            // As a relay it told of others too, who tell of themselves elsewhere now.
+            self.quotas.forget(ask.run, false);
+        }
         self.on_spent(ask.run, &ask.spent, is_first);
         for proof in &ask.proofs {
             self.moves.on_proof(ask.run, proof.order, proof.counts);
@@ -278,14 +285,21 @@
     /// Takes up a datagram.
     pub fn on_pulse(&mut self, pulse: Pulse, now: MonoTime) {
         let run = pulse.run;
-        let is_first = !self.busy.contains_key(&run);
         let is_news = self
             .peers
             .on_heard(&pulse.name, run, pulse.sequence, pulse.is_leaving, now);
         if !is_news {
             return;
         }
-        self.on_spent(run, &pulse.spent, is_first);
+        let was_asking = self.asking.remove(&run).is_some();
+        if was_asking {
+            // It tells all others itself from now on.
+            self.quotas.forget(run, true);
+        }
+        // All that a run spent which has just begun is news; what an older one spent before it was
+        // heard here is not known to be recent.
+        let is_old = pulse.sequence > YOUNG;
+        self.on_spent(run, &pulse.spent, is_old || was_asking);
         for Proof { order, counts } in pulse.proofs {
             self.moves.on_proof(run, order, counts);
         }
--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -31,6 +31,7 @@
 #[path = "generated/pulse_capnp.rs"]
 mod pulse_capnp;
 
+pub use gate::Gate;
 pub use instance::{Instance, StartError};
 pub use news::News;
 pub use peers::{Carriers, Hubs, Member, MemberInfo, Peers};
