Instances retry the store before they ask each other

Change: other instances stand in from the second failure in a row on. Ruled out: the watch itself (it ended at once), the store (it answered all the while).

--- a/crates/apricotlug-steer/src/follow.rs
+++ b/crates/apricotlug-steer/src/follow.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     apply::{Lapsed, apply_changes},
+    fallback::Fallback,
     news::News,
     relay,
     shared::Shared,
@@ -53,9 +54,6 @@
     .saturating_add(SLACK)
     .saturating_add(GATHER);
 
-/// Time for which other instances are asked after the store failed.
-const PEER_SPAN: Duration = Duration::from_secs(3);
-
 /// Time for which the store is asked after a relay failed.
 const RELAY_PAUSE: Duration = Duration::from_secs(3);
 
@@ -65,8 +63,7 @@
     relay: Option<(SocketAddr, TcpStream)>,
     /// Point until which relays are not asked.
     no_relay_until: MonoTime,
-    /// Point until which other instances stand in for a store that turns this one away.
-    peers_until: MonoTime,
+    fallback: Fallback,
     /// Questions asked, so that the next one goes to another instance where one fails.
     turn: usize,
     revision: Option<u64>,
@@ -79,7 +76,7 @@
         store,
         relay: None,
         no_relay_until: MonoTime::default(),
-        peers_until: MonoTime::default(),
+        fallback: Fallback::default(),
         turn: 0,
         revision: None,
         is_lost: false,
@@ -113,7 +110,7 @@
                     tracing::info!(kind = "relay_failed", %relay, error = %e);
                     self.turn += 1;
                     self.no_relay_until = shared.clock.now().after(RELAY_PAUSE);
-                    self.peers_until = MonoTime::default();
+                    self.fallback.on_peer_failed();
                 }
                 Ok(())
             }
@@ -135,7 +132,7 @@
     /// where there is one.
     fn peer_for(&self, shared: &Shared) -> Option<SocketAddr> {
         let now = shared.clock.now();
-        if self.peers_until.is_past(now) {
+        if !self.fallback.is_on(now) {
             return None;
         }
         let settings = shared.settings();
@@ -232,6 +229,7 @@
     }
 
     fn on_answer(&mut self, shared: &Shared, lapsed: &Lapsed) {
+        self.fallback.on_answer();
         if std::mem::take(&mut self.is_lost) {
             tracing::info!(kind = "dependency_regained", dependency = "store");
             lapsed.on_store_back(shared.clock.now());
@@ -247,7 +245,7 @@
             tracing::warn!(kind = "dependency_lost", dependency = "store", %error);
         }
         self.is_lost = true;
-        self.peers_until = now.after(PEER_SPAN);
+        self.fallback.on_failure(now);
     }
 }
 
--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -10,6 +10,7 @@
 mod apply;
 mod attempt;
 mod caller;
+mod fallback;
 mod follow;
 mod gate;
 mod instance;
@@ -31,6 +32,7 @@
 #[path = "generated/pulse_capnp.rs"]
 mod pulse_capnp;
 
+pub use fallback::Fallback;
 pub use gate::Gate;
 pub use instance::{Instance, StartError};
 pub use news::News;
--- a/crates/apricotlug-steer/tests/shared.rs
+++ b/crates/apricotlug-steer/tests/shared.rs
@@ -6,8 +6,8 @@
 use apricotlug_config::{SiteSettings, parse_site};
 use apricotlug_model::MonoTime;
 use apricotlug_steer::{
-    Ask, Busy, Carriers, Hubs, Log, MemberInfo, Peers, Proof, Pulse, Spent, Told, Unseen, decode,
-    decode_ask, decode_told, encode, encode_ask, encode_told,
+    Ask, Busy, Carriers, Fallback, Hubs, Log, MemberInfo, Peers, Proof, Pulse, Spent, Told, Unseen,
+    decode, decode_ask, decode_told, encode, encode_ask, encode_told,
 };
 
 const SETTINGS: &str = include_str!("../../../examples/steer.toml");
@@ -254,3 +254,17 @@
         }
     );
 }
+
+#[test]
+fn connections_to_the_store_that_end_once_are_made_again_before_others_are_asked() {
+    let mut fallback = Fallback::default();
+    fallback.on_failure(at(1_000));
+    assert!(!fallback.is_on(at(1_001)), "the store itself comes first");
+    fallback.on_answer();
+    fallback.on_failure(at(2_000));
+    assert!(!fallback.is_on(at(2_001)));
+    fallback.on_failure(at(2_100));
+    assert!(fallback.is_on(at(2_101)), "it turns this instance away");
+    fallback.on_peer_failed();
+    assert!(!fallback.is_on(at(2_200)), "others know no more");
+}
