--- /dev/null
+++ b/crates/apricotlug-policy/examples/steer_cost.rs
@@ -0,0 +1,93 @@
+//! Cost of one choice on the platform, by the number of backend servers.
+//!
+//! `cargo run --release -p apricotlug-policy --example steer_cost`
+
+use std::{
+    collections::VecDeque,
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+use apricotlug_model::{Backend, BackendState, MonoTime};
+use apricotlug_policy::steer::{Ended, Fleet, Wanted, object_hash};
+
+const SERVICE: &str = "stock";
+const REGIONS: [&str; 3] = ["east", "mid", "west"];
+const PLACES: [&str; 3] = ["a", "b", "c"];
+
+/// Objects that requests are about.
+const OBJECTS: usize = 1_000;
+
+/// Choices that are timed.
+const CHOICES: u32 = 200_000;
+
+/// Requests that are under way at once.
+const UNDER_WAY: usize = 64;
+
+fn fleet(backends: usize) -> Fleet {
+    let mut fleet = Fleet::default();
+    for i in 0..backends {
+        let region = REGIONS[i % 3];
+        let backend = Backend {
+            id: format!("backend-{i}"),
+            service: SERVICE.to_owned(),
+            addr: ([127, 0, 0, 1], 7_000).into(),
+            data_centre: format!("{region}-{}", PLACES[i / 3 % 3]),
+            version: "v1".to_owned(),
+            slots: 6,
+            state: BackendState::Ready,
+            cold_ms: 0,
+            born_ms: 1,
+        };
+        fleet.list(backend, region, MonoTime::default());
+    }
+    fleet
+}
+
+/// Returns the microseconds of a choice with its bookkeeping.
+fn cost_us(backends: usize, is_wide: bool) -> f64 {
+    let mut fleet = fleet(backends);
+    let objects: Vec<u64> = (0..OBJECTS)
+        .map(|i| object_hash(SERVICE, &i.to_string()))
+        .collect();
+    let mut under_way = VecDeque::new();
+    let started_at = Instant::now();
+    for i in 0..CHOICES {
+        let now = MonoTime::default().after(Duration::from_millis(u64::from(i) * 4));
+        let wanted = Wanted {
+            service: SERVICE,
+            route: "lookup",
+            object: Some(objects[i as usize * 31 % OBJECTS]),
+            is_large: false,
+            region: "east",
+            data_centre: "east-a",
+            homes: [&[], &[]],
+            evacuated: &[],
+            versions: None,
+            tried: &[],
+            cold_rate: 13.0,
+            instances: 12,
+            own_place: 3,
+            is_wide,
+        };
+        let Ok(choice) = black_box(fleet.choose(&wanted, 800, now)) else {
+            continue;
+        };
+        fleet.on_send(&wanted, choice.key, now);
+        under_way.push_back(choice);
+        if under_way.len() > UNDER_WAY
+            && let Some(ended) = under_way.pop_front()
+        {
+            fleet.on_end(&ended, "lookup", Ended::Answered(300.0), now);
+        }
+    }
+    started_at.elapsed().as_secs_f64() * 1e6 / f64::from(CHOICES)
+}
+
+fn main() {
+    println!("backends  small fleet, us  many instances, us");
+    for backends in [16, 40, 176, 489, 700, 1_500] {
+        let (small, wide) = (cost_us(backends, false), cost_us(backends, true));
+        println!("{backends:8}  {small:15.2}  {wide:18.2}");
+    }
+}
