A refusal over the rate names its account; why tells the last backend server

Change: a line over_rate where the account is known; why tells the last backend server. Measured: test lines_of_the_platform_are_told_in_words.

--- a/crates/apricotlug-steer/src/prepare.rs
+++ b/crates/apricotlug-steer/src/prepare.rs
@@ -105,8 +105,17 @@
     let draw = gate.rng.random::<f64>();
     let service = draw_part(route, draw).to_owned();
     if let Some(key) = account {
-        let limit = gate.quotas.admit(&plan.accounts[key].id, now);
-        limit.map_err(|ms| Refusal::new(429, "Too Many Requests", "over_rate").later(ms))?;
+        let id = &plan.accounts[key].id;
+        gate.quotas.admit(id, now).map_err(|ms| {
+            tracing::info!(
+                kind = "over_rate",
+                request = asked.id,
+                account = id,
+                route = route.id,
+                retry_ms = ms
+            );
+            Refusal::new(429, "Too Many Requests", "over_rate").later(ms)
+        })?;
     }
     gate.again(&service).on_request(now);
     let wait_ms = asked.wait_ms.unwrap_or(u64::MAX);
--- a/src/commands/why.rs
+++ b/src/commands/why.rs
@@ -168,6 +168,12 @@
             line.number("left_ms"),
             line.number("retry_ms"),
         ),
+        "over_rate" => format!(
+            "account {} on route {} had no part of its rate left here; told to come back after {} ms",
+            line.text("account"),
+            line.text("route"),
+            line.number("retry_ms"),
+        ),
         "undelivered" => format!(
             "the answer did not reach the caller: {}",
             line.text("error")
@@ -197,12 +203,17 @@
 /// Puts the end of a request on the platform into words.
 fn ended_steered(line: &Line) -> String {
     format!(
-        "account {} on route {} under plan {}, news {} ms old: {}; status {}, {} attempts, {} ms",
+        "account {} on route {} under plan {}, news {} ms old: {}; last sent to {}; status {}, \
+         {} attempts, {} ms",
         line.text("account"),
         line.text("route"),
         line.number("plan"),
         line.number("news_ms"),
         result(line.text("result")),
+        match line.text("backend") {
+            "" | "-" => "no backend server",
+            backend => backend,
+        },
         line.number("status"),
         line.number("attempts"),
         line.number("ms"),
--- a/tests/decision_logs.rs
+++ b/tests/decision_logs.rs
@@ -186,6 +186,8 @@
             json!({"timestamp": "2026-12-01T08:00:01Z", "kind": "not_placed", "request": "r",
                    "result": "crowded", "backend": "i-1", "load": 14, "expected_ms": 900,
                    "wait_ms": 420, "target_left_ms": 700, "left_ms": 1900, "retry_ms": 300}),
+            json!({"timestamp": "2026-12-01T08:00:01Z", "kind": "over_rate", "request": "r",
+                   "account": "movers", "route": "lookup", "retry_ms": 120}),
             json!({"timestamp": "2026-12-01T08:00:02Z", "kind": "sent", "request": "r",
                    "backend": "i-2", "data_centre": "brest-a", "load": 3, "warm": 0.97,
                    "expected_ms": 310, "ms": 500}),
@@ -193,6 +195,7 @@
                    "backend": "i-2", "version": "v1", "result": "closed_unanswered", "ms": 500}),
             json!({"timestamp": "2026-12-01T08:00:04Z", "kind": "request", "request": "r",
                    "route": "lookup", "account": "movers", "plan": 12, "news_ms": 700,
+                   "backend": "i-2",
                    "result": "closed_unanswered", "status": 502, "attempts": 1, "ms": 503}),
         ],
     );
@@ -200,9 +203,10 @@
     let rows: Vec<&str> = told.lines().skip(1).collect();
     let words = [
         "not sent: at best i-1 with 14 requests, answer expected after 900 ms of which 420 ms waiting",
+        "account movers on route lookup had no part of its rate left here",
         "sent to i-2 in brest-a, where 2 requests ran or waited; the object was seen lately there",
         "the attempt on i-2 (version v1) ended after 500 ms: the connection ended without an answer, perhaps run",
-        "account movers on route lookup under plan 12, news 700 ms old: closed_unanswered; status 502",
+        "account movers on route lookup under plan 12, news 700 ms old: closed_unanswered; last sent to i-2; status 502",
     ];
     assert_eq!(rows.len(), words.len(), "{told}");
     for (row, words) in rows.iter().zip(words) {
