--- a/crates/apricotlug-steer/src/instance.rs
+++ b/crates/apricotlug-steer/src/instance.rs
@@ -33,8 +33,8 @@
 const WRITE: Duration = Duration::from_millis(1_000);
 
 /// Part of the grace time for which a leaving instance goes on accepting: callers that looked up
-/// before still come.
-const OPEN_PART: f64 = 0.6;
+/// before still come. What is taken in the second half may take longer than what is left of it.
+const OPEN_PART: f64 = 0.48;
 
 /// Part of the grace time after which requests in flight are given up.
 const LEAVE_PART: f64 = 0.93;
