One way to forget a run; a look-up that nothing calls is gone

Behaviour is the same. Measured: clippy clean; tests of apricotlug-steer, steer and steer_load pass.

--- a/crates/apricotlug-steer/src/gate.rs
+++ b/crates/apricotlug-steer/src/gate.rs
@@ -156,11 +156,7 @@
         let gone = gone.filter(|(_, at)| now.since(**at) >= ASKER_SILENT);
         let gone: Vec<_> = gone.map(|(run, _)| *run).collect();
         for run in gone {
-            self.quotas.forget(run, true);
-            self.moves.forget(run, true);
-            self.set_busy(run, Vec::new());
-            self.busy.remove(&run);
-            self.asking.remove(&run);
+            self.forget(run);
         }
         if self.hubs.is_needed && !self.hubs.is_own {
             self.quotas.retain(|run| Some(run) == relay);
--- a/crates/apricotlug-steer/src/peers.rs
+++ b/crates/apricotlug-steer/src/peers.rs
@@ -128,13 +128,6 @@
         }
     }
 
-    /// Returns the names of the instances that the store listed.
-    #[must_use]
-    pub fn listed(&self) -> Vec<String> {
-        let listed = self.0.iter().filter(|(_, member)| member.is_listed);
-        listed.map(|(name, _)| name.clone()).collect()
-    }
-
     /// Notes a datagram. Returns whether it is newer than what was heard of that run.
     pub fn on_heard(
         &mut self,
