--- a/review/rig/endpoint.rs
+++ b/review/rig/endpoint.rs
@@ -3,10 +3,10 @@
 
 use std::{
     collections::BTreeMap,
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -56,6 +56,9 @@
     pub addr: SocketAddr,
     pub slots: u32,
     running: Arc<AtomicU32>,
+    /// Whether it has ended, and its channels.
+    ended: Arc<AtomicBool>,
+    channels: Arc<Mutex<Vec<TcpStream>>>,
     requests: Arc<AtomicU64>,
     runs: Runs,
     record: Record,
@@ -80,6 +83,8 @@
             addr: listener.local_addr()?,
             slots,
             running: Arc::default(),
+            ended: Arc::default(),
+            channels: Arc::default(),
             requests: Arc::default(),
             runs: Arc::clone(runs),
             record: record.clone(),
@@ -88,13 +93,29 @@
         let served = endpoint.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if served.ended.load(Ordering::SeqCst) {
+                    return;
+                }
                 let endpoint = served.clone();
+                served.channels.lock().unwrap().extend(stream.try_clone());
                 thread::spawn(move || endpoint.serve(stream));
             }
         });
         Ok(endpoint)
     }
 
+    /// Ends the endpoint: its address and all of its channels are closed.
+    pub fn end(&self) {
+        self.record.line(&format!("{} ends", self.id));
+        self.ended.store(true, Ordering::SeqCst);
+        for channel in self.channels.lock().unwrap().drain(..) {
+            // It may be closed already.
+            let _ = channel.shutdown(Shutdown::Both);
+        }
+        // Wakes the thread that accepts, which then closes the address.
+        let _ = TcpStream::connect(self.addr);
+    }
+
     /// Returns the entry that it writes to the store.
     pub fn entry(&self) -> String {
         format!(
--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -83,7 +83,9 @@
         let len = *read.as_ref().unwrap_or(&0);
         self.buf.truncate(from + len);
         if self.bytes_per_s > 0 {
-            thread::sleep(Duration::from_nanos(len as u64 * 1_000_000_000 / self.bytes_per_s));
+            thread::sleep(Duration::from_nanos(
+                len as u64 * 1_000_000_000 / self.bytes_per_s,
+            ));
         }
         read.map_err(|e| match e.kind() {
             io::ErrorKind::WouldBlock => io::ErrorKind::TimedOut.into(),
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -5,8 +5,8 @@
 mod change_log;
 mod changed_body;
 mod client;
+mod cut_watches;
 mod endpoint;
-mod evacuation;
 mod http;
 mod json;
 mod long_answer;
@@ -41,9 +41,9 @@
     let outcome = match case.as_str() {
         "changed-body" => changed_body::run(&record, trouble),
         "change-log" => change_log::run(&record, trouble),
+        "cut-watches" => cut_watches::run(&record, trouble),
         "memory" => memory::run(&record, trouble),
         "shutdown" => shutdown::run(&record, trouble),
-        "evacuation" => evacuation::run(&record, trouble),
         "long-answer" => long_answer::run(&record, trouble),
         other => Err(format!("no case {other}")),
     };
--- a/review/rig/shutdown.rs
+++ b/review/rig/shutdown.rs
@@ -33,10 +33,10 @@
 const EXCUSED_MS: u64 = 3_000;
 
 /// Clients, each with several channels and one response of the directory for all of them.
-const CLIENTS: u64 = 30;
+const CLIENTS: u64 = 50;
 const CHANNELS: u64 = 6;
 const BUDGET_MS: u64 = 12_000;
-/// Work of most orders, and of one in four; the site's largest is 6,720 ms.
+/// Work of most orders, and of one in three; the site's largest is 6,720 ms.
 const WORK_MS: u64 = 2_240;
 const LONG_WORK_MS: u64 = 6_000;
 
@@ -88,7 +88,7 @@
         zones: &ZONES,
         instances: &["brest-a", "quimper-b"],
         routes: &routes,
-        endpoints: 48,
+        endpoints: 72,
         slots: 6,
         bounds: Bounds {
             grace_s: (GRACE_MS / 1_000) as u32,
@@ -98,7 +98,7 @@
     let system = start(record, &plan, |_| {
         Arc::new(|_, head| {
             let id = head.get("request-identifier").unwrap_or_default();
-            let is_long = digest(id.as_bytes()) % 4 == 0 && !head.word(1).ends_with("first");
+            let is_long = digest(id.as_bytes()) % 3 == 0 && !head.word(1).ends_with("first");
             let work_ms = if is_long { LONG_WORK_MS } else { WORK_MS };
             Treatment {
                 work_ms,
@@ -125,7 +125,7 @@
             let (clock, directory) = (record.clone(), Arc::clone(&directory));
             clients.push(thread::spawn(move || {
                 let mut draws = Draws::new(i * CHANNELS + j);
-                thread::sleep(Duration::from_millis(100 * i + 500 * j));
+                thread::sleep(Duration::from_millis(60 * i + 500 * j));
                 while clock.ms() < END_MS {
                     let addresses = {
                         let mut directory = directory.lock().unwrap();
--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -13,6 +16,9 @@
     json::{Json, base64, unbase64},
 };
 
+/// In place of a status: the channel is closed without an answer.
+const CUT: u16 = 0;
+
 /// Items in one page.
 const PAGE: usize = 500;
 
@@ -77,6 +83,8 @@
 #[derive(Clone)]
 pub struct Store {
     pub addr: SocketAddr,
+    /// Milliseconds after which a watch that waits is cut; 0 for never.
+    pub cuts_after_ms: Arc<AtomicU64>,
     state: Arc<(Mutex<State>, Condvar)>,
 }
 
@@ -99,6 +107,7 @@
         };
         let store = Self {
             addr: listener.local_addr()?,
+            cuts_after_ms: Arc::default(),
             state: Arc::new((Mutex::new(state), Condvar::new())),
         };
         let served = store.clone();
@@ -132,6 +141,10 @@
         self.change(|state| state.put(key, value.as_bytes().to_vec(), 0));
     }
 
+    pub fn remove(&self, key: &str) {
+        self.change(|state| state.remove(key));
+    }
+
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.state.0.lock().unwrap();
         state
@@ -152,6 +165,9 @@
             // A reading call takes a few milliseconds at the users' platform.
             thread::sleep(Duration::from_millis(4));
             let (status, text) = self.answer(head.word(0), head.word(1), &body);
+            if status == CUT {
+                return;
+            }
             let answer = format!(
                 "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
                 text.len()
@@ -241,7 +257,9 @@
     }
 
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, String) {
-        let until = Instant::now() + wait;
+        let cuts_after = Duration::from_millis(self.cuts_after_ms.load(Ordering::Relaxed));
+        let is_cut = !cuts_after.is_zero() && cuts_after < wait;
+        let until = Instant::now() + if is_cut { cuts_after } else { wait };
         let mut state = self.state.0.lock().unwrap();
         loop {
             let new = state
@@ -255,6 +273,9 @@
                 })
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
+            if is_cut && events.is_empty() && left.is_zero() {
+                return (CUT, String::new());
+            }
             if !events.is_empty() || left.is_zero() {
                 let events = events.join(",");
                 return (
