--- a/review/rig/changed_body.rs
+++ b/review/rig/changed_body.rs
@@ -123,8 +123,8 @@
         if !is_same {
             let seen = sent.seen.as_ref().map_or(String::new(), |seen| seen.word());
             record.say(&format!(
-                "UNASKED: {} ran {} with a body that the client did not send ({} bytes, digest {:016x}, sent was {:016x}); the client saw: {seen}",
-                run.endpoint, run.id, run.body_bytes, run.body_digest, sent.body_digest
+                "UNASKED: {} ran {} with a body that the client did not send ({} bytes, digest {:016x}, sent was {:016x}; the head of a request within it: {:?}); the client saw: {seen}",
+                run.endpoint, run.id, run.body_bytes, run.body_digest, sent.body_digest, run.head_within
             ));
             changed += 1;
         }
--- a/review/rig/endpoint.rs
+++ b/review/rig/endpoint.rs
@@ -17,6 +17,9 @@
     record::{Record, digest},
 };
 
+/// Words of a request's head that no client puts into a body.
+const HEAD_WORDS: &[u8] = b"Expected-Instance: ";
+
 /// How an endpoint treats one request.
 #[derive(Clone, Debug, Default)]
 pub struct Treatment {
@@ -40,6 +43,8 @@
     pub endpoint: String,
     pub body_bytes: usize,
     pub body_digest: u64,
+    /// Where the body holds the head of a request, if it does.
+    pub head_within: Option<usize>,
     pub began_ms: u64,
     /// When it ended, and whether a whole answer was written.
     pub ended: Option<(u64, bool)>,
@@ -189,6 +194,9 @@
             endpoint: self.id.clone(),
             body_bytes: body.len(),
             body_digest: digest(body),
+            head_within: body
+                .windows(HEAD_WORDS.len())
+                .position(|words| words == HEAD_WORDS),
             began_ms: self.record.ms(),
             ended: None,
         };
--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -85,6 +85,8 @@
     pub addr: SocketAddr,
     /// Milliseconds after which a watch that waits is cut; 0 for never.
     pub cuts_after_ms: Arc<AtomicU64>,
+    /// Watches that were cut.
+    pub cuts: Arc<AtomicU64>,
     state: Arc<(Mutex<State>, Condvar)>,
 }
 
@@ -108,6 +110,7 @@
         let store = Self {
             addr: listener.local_addr()?,
             cuts_after_ms: Arc::default(),
+            cuts: Arc::default(),
             state: Arc::new((Mutex::new(state), Condvar::new())),
         };
         let served = store.clone();
@@ -166,6 +169,7 @@
             thread::sleep(Duration::from_millis(4));
             let (status, text) = self.answer(head.word(0), head.word(1), &body);
             if status == CUT {
+                self.cuts.fetch_add(1, Ordering::Relaxed);
                 return;
             }
             let answer = format!(
