Review: the timeout of long answers becomes case 5, case 4 judges its control too

Cause: a machine whose channels are reset is not in touch, and a cut watch may be read as one, so the case about removed endpoints passed over an excuse. And case 4 counted nothing with TROUBLE=0, so that this could not fail.

--- a/review/rig/long_answer.rs
+++ b/review/rig/long_answer.rs
@@ -11,18 +11,18 @@
 };
 
 const ZONES: [(&str, &str); 6] = [
-    ("brno-a", "morava"),
-    ("praha-a", "cechy"),
-    ("ostrava-a", "slezsko"),
-    ("brno-b", "morava"),
-    ("praha-b", "cechy"),
-    ("ostrava-b", "slezsko"),
+    ("brest-a", "finistere"),
+    ("rennes-a", "ille-vilaine"),
+    ("vannes-a", "morbihan"),
+    ("quimper-b", "finistere"),
+    ("vitre-b", "ille-vilaine"),
+    ("lorient-b", "morbihan"),
 ];
 
-const ENDPOINTS: usize = 14;
-/// Endpoints that hang: 2 of 14, less than the share of 0.15.
+const ENDPOINTS: usize = 15;
+/// Endpoints that hang: 2 of 15, less than the site's share of 0.14.
 const FAULTY: usize = 2;
-/// They hang on 2 of 5 requests: the share of 0.4.
+/// They hang on 2 of 5 requests: 0.4, less than the site's x of 0.45.
 const HANG_OF_FIVE: u64 = 2;
 /// The disruption, in milliseconds of the run: 6.5 s.
 const FROM_MS: u64 = 6_000;
@@ -37,22 +37,22 @@
 
 pub fn run(record: &Record, trouble: bool) -> Outcome {
     let routes = [Route {
-        name: "packs",
-        prefix: "/packs/",
+        name: "manifest-download",
+        prefix: "/plans/",
         kind: "download",
-        service: "soubory",
-        target_ms: 500,
+        service: "docstore",
+        target_ms: 600,
         timeout_ms: TIMEOUT_MS as u32,
     }];
     let plan = Plan {
         zones: &ZONES,
-        instances: &["brno-a", "praha-a"],
+        instances: &["brest-a", "rennes-a"],
         routes: &routes,
         endpoints: ENDPOINTS,
-        slots: 3,
+        slots: 6,
         bounds: Bounds {
             grace_s: 6,
-            retry_slack: 56,
+            retry_slack: 168,
         },
     };
     let system = start(record, &plan, |i| {
@@ -61,7 +61,7 @@
             let is_faulty = trouble && i < FAULTY && (FROM_MS..UNTIL_MS).contains(&clock.ms());
             let hangs = is_faulty && n % 5 < HANG_OF_FIVE;
             Treatment {
-                work_ms: 720,
+                work_ms: 760,
                 answer_bytes: ANSWER_BYTES,
                 silent_after: hangs.then_some(SILENT_AFTER),
                 ..Treatment::default()
@@ -77,7 +77,7 @@
                 let mut draws = Draws::new(i);
                 thread::sleep(Duration::from_millis(40 * i));
                 while clock.ms() < END_MS {
-                    client.send(to, "GET", "/packs/2f", b"");
+                    client.send(to, "GET", "/plans/2f", b"");
                     client.leave();
                     thread::sleep(Duration::from_millis(200 + draws.below(200)));
                 }
--- a/review/rig/shutdown.rs
+++ b/review/rig/shutdown.rs
@@ -179,7 +179,7 @@
         };
         // The endpoint ended the run when the channel closed under it.
         let was_at_work = run.ended.is_none_or(|(_, is_whole)| !is_whole);
-        if !trouble || !was_at_work {
+        if !was_at_work {
             continue;
         }
         if after_term <= EXCUSED_MS && sent.ended_ms >= term_ms + GRACE_MS * 5 / 6 {
@@ -193,6 +193,6 @@
         ));
         lost += 1;
     }
-    record.say(&format!("{} requests sent, {taken} to the leaving instance after its SIGTERM, {lost} lost, {excused} more that are excused", sends.len()));
+    record.say(&format!("{} requests sent, {taken} to the first instance after {term_ms} ms (its SIGTERM, where it gets one), {lost} lost, {excused} more that are excused", sends.len()));
     Ok(lost == 0)
 }
