Metric: bytes that the change log holds

Change: apricotlug_change_log_bytes counts keys and values of the items and changes that an instance holds for others, renewed at each read of /metrics. It is a new outside name.

--- a/crates/apricotlug-edge/src/metrics.rs
+++ b/crates/apricotlug-edge/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider},
+    metrics::{Counter, Gauge, Histogram, MeterProvider},
 };
 use opentelemetry_sdk::metrics::{
     InstrumentKind, ManualReader, Pipeline, SdkMeterProvider, Temporality,
@@ -52,6 +52,7 @@
     lookups: Counter<u64>,
     log_lines_dropped: Counter<u64>,
     bad_records: Counter<u64>,
+    change_log_bytes: Gauge<u64>,
     latency: Histogram<f64>,
 }
 
@@ -74,6 +75,7 @@
             lookups: meter.u64_counter("apricotlug_lookups").build(),
             log_lines_dropped: meter.u64_counter("apricotlug_log_lines_dropped").build(),
             bad_records: meter.u64_counter("apricotlug_bad_records").build(),
+            change_log_bytes: meter.u64_gauge("apricotlug_change_log_bytes").build(),
             latency: meter
                 .f64_histogram("apricotlug_latency_seconds")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
@@ -115,6 +117,11 @@
         self.bad_records.add(1, &[]);
     }
 
+    /// Records how many bytes of the store's items and changes are held for other instances.
+    pub fn set_change_log_bytes(&self, bytes: usize) {
+        self.change_log_bytes.record(bytes as u64, &[]);
+    }
+
     /// Renders all instruments in the text exposition format, one line per value.
     #[must_use]
     pub fn page(&self) -> String {
@@ -138,6 +145,12 @@
                 let _ = writeln!(page, "{name}_total{labels} {}", point.value());
             }
         }
+        AggregatedMetrics::U64(MetricData::Gauge(gauge)) => {
+            for point in gauge.data_points() {
+                let labels = labels(point.attributes(), None);
+                let _ = writeln!(page, "{name}{labels} {}", point.value());
+            }
+        }
         AggregatedMetrics::F64(MetricData::Histogram(histogram)) => {
             for point in histogram.data_points() {
                 let mut cumulative = 0;
--- a/crates/apricotlug-steer/src/http_api.rs
+++ b/crates/apricotlug-steer/src/http_api.rs
@@ -55,6 +55,8 @@
     let path = req.url().path();
     if path == METRICS_PATH {
         let mut res = Response::new(StatusCode::Ok);
+        let held_bytes = shared.change_log.held_bytes();
+        shared.metrics.set_change_log_bytes(held_bytes);
         res.set_body(shared.metrics.page());
         return res;
     }
--- a/crates/apricotlug-steer/src/relay/change_log.rs
+++ b/crates/apricotlug-steer/src/relay/change_log.rs
@@ -21,6 +21,8 @@
     complete_after: u64,
     revision: u64,
     waiters: Vec<Sender<()>>,
+    /// Bytes of keys and values in `items` and `changes`.
+    held_bytes: usize,
 }
 
 impl Inner {
@@ -32,17 +34,22 @@
         for change in changes {
             match change {
                 Change::Put(item) => {
-                    self.items.insert(item.key.clone(), item.clone());
+                    self.held_bytes += item_bytes(item);
+                    let replaced = self.items.insert(item.key.clone(), item.clone());
+                    self.held_bytes -= replaced.as_ref().map_or(0, item_bytes);
                 }
                 Change::Removed(key) => {
-                    self.items.remove(key);
+                    let removed = self.items.remove(key);
+                    self.held_bytes -= removed.as_ref().map_or(0, item_bytes);
                 }
             }
+            self.held_bytes += change_bytes(change);
             self.changes.push_back((revision, change.clone()));
         }
         while self.changes.len() > MAX_CHANGES {
-            if let Some((revision, _)) = self.changes.pop_front() {
+            if let Some((revision, change)) = self.changes.pop_front() {
                 self.complete_after = revision;
+                self.held_bytes -= change_bytes(&change);
             }
         }
         // Dropping the senders closes the channels, which wakes the waiting requests.
@@ -103,6 +110,12 @@
         self.lock().revision
     }
 
+    /// Returns the bytes of all keys and values that are held.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        self.lock().held_bytes
+    }
+
     /// Returns what changed after a revision; nothing before the first listing.
     pub fn delta_after(&self, revision: u64) -> Delta {
         let mut inner = self.lock();
@@ -135,3 +148,14 @@
         Change::Removed(key) => key,
     }
 }
+
+fn item_bytes(item: &Item) -> usize {
+    item.key.len() + item.value.len()
+}
+
+fn change_bytes(change: &Change) -> usize {
+    match change {
+        Change::Put(item) => item_bytes(item),
+        Change::Removed(key) => key.len(),
+    }
+}
