Keep the last change of each key in the change log

Cause: the change log kept the last 4,096 changes with their values, bounded by number and not by bytes. Evidence: apricotlug_change_log_bytes, read every 5 s during the case, rose to 138 MB of 172 MB resident; the rest of the process went from 18 to 34 MB. Ruled out: plans pinned by requests in flight, copies of a response while it is read (both would not grow with the number of changes). Change: the log keeps the last change of each key, so that it follows the size of the items; names of removed keys are bounded by number and bytes. It works since an instance that polls applies what is in force: intermediate values were passed over by it already where it got a listing. Failed before: a_key_that_is_written_again_and_again_is_held_once (" bytes are held" of 800000), keys_that_come_and_go_are_held_up_to_a_limit.

--- a/crates/apricotlug-steer/src/relay/change_log.rs
+++ b/crates/apricotlug-steer/src/relay/change_log.rs
@@ -1,7 +1,11 @@
 //! Copy of the store's items and recent changes, for instances that poll this one.
+//!
+//! Of each key only the last change is kept: an instance that polls needs the values that are in
+//! force, not those that were replaced meanwhile. So the memory follows the size of the store's
+//! items, however often they are written.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
@@ -9,19 +13,45 @@
 use apricotlug_model::HashMap;
 use async_channel::{Receiver, Sender};
 
-/// Number of changes that are kept. An instance whose revision is older gets all items.
-const MAX_CHANGES: usize = 4_096;
+/// Number and bytes of removed keys that are kept. An instance whose revision is older than the
+/// last removal beyond them gets all items.
+const MAX_REMOVED_KEYS: usize = 4_096;
+const MAX_REMOVED_BYTES: usize = 1 << 20;
+
+/// Position of a change in the order in which changes were recorded.
+type Position = u64;
+
+/// Last change of a key.
+#[derive(Debug)]
+struct LastChange {
+    position: Position,
+    /// Item that was written; `None` if the key was removed.
+    item: Option<Item>,
+}
+
+/// Key that changed.
+#[derive(Debug)]
+struct ChangedKey {
+    key: String,
+    /// Revision of the store's response that contained the change.
+    revision: u64,
+}
 
 #[derive(Debug, Default)]
 struct Inner {
-    items: BTreeMap<String, Item>,
-    /// Changes, each with the revision of the store's response that contained it.
-    changes: VecDeque<(u64, Change)>,
-    /// Revision after which all changes are kept.
+    /// Keys that exist, and removed ones that are kept.
+    keys: BTreeMap<String, LastChange>,
+    /// The same keys in the order of their last change.
+    order: BTreeMap<Position, ChangedKey>,
+    /// Positions of the removed ones, and their bytes.
+    removed: BTreeSet<Position>,
+    removed_bytes: usize,
+    next_position: Position,
+    /// Revision after which the last changes of all keys are kept.
     complete_after: u64,
     revision: u64,
     waiters: Vec<Sender<()>>,
-    /// Bytes of keys and values in `items` and `changes`.
+    /// Bytes of the keys and values in `keys`.
     held_bytes: usize,
 }
 
@@ -33,28 +63,70 @@
         }
         for change in changes {
             match change {
-                Change::Put(item) => {
-                    self.held_bytes += item_bytes(item);
-                    let replaced = self.items.insert(item.key.clone(), item.clone());
-                    self.held_bytes -= replaced.as_ref().map_or(0, item_bytes);
-                }
-                Change::Removed(key) => {
-                    let removed = self.items.remove(key);
-                    self.held_bytes -= removed.as_ref().map_or(0, item_bytes);
-                }
+                Change::Put(item) => self.replace(&item.key, Some(item.clone())),
+                Change::Removed(key) => self.replace(key, None),
             }
-            self.held_bytes += change_bytes(change);
-            self.changes.push_back((revision, change.clone()));
         }
-        while self.changes.len() > MAX_CHANGES {
-            if let Some((revision, change)) = self.changes.pop_front() {
-                self.complete_after = revision;
-                self.held_bytes -= change_bytes(&change);
-            }
+        while self.removed.len() > MAX_REMOVED_KEYS || self.removed_bytes > MAX_REMOVED_BYTES {
+            self.drop_oldest_removal();
         }
         // Dropping the senders closes the channels, which wakes the waiting requests.
         self.waiters.clear();
     }
+
+    /// Records the last change of a key in place of the previous one.
+    fn replace(&mut self, key: &str, item: Option<Item>) {
+        let position = self.next_position;
+        self.next_position += 1;
+        self.held_bytes += key.len() + value_len(&item);
+        if item.is_none() {
+            self.removed.insert(position);
+            self.removed_bytes += key.len();
+        }
+        let change = LastChange { position, item };
+        if let Some(previous) = self.keys.insert(key.to_owned(), change) {
+            self.order.remove(&previous.position);
+            self.held_bytes -= key.len() + value_len(&previous.item);
+            if self.removed.remove(&previous.position) {
+                self.removed_bytes -= key.len();
+            }
+        }
+        let changed = ChangedKey {
+            key: key.to_owned(),
+            revision: self.revision,
+        };
+        self.order.insert(position, changed);
+    }
+
+    fn drop_oldest_removal(&mut self) {
+        let Some(position) = self.removed.pop_first() else {
+            return;
+        };
+        if let Some(ChangedKey { key, revision }) = self.order.remove(&position) {
+            self.complete_after = self.complete_after.max(revision);
+            self.removed_bytes -= key.len();
+            self.held_bytes -= key.len();
+            self.keys.remove(&key);
+        }
+    }
+
+    /// Iterates over the items that exist, in order of keys.
+    fn items(&self) -> impl Iterator<Item = &Item> {
+        self.keys.values().filter_map(|last| last.item.as_ref())
+    }
+
+    /// Returns the changes after a revision, in the order in which they were recorded.
+    fn changes_after(&self, revision: u64) -> Vec<Change> {
+        let newest_first = self.order.values().rev();
+        let newest_first = newest_first.take_while(|changed| changed.revision > revision);
+        let newest_first = newest_first.map(|ChangedKey { key, .. }| {
+            let item = self.keys.get(key).and_then(|last| last.item.clone());
+            item.map_or_else(|| Change::Removed(key.clone()), Change::Put)
+        });
+        let mut changes: Vec<_> = newest_first.collect();
+        changes.reverse();
+        changes
+    }
 }
 
 /// Items of the store and their recent changes.
@@ -66,7 +138,7 @@
 pub enum Delta {
     /// Nothing yet; the channel closes at the next change.
     Unchanged(Receiver<()>),
-    /// Changes in the order in which they were recorded.
+    /// Last change of each key, in the order in which they were recorded.
     Changes(Vec<Change>),
     /// All items, because not all changes since the revision are kept.
     Full(Vec<Change>),
@@ -86,11 +158,12 @@
             .iter()
             .map(|item| (item.key.as_str(), item))
             .collect();
-        let removed = inner.items.keys();
+        let removed = inner.items().map(|item| &item.key);
         let removed = removed.filter(|key| !listed.contains_key(key.as_str()));
         let removed = removed.map(|key| Change::Removed(key.clone()));
         let updated = listing.items.iter().filter(|item| {
-            let held = inner.items.get(&item.key);
+            let last = inner.keys.get(&item.key);
+            let held = last.and_then(|last| last.item.as_ref());
             held.is_none_or(|held| held.revision != item.revision)
         });
         let updated = updated.map(|item| Change::Put(item.clone()));
@@ -121,20 +194,16 @@
         let mut inner = self.lock();
         let is_empty = inner.revision == 0;
         if !is_empty && (revision < inner.complete_after || revision == 0) {
-            let all = inner.items.values().cloned().map(Change::Put);
+            let all = inner.items().cloned().map(Change::Put);
             return Delta::Full(all.collect());
         }
-        let updated = inner
-            .changes
-            .iter()
-            .filter(|(changed_at, _)| *changed_at > revision);
-        let updated: Vec<_> = updated.map(|(_, change)| change.clone()).collect();
-        if updated.is_empty() {
+        let changes = inner.changes_after(revision);
+        if changes.is_empty() {
             let (tx, rx) = async_channel::bounded(1);
             inner.waiters.push(tx);
             return Delta::Unchanged(rx);
         }
-        Delta::Changes(updated)
+        Delta::Changes(changes)
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -149,13 +218,6 @@
     }
 }
 
-fn item_bytes(item: &Item) -> usize {
-    item.key.len() + item.value.len()
-}
-
-fn change_bytes(change: &Change) -> usize {
-    match change {
-        Change::Put(item) => item_bytes(item),
-        Change::Removed(key) => key.len(),
-    }
+fn value_len(item: &Option<Item>) -> usize {
+    item.as_ref().map_or(0, |item| item.value.len())
 }
--- a/crates/apricotlug-steer/tests/peers.rs
+++ b/crates/apricotlug-steer/tests/peers.rs
@@ -313,3 +313,67 @@
     assert!(listed.is_closed(), "the first listing ends the wait");
     assert!(matches!(change_log.delta_after(0), Delta::Full(all) if all.len() == 1));
 }
+
+/// Guards against a log that keeps replaced values: 19 storms of large desired states took every
+/// instance over its memory limit.
+#[test]
+fn a_key_that_is_written_again_and_again_is_held_once() {
+    const LARGE: usize = 800_000;
+    const WRITES: u64 = 100;
+    let change_log = ChangeLog::default();
+    change_log.on_listing(&Listing {
+        items: vec![item("a", 1), item("b", 2)],
+        revision: 5,
+    });
+    let large = |revision| Item {
+        value: vec![7; LARGE],
+        ..item("op/config", revision)
+    };
+    for revision in 6..6 + WRITES {
+        change_log.on_changes(&[Change::Put(large(revision))], revision);
+    }
+    assert!(
+        change_log.held_bytes() < 2 * LARGE,
+        "{} bytes are held of items with {LARGE}",
+        change_log.held_bytes()
+    );
+    let last = 5 + WRITES;
+    for after in [5, 50, last - 1] {
+        let Delta::Changes(changes) = change_log.delta_after(after) else {
+            panic!("the last change of every key is kept");
+        };
+        assert_eq!(changes, [Change::Put(large(last))], "after {after}");
+    }
+    assert!(matches!(change_log.delta_after(last), Delta::Unchanged(_)));
+}
+
+/// Guards against keys of backend servers that come and go, each under a new name.
+#[test]
+fn keys_that_come_and_go_are_held_up_to_a_limit() {
+    const KEYS: u64 = 20_000;
+    let change_log = ChangeLog::default();
+    change_log.on_listing(&Listing {
+        items: vec![item("a", 1)],
+        revision: 5,
+    });
+    let long_key = |i| format!("servers/{}{i}", "x".repeat(1_000));
+    for i in 0..KEYS {
+        let (key, revision) = (long_key(i), 6 + 2 * i);
+        change_log.on_changes(&[Change::Put(item(&key, revision))], revision);
+        change_log.on_changes(&[Change::Removed(key)], revision + 1);
+    }
+    assert!(
+        change_log.held_bytes() < 2 << 20,
+        "{} bytes are held of one item",
+        change_log.held_bytes()
+    );
+    let last = 5 + 2 * KEYS;
+    let Delta::Changes(changes) = change_log.delta_after(last - 1) else {
+        panic!("recent removals are kept");
+    };
+    assert_eq!(changes, [Change::Removed(long_key(KEYS - 1))]);
+    assert!(
+        matches!(change_log.delta_after(6), Delta::Full(all) if all == [Change::Put(item("a", 1))]),
+        "an instance that missed a dropped removal gets all items"
+    );
+}
