Leave nothing behind of a wait for a change that timed out

Change: all that wait hold receivers of one channel, which the next change closes and replaces. Failed before: a_wait_that_timed_out_leaves_nothing_behind (1000 left, 0 expected).

--- a/crates/apricotlug-steer/src/relay/change_log.rs
+++ b/crates/apricotlug-steer/src/relay/change_log.rs
@@ -37,6 +37,17 @@
     revision: u64,
 }
 
+/// Channel on which nothing is sent: closing it is the signal.
+#[derive(Debug)]
+struct NextChange(Sender<()>, Receiver<()>);
+
+impl Default for NextChange {
+    fn default() -> Self {
+        let (tx, rx) = async_channel::bounded(1);
+        Self(tx, rx)
+    }
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     /// Keys that exist, and removed ones that are kept.
@@ -50,7 +61,9 @@
     /// Revision after which the last changes of all keys are kept.
     complete_after: u64,
     revision: u64,
-    waiters: Vec<Sender<()>>,
+    /// Channel that closes at the next change. Everyone who waits holds a receiver of it, so that
+    /// nothing is left of a wait that times out.
+    next_change: NextChange,
     /// Bytes of the keys and values in `keys`.
     held_bytes: usize,
 }
@@ -70,8 +83,8 @@
         while self.removed.len() > MAX_REMOVED_KEYS || self.removed_bytes > MAX_REMOVED_BYTES {
             self.drop_oldest_removal();
         }
-        // Dropping the senders closes the channels, which wakes the waiting requests.
-        self.waiters.clear();
+        self.next_change.0.close();
+        self.next_change = NextChange::default();
     }
 
     /// Records the last change of a key in place of the previous one.
@@ -183,6 +196,14 @@
         self.lock().revision
     }
 
+    /// Returns how many instances wait for a change.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        let inner = self.lock();
+        // One receiver is the log's own.
+        inner.next_change.1.receiver_count() - 1
+    }
+
     /// Returns the bytes of all keys and values that are held.
     #[must_use]
     pub fn held_bytes(&self) -> usize {
@@ -191,7 +212,7 @@
 
     /// Returns what changed after a revision; nothing before the first listing.
     pub fn delta_after(&self, revision: u64) -> Delta {
-        let mut inner = self.lock();
+        let inner = self.lock();
         let is_empty = inner.revision == 0;
         if !is_empty && (revision < inner.complete_after || revision == 0) {
             let all = inner.items().cloned().map(Change::Put);
@@ -199,9 +220,7 @@
         }
         let changes = inner.changes_after(revision);
         if changes.is_empty() {
-            let (tx, rx) = async_channel::bounded(1);
-            inner.waiters.push(tx);
-            return Delta::Unchanged(rx);
+            return Delta::Unchanged(inner.next_change.1.clone());
         }
         Delta::Changes(changes)
     }
--- a/crates/apricotlug-steer/tests/peers.rs
+++ b/crates/apricotlug-steer/tests/peers.rs
@@ -377,3 +377,23 @@
         "an instance that missed a dropped removal gets all items"
     );
 }
+
+/// Guards against waits that ended without a change and stay until the next one, which may be hours
+/// away: dozens of instances wait anew several times a second.
+#[test]
+fn a_wait_that_timed_out_leaves_nothing_behind() {
+    let change_log = ChangeLog::default();
+    change_log.on_changes(&[Change::Put(item("a", 5))], 5);
+    for _ in 0..1_000 {
+        let delta = change_log.delta_after(5);
+        assert!(matches!(delta, Delta::Unchanged(_)));
+    }
+    assert_eq!(change_log.waiting(), 0);
+    let waits = [change_log.delta_after(5), change_log.delta_after(5)];
+    assert_eq!(change_log.waiting(), 2);
+    change_log.on_changes(&[Change::Put(item("a", 6))], 6);
+    for wait in waits {
+        assert!(matches!(wait, Delta::Unchanged(changed) if changed.is_closed()));
+    }
+    assert_eq!(change_log.waiting(), 0);
+}
