Bound by time how long a leaving instance accepts requests

An order may not be sent again. Cause: accepting ended after 0.48 of grace, a fraction that was measured at 6 s (2.88 s) and is 4.8 s here; and it was checked between two requests only, so that an order whose body came later was passed on at any time. Change: the times of a stop are decided in policy (steer/leave.rs). Requests of any length are accepted for 0.48 of grace and 2.7 s at most; later ones run only if their caller leaves before the instance ends, else they get 503 'leaving' before they take a token of their account. It works since whatever is passed on later than 3 s after the signal ends, by its caller's own time, before the process does. Failed before: an_order_that_comes_late_in_a_stop_is_answered_or_not_run ("half-sent: run true, status None").

--- a/crates/apricotlug-steer/src/admission.rs
+++ b/crates/apricotlug-steer/src/admission.rs
@@ -17,6 +17,9 @@
 /// Delay before a retry, in milliseconds, while this instance has no plan or no fresh store data.
 const NOT_READY_RETRY_MS: u64 = 250;
 
+/// Delay before a retry, in milliseconds, while this instance is leaving. Others are there already.
+const LEAVING_RETRY_MS: u64 = 50;
+
 /// Refusal of a request that was not run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -40,6 +43,11 @@
         }
     }
 
+    /// Returns the refusal of a request that this instance could not wait for, because it is leaving.
+    pub(crate) fn leaving() -> Self {
+        Self::new(503, "Service Unavailable", "leaving").with_retry_ms(LEAVING_RETRY_MS)
+    }
+
     pub(crate) fn with_retry_ms(mut self, ms: u64) -> Self {
         self.retry_ms = Some(ms);
         self
@@ -107,6 +115,13 @@
     let route = &plan.routes[route_key];
     let account = identify(shared, &plan, route, &metadata)?;
     let now = shared.clock.now();
+    let time_budget = metadata.time_budget_ms.map(Duration::from_millis);
+    let caller_leaves_at = time_budget.map_or(MonoTime::MAX, |span| arrived_at.after(span));
+    if let Some(leave) = shared.leave()
+        && !leave.accepts(now, caller_leaves_at)
+    {
+        return Err(Refusal::leaving());
+    }
     let mut steering = shared.steering();
     let draw = steering.rng.random::<f64>();
     let service = draw_service(route, draw).to_owned();
@@ -124,9 +139,8 @@
         })?;
     }
     steering.retry_budget(&service).on_request(now);
-    let time_budget_ms = metadata.time_budget_ms.unwrap_or(u64::MAX);
-    let timeout_ms = u64::from(route.timeout_ms);
-    let deadline = arrived_at.after(Duration::from_millis(time_budget_ms.min(timeout_ms)));
+    let timeout = Duration::from_millis(route.timeout_ms.into());
+    let deadline = caller_leaves_at.min(arrived_at.after(timeout));
     let waited_ms = steering
         .caller_waits
         .waited_ms(&route.id, metadata.time_budget_ms);
--- a/crates/apricotlug-steer/src/instance.rs
+++ b/crates/apricotlug-steer/src/instance.rs
@@ -35,14 +35,6 @@
 /// Time limit for writing a status.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Fraction of the grace time for which a leaving instance goes on accepting, because callers with
-/// an earlier look-up answer still connect. Requests accepted in the second half could take longer
-/// than the grace time that is left.
-const ACCEPT_FRACTION: f64 = 0.48;
-
-/// Fraction of the grace time after which requests in flight are abandoned.
-const ABANDON_FRACTION: f64 = 0.93;
-
 /// Why an instance does not start.
 #[derive(Debug, Error)]
 #[error("cannot listen on {addr} for {purpose}")]
@@ -127,22 +119,17 @@
         self.shared.set_settings(settings);
     }
 
-    /// Leaves the system: reports as leaving to callers and other instances, accepts requests for
-    /// part of the grace time, waits for those in flight, and returns how many were abandoned.
+    /// Leaves the system: reports as leaving to callers and other instances, accepts connections for
+    /// part of the grace time, waits for requests in flight, and returns how many were abandoned.
     pub async fn leave(&self) -> usize {
         let shared = &self.shared;
-        let grace = Duration::from_millis(shared.settings().bounds.grace_ms.into());
-        let leaving_since = shared.clock.now();
         tracing::info!(kind = "leave", in_flight = shared.drain.in_flight());
-        shared.drain.start();
-        task::sleep(grace.mul_f64(ACCEPT_FRACTION)).await;
+        let leave = shared.start_leaving();
+        task::sleep(shared.clock.remaining(leave.accept_until)).await;
         shared.stop_accepting();
         let abandoned = shared
             .drain
-            .wait_empty(
-                &shared.clock,
-                leaving_since.after(grace.mul_f64(ABANDON_FRACTION)),
-            )
+            .wait_empty(&shared.clock, leave.abandon_at)
             .await;
         tracing::info!(kind = "stop", given_up = abandoned);
         abandoned
--- a/crates/apricotlug-steer/src/shared.rs
+++ b/crates/apricotlug-steer/src/shared.rs
@@ -1,10 +1,14 @@
 //! State shared by the tasks of an instance.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock},
+    time::Duration,
+};
 
 use apricotlug_config::SiteSettings;
 use apricotlug_edge::{Clock, Drain, Metrics};
 use apricotlug_model::Plan;
+use apricotlug_policy::steer::Leave;
 use async_channel::{Receiver, Sender};
 
 use crate::{freshness::StoreFreshness, pool::Pool, relay::ChangeLog, steering::SteeringState};
@@ -39,6 +43,7 @@
     pub drain: Drain,
     /// Counters and histograms for the metrics endpoint.
     pub metrics: Metrics,
+    leave: OnceLock<Leave>,
     accepting: (Sender<()>, Receiver<()>),
 }
 
@@ -57,6 +62,7 @@
             pool: Pool::default(),
             drain: Drain::default(),
             metrics: Metrics::default(),
+            leave: OnceLock::new(),
             accepting: async_channel::bounded(1),
         }
     }
@@ -80,6 +86,22 @@
             .unwrap_or_else(PoisonError::into_inner) = Arc::new(settings);
     }
 
+    /// Marks the instance as leaving, and returns the times of its stop. Only the first call sets
+    /// them.
+    pub fn start_leaving(&self) -> Leave {
+        let grace = Duration::from_millis(self.settings().bounds.grace_ms.into());
+        let leave = self
+            .leave
+            .get_or_init(|| Leave::new(self.clock.now(), grace));
+        self.drain.start();
+        *leave
+    }
+
+    /// Returns the times of the stop; `None` unless the instance is leaving.
+    pub fn leave(&self) -> Option<&Leave> {
+        self.leave.get()
+    }
+
     /// Stops accepting: idle connections are closed and no new ones accepted.
     pub fn stop_accepting(&self) {
         self.accepting.0.close();
