Bound the buffered response bodies of all requests together

Callers would have seen: an instance that meets an endpoint that sends bytes without end is killed for its memory, and with it the requests of all others (report of another operator; shown here with real processes). Cause: each response had a bound (1 MiB before delivery starts), their sum had none, and the buffered part was kept until the delivery had ended. The slot is free once delivery starts, so that slots don't bound the number. Change: buffered bodies draw from one total of 16 MiB; while it is full, responses are passed on as they come. The buffered part is dropped once it is written. New metric: apricotlug_answer_buffer_bytes, a new outside name.

--- a/crates/apricotlug-edge/src/metrics.rs
+++ b/crates/apricotlug-edge/src/metrics.rs
@@ -53,6 +53,7 @@
     log_lines_dropped: Counter<u64>,
     bad_records: Counter<u64>,
     change_log_bytes: Gauge<u64>,
+    answer_buffer_bytes: Gauge<u64>,
     latency: Histogram<f64>,
 }
 
@@ -76,6 +77,7 @@
             log_lines_dropped: meter.u64_counter("apricotlug_log_lines_dropped").build(),
             bad_records: meter.u64_counter("apricotlug_bad_records").build(),
             change_log_bytes: meter.u64_gauge("apricotlug_change_log_bytes").build(),
+            answer_buffer_bytes: meter.u64_gauge("apricotlug_answer_buffer_bytes").build(),
             latency: meter
                 .f64_histogram("apricotlug_latency_seconds")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
@@ -122,6 +124,11 @@
         self.change_log_bytes.record(bytes as u64, &[]);
     }
 
+    /// Records how many bytes of response bodies are buffered.
+    pub fn set_answer_buffer_bytes(&self, bytes: usize) {
+        self.answer_buffer_bytes.record(bytes as u64, &[]);
+    }
+
     /// Renders all instruments in the text exposition format, one line per value.
     #[must_use]
     pub fn page(&self) -> String {
--- a/crates/apricotlug-steer/src/attempt.rs
+++ b/crates/apricotlug-steer/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to run a request on one backend server.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use apricotlug_adapter::{ResponseMetadata, decode_response, rewrite_request};
 use apricotlug_http::{
@@ -11,7 +11,7 @@
 use async_std::future::timeout;
 use futures_lite::future;
 
-use crate::shared::Shared;
+use crate::{body_buffer::BodyBuffer, shared::Shared};
 
 /// Limits on the time to connect within the region and to another region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -22,7 +22,8 @@
 const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_millis(3_000);
 
 /// Largest response body that is buffered in full before delivery starts, in bytes. An attempt
-/// whose response breaks off within the buffer can be retried.
+/// whose response breaks off within the buffer can be retried. Less is buffered while the buffers of
+/// all requests together are full.
 const MAX_BUFFERED_BYTES: u64 = 1 << 20;
 
 /// Largest unexpected response that is skipped, in bytes.
@@ -80,7 +81,7 @@
     /// Framing of the body as received.
     pub framing: Framing,
     /// Part of the body that was read so far; all of it if `rest` is `None`.
-    pub body: Vec<u8>,
+    pub body: BodyBuffer,
     /// Connection and reader for the rest of the body; `None` if the body is complete.
     pub rest: Option<(Conn, BodyReader)>,
 }
@@ -316,11 +317,14 @@
     let framing = response_framing(&request.head.method, &head)
         .map_err(|_| AttemptError::Unknown("framing"))?;
     let mut reader = BodyReader::new(framing, u64::MAX);
-    let mut body = Vec::new();
+    let mut body = BodyBuffer::new(Arc::clone(&shared.buffered_bytes));
     let is_large = matches!(framing, Framing::Length(len) if len > MAX_BUFFERED_BYTES);
-    while !is_large && (body.len() as u64) < MAX_BUFFERED_BYTES {
+    let mut may_buffer = !is_large;
+    while may_buffer {
         match reader.next(&mut conn).await {
-            Ok(Some(chunk)) => body.extend_from_slice(&chunk),
+            Ok(Some(chunk)) => {
+                may_buffer = body.push(&chunk) && (body.bytes().len() as u64) < MAX_BUFFERED_BYTES;
+            }
             Ok(None) => break,
             Err(_) => return Err(AttemptError::Unknown("answer_body")),
         }
--- a/crates/apricotlug-steer/src/http_api.rs
+++ b/crates/apricotlug-steer/src/http_api.rs
@@ -57,6 +57,8 @@
         let mut res = Response::new(StatusCode::Ok);
         let held_bytes = shared.change_log.held_bytes();
         shared.metrics.set_change_log_bytes(held_bytes);
+        let buffered_bytes = shared.buffered_bytes.get();
+        shared.metrics.set_answer_buffer_bytes(buffered_bytes);
         res.set_body(shared.metrics.page());
         return res;
     }
--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod admission;
 mod attempt;
+mod body_buffer;
 mod caller;
 mod datagrams;
 mod dispatch;
@@ -35,6 +36,7 @@
 #[path = "generated/pulse_capnp.rs"]
 mod pulse_capnp;
 
+pub use body_buffer::{BodyBuffer, BufferedBytes};
 pub use freshness::StoreFreshness;
 pub use instance::{Instance, StartError};
 pub use peer_fallback::PeerFallback;
--- a/crates/apricotlug-steer/src/response.rs
+++ b/crates/apricotlug-steer/src/response.rs
@@ -10,7 +10,8 @@
 use crate::{admission::Refusal, attempt::BackendResponse};
 
 /// Largest body without a length that is sent to an HTTP/1.0 caller, in bytes. It must be read whole
-/// first, since its end on the caller's connection looks like that of a broken one.
+/// first, since its end on the caller's connection looks like that of a broken one; it is given up
+/// while the buffers of all requests together are full.
 const MAX_UNFRAMED_BYTES: usize = 16 << 20;
 
 /// Why a response was not delivered completely.
@@ -72,7 +73,7 @@
     time_limit: Duration,
 ) -> Result<AfterResponse, DeliveryError> {
     if response.rest.is_none() {
-        return deliver_buffered(conn, req, response.head, &response.body, is_closing).await;
+        return deliver_buffered(conn, req, response.head, response.body.bytes(), is_closing).await;
     }
     timeout(time_limit, stream(conn, req, response, is_closing))
         .await
@@ -130,20 +131,21 @@
             .await
             .map_err(DeliveryError::Backend)?
         {
-            body.extend_from_slice(&chunk);
-            if body.len() > MAX_UNFRAMED_BYTES {
+            if !body.push(&chunk) || body.bytes().len() > MAX_UNFRAMED_BYTES {
                 let error = HttpError::BodyTooLarge(MAX_UNFRAMED_BYTES as u64);
                 return Err(DeliveryError::Backend(error));
             }
         }
-        return deliver_buffered(conn, req, response.head, &body, is_closing).await;
+        return deliver_buffered(conn, req, response.head, body.bytes(), is_closing).await;
     }
     let framing = response.framing;
     let mut head = caller_head(response.head, is_closing);
     framing.announce(&mut head.headers);
     conn.write(&head.encode()).await?;
     let mut writer = BodyWriter::new(conn, framing);
-    writer.write(&response.body).await?;
+    writer.write(response.body.bytes()).await?;
+    // The rest may take long to deliver.
+    drop(response.body);
     while let Some(chunk) = reader
         .next(&mut backend)
         .await
--- a/crates/apricotlug-steer/src/shared.rs
+++ b/crates/apricotlug-steer/src/shared.rs
@@ -11,7 +11,10 @@
 use apricotlug_policy::steer::Leave;
 use async_channel::{Receiver, Sender};
 
-use crate::{freshness::StoreFreshness, pool::Pool, relay::ChangeLog, steering::SteeringState};
+use crate::{
+    body_buffer::BufferedBytes, freshness::StoreFreshness, pool::Pool, relay::ChangeLog,
+    steering::SteeringState,
+};
 
 /// Plan and evacuations that operators ordered, as last read from the store.
 #[derive(Clone, Debug, Default)]
@@ -39,6 +42,8 @@
     pub change_log: ChangeLog,
     /// Idle connections to backend servers.
     pub pool: Pool,
+    /// Bytes of response bodies that are buffered.
+    pub buffered_bytes: Arc<BufferedBytes>,
     /// Requests in flight, and whether the instance is leaving.
     pub drain: Drain,
     /// Counters and histograms for the metrics endpoint.
@@ -60,6 +65,7 @@
             operator_state: RwLock::default(),
             change_log: ChangeLog::default(),
             pool: Pool::default(),
+            buffered_bytes: Arc::default(),
             drain: Drain::default(),
             metrics: Metrics::default(),
             leave: OnceLock::new(),
