Take a response on a used connection only if it names its request

Callers would have seen: 503, which promises 'not run', for an order that ran, and the order run at two backend servers (report of another operator; shown here with real processes). Cause: a response that names no request was taken for the one to whatever request its connection carried; only successes had to name theirs. A request without an id took any response. Change: on a connection that carried a request before, a response that does not name the request is skipped, like one that names another. Requests without an id get a connection of their own, and take no response that names one. It works since the name is the only thing that ties a response to a request where another may be late.

--- a/crates/apricotlug-steer/src/attempt.rs
+++ b/crates/apricotlug-steer/src/attempt.rs
@@ -116,12 +116,16 @@
     } else {
         MAX_IDLE_NON_IDEMPOTENT
     };
-    let pooled = shared
-        .pool
-        .take(target.key, max_idle, shared.clock.now())
-        .await;
+    // Without an id, nothing tells a late response to an earlier request from the one to this.
+    let pooled = match request.id {
+        Some(_) => {
+            let now = shared.clock.now();
+            shared.pool.take(target.key, max_idle, now).await
+        }
+        None => None,
+    };
     if let Some(conn) = pooled {
-        match exchange(shared, request, target, conn).await {
+        match exchange(shared, request, target, conn, ConnUse::Again).await {
             // The pooled connection was closed without a response, so whether the request ran is
             // unknown. An idempotent one is sent again on a new connection.
             Err(AttemptError::Unknown("closed_unanswered")) if target.may_repeat => {
@@ -131,7 +135,27 @@
         }
     }
     let conn = connect(shared, target).await?;
-    exchange(shared, request, target, conn).await
+    exchange(shared, request, target, conn, ConnUse::First).await
+}
+
+/// Whether a connection has carried a request before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnUse {
+    First,
+    Again,
+}
+
+/// Returns whether a response belongs to a request. One that names no request belongs to it only
+/// on a connection that has carried no other.
+fn belongs_to(
+    metadata: &ResponseMetadata,
+    request: OutgoingRequest<'_>,
+    conn_use: ConnUse,
+) -> bool {
+    match &metadata.request_id {
+        Some(id) => Some(id.as_str()) == request.id,
+        None => conn_use == ConnUse::First,
+    }
 }
 
 async fn connect(shared: &Shared, target: &Target) -> Result<Conn, AttemptError> {
@@ -162,13 +186,14 @@
     request: OutgoingRequest<'_>,
     target: &Target,
     mut conn: Conn,
+    conn_use: ConnUse,
 ) -> Result<BackendResponse, AttemptError> {
     let left_ms = shared.clock.remaining(target.deadline).as_millis() as u64;
     if left_ms == 0 {
         return Err(AttemptError::Unreachable);
     }
     let bytes = encode(request, &target.id, left_ms);
-    let (head, metadata, is_sent) = send(&mut conn, &bytes, request, target).await?;
+    let (head, metadata, is_sent) = send(&mut conn, &bytes, request, target, conn_use).await?;
     record_announcements(shared, target, head.status, &metadata);
     if metadata.is_not_executed {
         let status = head.status;
@@ -239,6 +264,7 @@
     bytes: &[u8],
     request: OutgoingRequest<'_>,
     target: &Target,
+    conn_use: ConnUse,
 ) -> Result<(ResponseHead, ResponseMetadata, bool), AttemptError> {
     let mut is_sent = false;
     let writer = conn.writer();
@@ -267,10 +293,7 @@
             _ => AttemptError::Unknown("answer_head"),
         })?;
         let metadata = decode_response(&head);
-        if metadata.request_id.is_none()
-            || request.id.is_none()
-            || metadata.request_id.as_deref() == request.id
-        {
+        if belongs_to(&metadata, request, conn_use) {
             return Ok((head, metadata, is_sent));
         }
         tracing::info!(
