Write a request in one go, whatever is answered meanwhile

Cause: each skipped answer dropped the write and what it knew of its progress, and the next one began at the first byte. Change: one write for the whole exchange. After a failed write nothing is written any more; it used to begin again there too. Failed before: a_late_response_to_another_request_does_not_disturb_the_body_ being_sent (16 MiB; the body that arrived differed).

--- a/crates/apricotlug-steer/src/attempt.rs
+++ b/crates/apricotlug-steer/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to run a request on one backend server.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use apricotlug_adapter::{ResponseMetadata, decode_response, rewrite_request};
 use apricotlug_http::{
@@ -252,6 +252,14 @@
     bytes
 }
 
+/// How far a request has been written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    Writing,
+    Written,
+    Failed,
+}
+
 enum FirstDone {
     Sent(Result<(), HttpError>),
     Head(Result<ResponseHead, HttpError>),
@@ -266,26 +274,30 @@
     target: &Target,
     conn_use: ConnUse,
 ) -> Result<(ResponseHead, ResponseMetadata, bool), AttemptError> {
-    let mut is_sent = false;
+    let mut progress = Progress::Writing;
     let writer = conn.writer();
-    let progress = conn.limits().progress;
+    let write_timeout = conn.limits().progress;
+    // One future for all responses: it knows which byte is next.
+    let mut writing = pin!(apricotlug_http::write_to(&writer, bytes, write_timeout));
     for _ in 0..MAX_UNEXPECTED_RESPONSES {
-        let head = if is_sent {
-            conn.read_response().await
-        } else {
-            let mut writing = Box::pin(apricotlug_http::write_to(&writer, bytes, progress));
-            let mut reading = Box::pin(conn.read_response());
+        let head = if progress == Progress::Writing {
+            let mut reading = pin!(conn.read_response());
             let first = future::or(async { FirstDone::Head(reading.as_mut().await) }, async {
                 FirstDone::Sent(writing.as_mut().await)
             });
             match first.await {
                 FirstDone::Head(head) => head,
                 FirstDone::Sent(sent) => {
-                    is_sent = sent.is_ok();
+                    progress = match sent {
+                        Ok(()) => Progress::Written,
+                        Err(_) => Progress::Failed,
+                    };
                     // The other end may have responded before it closed its side.
                     reading.await
                 }
             }
+        } else {
+            conn.read_response().await
         };
         let head = head.map_err(|e| match e {
             HttpError::Closed | HttpError::Io(_) => AttemptError::Unknown("closed_unanswered"),
@@ -294,7 +306,7 @@
         })?;
         let metadata = decode_response(&head);
         if belongs_to(&metadata, request, conn_use) {
-            return Ok((head, metadata, is_sent));
+            return Ok((head, metadata, progress == Progress::Written));
         }
         tracing::info!(
             kind = "stray_answer",
