--- a/crates/apricotlug-steer/tests/peers.rs
+++ b/crates/apricotlug-steer/tests/peers.rs
@@ -327,7 +327,7 @@
     });
     let large = |revision| Item {
         value: vec![7; LARGE],
-        ..item("op/config", revision)
+        ..item("large", revision)
     };
     for revision in 6..6 + WRITES {
         change_log.on_changes(&[Change::Put(large(revision))], revision);
@@ -356,7 +356,7 @@
         items: vec![item("a", 1)],
         revision: 5,
     });
-    let long_key = |i| format!("servers/{}{i}", "x".repeat(1_000));
+    let long_key = |i| format!("{}{i}", "x".repeat(1_000));
     for i in 0..KEYS {
         let (key, revision) = (long_key(i), 6 + 2 * i);
         change_log.on_changes(&[Change::Put(item(&key, revision))], revision);
