Say by which plan and read a request was refused

The line of a 401 or 404 named no version, and no line told that an instance reads from another one instead of the store.

request lines of refusals: plan, revision, read_from, news_ms. A read_from line whenever an instance reads from elsewhere than before; plan and relay_failed lines with their origin and age. Metrics: plan version, store revision, age of the last read, reads by origin and result. `apricotlug why` puts them into words.

--- a/crates/apricotlug-edge/src/metrics.rs
+++ b/crates/apricotlug-edge/src/metrics.rs
@@ -54,6 +54,10 @@
     bad_records: Counter<u64>,
     change_log_bytes: Gauge<u64>,
     answer_buffer_bytes: Gauge<u64>,
+    plan_version: Gauge<u64>,
+    store_revision: Gauge<u64>,
+    store_read_age_ms: Gauge<u64>,
+    store_reads: Counter<u64>,
     latency: Histogram<f64>,
 }
 
@@ -78,6 +82,10 @@
             bad_records: meter.u64_counter("apricotlug_bad_records").build(),
             change_log_bytes: meter.u64_gauge("apricotlug_change_log_bytes").build(),
             answer_buffer_bytes: meter.u64_gauge("apricotlug_answer_buffer_bytes").build(),
+            plan_version: meter.u64_gauge("apricotlug_plan_version").build(),
+            store_revision: meter.u64_gauge("apricotlug_store_revision").build(),
+            store_read_age_ms: meter.u64_gauge("apricotlug_store_read_age_ms").build(),
+            store_reads: meter.u64_counter("apricotlug_store_reads").build(),
             latency: meter
                 .f64_histogram("apricotlug_latency_seconds")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
@@ -129,6 +137,27 @@
         self.answer_buffer_bytes.record(bytes as u64, &[]);
     }
 
+    /// Records the version of the plan in force, the store's revision up to which changes are known,
+    /// and the age of the last read in milliseconds; each `None` before the first.
+    pub fn set_read_state(&self, plan: Option<u64>, revision: Option<u64>, age_ms: Option<u64>) {
+        let gauges = [
+            (&self.plan_version, plan),
+            (&self.store_revision, revision),
+            (&self.store_read_age_ms, age_ms),
+        ];
+        for (gauge, value) in gauges {
+            if let Some(value) = value {
+                gauge.record(value, &[]);
+            }
+        }
+    }
+
+    /// Counts a read of the store's items, by what was read from and by result.
+    pub fn on_store_read(&self, from: &'static str, result: &'static str) {
+        let attributes = [KeyValue::new("from", from), KeyValue::new("result", result)];
+        self.store_reads.add(1, &attributes);
+    }
+
     /// Renders all instruments in the text exposition format, one line per value.
     #[must_use]
     pub fn page(&self) -> String {
--- a/crates/apricotlug-steer/src/admission.rs
+++ b/crates/apricotlug-steer/src/admission.rs
@@ -8,7 +8,7 @@
 use apricotlug_policy::steer::object_hash;
 use rand::RngExt;
 
-use crate::shared::Shared;
+use crate::shared::{OperatorState, Shared};
 
 /// Fraction of the time limit for withdrawing a key after which an instance that cannot read the
 /// store refuses all keys. The rest covers requests in flight.
@@ -93,16 +93,16 @@
     }
 }
 
-/// Routes, identifies and admits a request.
+/// Routes, identifies and admits a request by the given plan and evacuations.
 ///
 /// # Errors
 /// Returns the refusal for the caller if the request is not admitted.
 pub fn admit(
     shared: &Shared,
+    operator_state: &OperatorState,
     head: &RequestHead,
     arrived_at: MonoTime,
 ) -> Result<AdmittedRequest, Refusal> {
-    let operator_state = shared.operator_state();
     let not_ready =
         || Refusal::new(503, "Service Unavailable", "no_plan").with_retry_ms(NOT_READY_RETRY_MS);
     let plan = operator_state.plan.clone().ok_or_else(not_ready)?;
--- a/crates/apricotlug-steer/src/caller.rs
+++ b/crates/apricotlug-steer/src/caller.rs
@@ -128,7 +128,8 @@
         Err(e) => return refuse_malformed(conn, &e).await,
     };
     let is_closing = !head.is_keep_alive();
-    let request = admit(shared, &head, arrived_at);
+    let operator_state = shared.operator_state();
+    let request = admit(shared, &operator_state, &head, arrived_at);
     head.headers.remove_hop_by_hop();
     head.headers.remove("expect");
     let (dispatched, id, route, account) = match &request {
@@ -173,6 +174,8 @@
         refund(shared, request, refusal);
     }
     shared.metrics.on_request(route, code, latency);
+    // A refusal follows from what this instance knew of the operators' state.
+    let last_read = shared.last_read().filter(|_| request.is_err());
     tracing::info!(
         kind = "request",
         request = id,
@@ -183,8 +186,10 @@
         result = code,
         attempts = dispatched.attempts,
         ms = latency.as_millis() as u64,
-        plan = request.as_ref().ok().map(|request| request.plan.version),
-        news_ms = shared.freshness.age().map(|age| age.as_millis() as u64)
+        plan = operator_state.plan.as_ref().map(|plan| plan.version),
+        news_ms = shared.freshness.age_ms(),
+        revision = last_read.map(|read| read.revision),
+        read_from = last_read.map(|read| tracing::field::display(read.origin))
     );
     let is_closing = is_closing || shared.drain.is_leaving();
     let delivered = match dispatched.outcome {
--- a/crates/apricotlug-steer/src/freshness.rs
+++ b/crates/apricotlug-steer/src/freshness.rs
@@ -29,6 +29,13 @@
         self.0.fetch_max(requested_at_us, Ordering::Relaxed);
     }
 
+    /// Returns the age of the last read in milliseconds; `None` if there was none yet.
+    #[must_use]
+    pub fn age_ms(&self) -> Option<u64> {
+        let age = self.age()?;
+        Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+    }
+
     /// Returns the age of the last read; `None` if there was none yet.
     #[must_use]
     pub fn age(&self) -> Option<Duration> {
--- a/crates/apricotlug-steer/src/http_api.rs
+++ b/crates/apricotlug-steer/src/http_api.rs
@@ -59,6 +59,12 @@
         shared.metrics.set_change_log_bytes(held_bytes);
         let buffered_bytes = shared.buffered_bytes.get();
         shared.metrics.set_answer_buffer_bytes(buffered_bytes);
+        let plan = shared.operator_state().plan.clone();
+        shared.metrics.set_read_state(
+            plan.map(|plan| plan.version),
+            shared.last_read().map(|read| read.revision),
+            shared.freshness.age_ms(),
+        );
         res.set_body(shared.metrics.page());
         return res;
     }
--- a/crates/apricotlug-steer/src/shared.rs
+++ b/crates/apricotlug-steer/src/shared.rs
@@ -1,6 +1,8 @@
 //! State shared by the tasks of an instance.
 
 use std::{
+    fmt,
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock},
     time::Duration,
 };
@@ -25,6 +27,44 @@
     pub evacuated: Vec<String>,
 }
 
+/// What an instance reads the store's items from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadOrigin {
+    /// The store itself.
+    Store,
+    /// Relay or other instance with this peer address.
+    Instance(SocketAddr),
+}
+
+impl ReadOrigin {
+    /// Returns the name of the kind, for metrics.
+    #[must_use]
+    pub fn kind(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Instance(_) => "instance",
+        }
+    }
+}
+
+impl fmt::Display for ReadOrigin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store => f.write_str("store"),
+            Self::Instance(addr) => addr.fmt(f),
+        }
+    }
+}
+
+/// Last successful read of the store's items.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LastRead {
+    /// What it was read from.
+    pub origin: ReadOrigin,
+    /// Revision up to which the items are known.
+    pub revision: u64,
+}
+
 /// Shared state of one instance.
 #[derive(Debug)]
 pub struct Shared {
@@ -34,6 +74,7 @@
     pub clock: Clock,
     /// Age of the last store read.
     pub freshness: StoreFreshness,
+    last_read: Mutex<Option<LastRead>>,
     /// State for steering decisions; locked for one decision at a time.
     steering: Mutex<SteeringState>,
     settings: RwLock<Arc<SiteSettings>>,
@@ -60,6 +101,7 @@
             run,
             clock: Clock::start(),
             freshness: StoreFreshness::default(),
+            last_read: Mutex::default(),
             steering: Mutex::new(SteeringState::new(&settings)),
             settings: RwLock::new(Arc::new(settings)),
             operator_state: RwLock::default(),
@@ -92,6 +134,33 @@
             .unwrap_or_else(PoisonError::into_inner) = Arc::new(settings);
     }
 
+    /// Returns the last read of the store's items, for logs and metrics; `None` before the first.
+    #[must_use]
+    pub fn last_read(&self) -> Option<LastRead> {
+        *self
+            .last_read
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records a read, and logs when another origin is read from.
+    pub fn on_read(&self, read: LastRead) {
+        self.metrics.on_store_read(read.origin.kind(), "read");
+        let previous = self
+            .last_read
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .replace(read);
+        if previous.map(|previous| previous.origin) != Some(read.origin) {
+            tracing::info!(
+                kind = "read_from",
+                read_from = %read.origin,
+                revision = read.revision,
+                news_ms = self.freshness.age_ms()
+            );
+        }
+    }
+
     /// Marks the instance as leaving, and returns the times of its stop. Only the first call sets
     /// them.
     pub fn start_leaving(&self) -> Leave {
--- a/crates/apricotlug-steer/src/store_changes.rs
+++ b/crates/apricotlug-steer/src/store_changes.rs
@@ -185,10 +185,12 @@
         tracing::info!(kind = "plan_ignored", version = plan.version, held);
         return;
     }
+    let origin = shared.last_read().map(|read| read.origin);
     tracing::info!(
         kind = "plan",
         version = plan.version,
-        revision = item.revision
+        revision = item.revision,
+        read_from = origin.map(tracing::field::display)
     );
     shared.steering().on_plan(&plan, shared.clock.now());
     shared.update_operator_state(|operator_state| operator_state.plan = Some(Arc::new(plan)));
--- a/crates/apricotlug-steer/src/store_sync.rs
+++ b/crates/apricotlug-steer/src/store_sync.rs
@@ -11,7 +11,7 @@
     freshness::StoreFreshness,
     peer_fallback::PeerFallback,
     relay,
-    shared::Shared,
+    shared::{LastRead, ReadOrigin, Shared},
     store_changes::{ExpiryGrace, apply_changes, register_members},
 };
 
@@ -120,6 +120,7 @@
                 .await;
             }
             Err(e) => {
+                shared.metrics.on_store_read("store", "failed");
                 reader.on_failure(&e, shared.clock.now());
                 task::sleep(backoff).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
@@ -140,7 +141,7 @@
         match (relay, self.revision) {
             (Some(relay), Some(after)) => {
                 if let Err(e) = self.poll_peer(shared, expiry_grace, relay, after).await {
-                    tracing::info!(kind = "relay_failed", %relay, error = %e);
+                    on_failed_poll(shared, relay, &e);
                     self.failed_polls += 1;
                     self.relay_backoff_until = shared.clock.now().after(RELAY_BACKOFF);
                     self.fallback.on_peer_failure();
@@ -155,7 +156,7 @@
                 if let Some(relay) = self.select_listing_relay(shared) {
                     match self.poll_peer(shared, expiry_grace, relay, 0).await {
                         Ok(()) => return Ok(()),
-                        Err(e) => tracing::info!(kind = "relay_failed", %relay, error = %e),
+                        Err(e) => on_failed_poll(shared, relay, &e),
                     }
                 }
                 self.list(shared, expiry_grace).await
@@ -247,6 +248,10 @@
         if uses_relays {
             self.on_response(shared, expiry_grace);
         }
+        shared.on_read(LastRead {
+            origin: ReadOrigin::Instance(relay),
+            revision: after.max(response.revision),
+        });
         if response.is_full {
             let items = response
                 .changes
@@ -285,6 +290,10 @@
             revision = listing.revision
         );
         self.revision = Some(listing.revision);
+        shared.on_read(LastRead {
+            origin: ReadOrigin::Store,
+            revision: listing.revision,
+        });
         apply_listing(shared, expiry_grace, &listing);
         shared.freshness.record_read(requested_at);
         Ok(())
@@ -306,6 +315,10 @@
         let watching = self.store.watch(all_keys(), after, wait, WATCH_SLACK);
         let (changes, next) = watching.await?;
         self.on_response(shared, expiry_grace);
+        shared.on_read(LastRead {
+            origin: ReadOrigin::Store,
+            revision: next,
+        });
         record_changes(shared, expiry_grace, changes, next);
         self.revision = Some(next);
         shared.freshness.record_read(requested_at);
@@ -333,6 +346,12 @@
     }
 }
 
+fn on_failed_poll(shared: &Shared, relay: SocketAddr, error: &io::Error) {
+    shared.metrics.on_store_read("instance", "failed");
+    let news_ms = shared.freshness.age_ms();
+    tracing::info!(kind = "relay_failed", %relay, %error, news_ms);
+}
+
 fn apply_listing(shared: &Shared, expiry_grace: &ExpiryGrace, listing: &Listing) {
     let changes = shared.change_log.on_listing(listing);
     apply_changes(shared, expiry_grace, changes);
--- a/src/commands/why.rs
+++ b/src/commands/why.rs
@@ -202,8 +202,14 @@
 
 /// Puts the end of a request on the platform into words.
 fn ended_steered(line: &Line) -> String {
+    let read = if line.has("read_from") {
+        let (origin, revision) = (line.text("read_from"), line.number("revision"));
+        format!(", from {origin} up to revision {revision}")
+    } else {
+        String::new()
+    };
     format!(
-        "account {} on route {} under plan {}, news {} ms old: {}; last sent to {}; status {}, \
+        "account {} on route {} under plan {}, news {} ms old{read}: {}; last sent to {}; status {}, \
          {} attempts, {} ms",
         line.text("account"),
         line.text("route"),
--- a/tests/decision_logs.rs
+++ b/tests/decision_logs.rs
@@ -197,6 +197,9 @@
                    "route": "lookup", "account": "movers", "plan": 12, "news_ms": 700,
                    "backend": "i-2",
                    "result": "closed_unanswered", "status": 502, "attempts": 1, "ms": 503}),
+            json!({"timestamp": "2026-12-01T08:00:05Z", "kind": "request", "request": "r",
+                   "route": "-", "plan": 12, "news_ms": 3122, "read_from": "10.0.0.7:7460",
+                   "revision": 117, "result": "no_route", "status": 404, "attempts": 0, "ms": 0}),
         ],
     );
     let told = printed(&["why", "r", &log]);
@@ -207,6 +210,7 @@
         "sent to i-2 in brest-a, where 2 requests ran or waited; the object was seen lately there",
         "the attempt on i-2 (version v1) ended after 500 ms: the connection ended without an answer, perhaps run",
         "account movers on route lookup under plan 12, news 700 ms old: closed_unanswered; last sent to i-2; status 502",
+        "under plan 12, news 3122 ms old, from 10.0.0.7:7460 up to revision 117: refused, no route fits",
     ];
     assert_eq!(rows.len(), words.len(), "{told}");
     for (row, words) in rows.iter().zip(words) {
