Decide where to read next without I/O

The choice between store, relay and another instance was spread over the task that reads, with its connections, so that no test could play it: neither in virtual time nor over several instances. ReadSchedule decides now, and the task does what it says. Limits and delays are the same; after a failed poll the store is read at once, where it used to be after the batch delay.

PeerFallback is part of it.

--- /dev/null
+++ b/crates/apricotlug-policy/tests/steer_reads.rs
@@ -0,0 +1,124 @@
+//! Where an instance reads next, after which failures.
+
+use std::{net::SocketAddr, time::Duration};
+
+use apricotlug_model::MonoTime;
+use apricotlug_policy::steer::{Read, ReadLimits, ReadSchedule, ReadSources};
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::default().after(Duration::from_millis(ms))
+}
+
+fn addr(port: u16) -> SocketAddr {
+    ([10, 0, 0, 1], port).into()
+}
+
+fn others() -> ReadSources {
+    ReadSources {
+        others: vec![addr(1), addr(2)],
+        is_listed: true,
+        ..ReadSources::default()
+    }
+}
+
+fn relays() -> ReadSources {
+    ReadSources {
+        relay: Some(addr(7)),
+        ..others()
+    }
+}
+
+/// Schedule of an instance that has listed the items.
+fn listed() -> ReadSchedule {
+    let mut schedule = ReadSchedule::new(ReadLimits::default());
+    schedule.on_members_listed();
+    schedule.on_store_read(5);
+    schedule
+}
+
+fn polled(read: Read) -> Option<SocketAddr> {
+    match read {
+        Read::Poll { instance, .. } => Some(instance),
+        _ => None,
+    }
+}
+
+#[test]
+fn an_instance_lists_the_others_then_all_items_then_watches() {
+    let mut schedule = ReadSchedule::new(ReadLimits::default());
+    assert_eq!(schedule.next(&others(), at(0)), Read::ListMembers);
+    schedule.on_members_listed();
+    assert_eq!(schedule.next(&others(), at(0)), Read::List);
+    schedule.on_store_read(5);
+    let wait = schedule.limits().watch_wait;
+    assert_eq!(
+        schedule.next(&others(), at(0)),
+        Read::Watch { after: 5, wait }
+    );
+}
+
+#[test]
+fn an_instance_without_callers_gets_all_items_from_a_relay() {
+    let mut schedule = ReadSchedule::new(ReadLimits::default());
+    let sources = ReadSources {
+        listing_relay: Some(addr(7)),
+        ..relays()
+    };
+    schedule.on_members_listed();
+    assert!(matches!(
+        schedule.next(&sources, at(0)),
+        Read::Poll { after: 0, .. }
+    ));
+    schedule.on_poll_failure(at(0));
+    assert_eq!(schedule.next(&sources, at(1)), Read::List);
+}
+
+#[test]
+fn a_single_store_failure_does_not_switch_to_other_instances() {
+    let mut schedule = listed();
+    assert!(schedule.on_store_failure(at(1_000)), "the store is lost");
+    let read = schedule.next(&others(), at(1_001));
+    assert!(
+        matches!(read, Read::Watch { wait, .. } if wait < Duration::from_millis(10)),
+        "one failure is retried at the store: {read:?}"
+    );
+    assert!(schedule.on_store_read(6), "the store is back");
+    assert!(schedule.on_store_failure(at(2_000)));
+    assert_eq!(polled(schedule.next(&others(), at(2_001))), None);
+    assert!(!schedule.on_store_failure(at(2_100)));
+    assert_eq!(
+        polled(schedule.next(&others(), at(2_101))),
+        Some(addr(1)),
+        "two consecutive failures start the fallback"
+    );
+    schedule.on_poll_failure(at(2_150));
+    assert_eq!(
+        polled(schedule.next(&others(), at(2_200))),
+        None,
+        "the other instance had no fresh data either"
+    );
+    schedule.on_store_failure(at(2_300));
+    assert_eq!(
+        polled(schedule.next(&others(), at(2_301))),
+        Some(addr(2)),
+        "the next instance is tried"
+    );
+}
+
+#[test]
+fn an_instance_whose_relay_fails_reads_the_store_for_a_while() {
+    let mut schedule = listed();
+    assert_eq!(polled(schedule.next(&relays(), at(0))), Some(addr(7)));
+    schedule.on_poll_failure(at(1_000));
+    assert_eq!(polled(schedule.next(&relays(), at(1_001))), None);
+    assert_eq!(polled(schedule.next(&relays(), at(3_999))), None);
+    assert_eq!(polled(schedule.next(&relays(), at(4_001))), Some(addr(7)));
+}
+
+#[test]
+fn a_revision_never_goes_back_to_that_of_an_instance_that_is_behind() {
+    let mut schedule = listed();
+    schedule.on_poll(3);
+    let read = schedule.next(&relays(), at(0));
+    assert!(matches!(read, Read::Poll { after: 5, .. }), "{read:?}");
+}
--- a/crates/apricotlug-steer/src/store_sync.rs
+++ b/crates/apricotlug-steer/src/store_sync.rs
@@ -4,12 +4,11 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use apricotlug_adapter::{Change, Listing, StoreClient, StoreError, all_keys, member_prefix};
-use apricotlug_model::MonoTime;
+use apricotlug_policy::steer::{Read, ReadLimits, ReadSchedule, ReadSources};
 use async_std::{net::TcpStream, task};
 
 use crate::{
     freshness::StoreFreshness,
-    peer_fallback::PeerFallback,
     relay,
     shared::{LastRead, ReadOrigin, Shared},
     store_changes::{ExpiryGrace, apply_changes, register_members},
@@ -18,11 +17,7 @@
 /// Time limit for listing all items.
 const LIST_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Time that a watch waits for changes. A response without changes confirms that the state
-/// is current.
-const WATCH_WAIT: Duration = Duration::from_millis(1_000);
-
-/// Time beyond `WATCH_WAIT` after which a watch counts as failed.
+/// Time beyond its wait after which a watch counts as failed.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
 /// Delay after a response, so that changes that arrive close together are handled in one batch.
@@ -36,55 +31,22 @@
 /// register meanwhile, so that most of them find a relay.
 const FIRST_START_DELAY: Duration = Duration::from_millis(700);
 
-/// Longest wait for a relay that has not listed the items itself.
-const FULL_POLL_WAIT: Duration = Duration::from_millis(2_500);
-
 /// Delay while this instance has recently started. If many instances start together, the entry of
 /// each one would otherwise wake all others.
 const STARTUP_BATCH_DELAY: Duration = Duration::from_millis(300);
 
-/// Time from the first successful listing for which the longer delay applies.
+/// Time from the first successful read for which the longer delay applies.
 const STARTUP_PERIOD: Duration = Duration::from_secs(3);
 
-/// Wait of a watch on a store that failed before.
-const RECOVERY_WATCH_WAIT: Duration = Duration::from_millis(1);
-
 /// First and longest delay after a failure; each delay is twice the one before.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 const MAX_BACKOFF: Duration = Duration::from_millis(400);
 
-/// Time that a relay request waits for changes. Each request also reports what this instance
-/// admitted, so the wait bounds how often it reports.
-const RELAY_WAIT: Duration = Duration::from_millis(400);
-
-/// Wait of an instance that look-ups do not list: it has no traffic to report, and changes end the
-/// wait early.
-const UNLISTED_RELAY_WAIT: Duration = Duration::from_millis(1_000);
-
-/// Age of a relay's data above which the store is read instead. The age counts from the relay's
-/// request to the store, so a relay whose watch runs to its full wait serves data up to two waits
-/// old. Only a relay that lost a response exceeds this limit.
-const MAX_RELAY_AGE: Duration = WATCH_WAIT
-    .saturating_mul(2)
-    .saturating_add(WATCH_SLACK)
-    .saturating_add(BATCH_DELAY);
-
-/// Time for which the store is read directly after a relay failed.
-const RELAY_BACKOFF: Duration = Duration::from_secs(3);
-
-/// Where this instance reads the store's items: the store itself, a relay or another instance.
+/// Connections over which the store's items are read.
 struct StoreReader {
     store: StoreClient,
     relay_conn: Option<(SocketAddr, TcpStream)>,
-    /// Time until which no relay is polled, because one failed.
-    relay_backoff_until: MonoTime,
-    fallback: PeerFallback,
-    /// Failed relay requests so far; the next request goes to another instance after each failure.
-    failed_polls: usize,
-    revision: Option<u64>,
-    /// Whether the instances' entries have been listed.
-    knows_members: bool,
-    is_store_lost: bool,
+    schedule: ReadSchedule,
 }
 
 /// Synchronises with the store until the process ends.
@@ -92,12 +54,7 @@
     let mut reader = StoreReader {
         store,
         relay_conn: None,
-        relay_backoff_until: MonoTime::default(),
-        fallback: PeerFallback::default(),
-        failed_polls: 0,
-        revision: None,
-        knows_members: false,
-        is_store_lost: false,
+        schedule: ReadSchedule::new(ReadLimits::default()),
     };
     if shared.settings().is_first_start {
         task::sleep(FIRST_START_DELAY).await;
@@ -105,7 +62,7 @@
     let mut backoff = MIN_BACKOFF;
     let mut startup_ends_at = None;
     loop {
-        match reader.sync_once(&shared, &expiry_grace).await {
+        match reader.read(&shared, &expiry_grace).await {
             Ok(()) => {
                 backoff = MIN_BACKOFF;
                 let now = shared.clock.now();
@@ -120,8 +77,7 @@
                 .await;
             }
             Err(e) => {
-                shared.metrics.on_store_read("store", "failed");
-                reader.on_failure(&e, shared.clock.now());
+                reader.on_store_failure(&shared, &e);
                 task::sleep(backoff).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
             }
@@ -129,37 +85,65 @@
     }
 }
 
+/// Returns the instances that can be read from in place of the store.
+fn read_sources(shared: &Shared) -> ReadSources {
+    let now = shared.clock.now();
+    let settings = shared.settings();
+    let steering = shared.steering();
+    let pick = |relays: &[SocketAddr]| {
+        let index = shared.run as usize % relays.len().max(1);
+        relays.get(index).copied()
+    };
+    let relays = steering.relays();
+    // Before the first tick, the relays follow from the listed entries alone.
+    let at_start = steering.peers.relays(&settings, now);
+    let is_listed_at_start = steering.peers.listed_instances(&settings).includes_self;
+    let mut others: Vec<_> = steering
+        .peers
+        .live(now)
+        .map(|(name, member)| {
+            let is_cross_region = settings.region_of(&member.info.data_centre) != settings.region();
+            (is_cross_region, name, member.info.peer)
+        })
+        .collect();
+    others.sort_unstable();
+    ReadSources {
+        relay: pick(&relays.same_region).filter(|_| relays.is_needed && !relays.includes_self),
+        // Instances that look-ups list wait for nobody before they serve.
+        listing_relay: pick(&at_start.same_region)
+            .filter(|_| !at_start.includes_self && !is_listed_at_start),
+        others: others.into_iter().map(|(_, _, peer)| peer).collect(),
+        is_listed: steering.listed_instances().includes_self,
+    }
+}
+
 impl StoreReader {
-    async fn sync_once(
+    /// Does the next read of items and applies what it brings. Where another instance fails, the store
+    /// is read at once.
+    async fn read(
         &mut self,
         shared: &Shared,
         expiry_grace: &ExpiryGrace,
     ) -> Result<(), StoreError> {
-        let relay = self
-            .select_relay(shared)
-            .or_else(|| self.select_peer(shared));
-        match (relay, self.revision) {
-            (Some(relay), Some(after)) => {
-                if let Err(e) = self.poll_peer(shared, expiry_grace, relay, after).await {
-                    on_failed_poll(shared, relay, &e);
-                    self.failed_polls += 1;
-                    self.relay_backoff_until = shared.clock.now().after(RELAY_BACKOFF);
-                    self.fallback.on_peer_failure();
+        loop {
+            let now = shared.clock.now();
+            match self.schedule.next(&read_sources(shared), now) {
+                Read::ListMembers => self.list_members(shared).await?,
+                Read::List => return self.list(shared, expiry_grace).await,
+                Read::Watch { after, wait } => {
+                    return self.watch(shared, expiry_grace, after, wait).await;
                 }
-                Ok(())
-            }
-            (_, Some(after)) => self.watch(shared, expiry_grace, after).await,
-            (_, None) => {
-                if !self.knows_members {
-                    self.list_members(shared).await?;
-                }
-                if let Some(relay) = self.select_listing_relay(shared) {
-                    match self.poll_peer(shared, expiry_grace, relay, 0).await {
+                Read::Poll {
+                    instance,
+                    after,
+                    wait,
+                } => {
+                    let polling = self.poll(shared, expiry_grace, instance, after, wait);
+                    match polling.await {
                         Ok(()) => return Ok(()),
-                        Err(e) => on_failed_poll(shared, relay, &e),
+                        Err(e) => self.on_poll_failure(shared, instance, &e),
                     }
                 }
-                self.list(shared, expiry_grace).await
             }
         }
     }
@@ -168,70 +152,20 @@
     async fn list_members(&mut self, shared: &Shared) -> Result<(), StoreError> {
         let listing = self.store.list(member_prefix(), LIST_TIMEOUT).await?;
         register_members(shared, &listing.items);
-        self.knows_members = true;
+        self.schedule.on_members_listed();
         Ok(())
     }
 
-    /// Returns the relay from which an instance without traffic gets all items. All others list them
-    /// from the store: they wait for nobody before they serve.
-    fn select_listing_relay(&self, shared: &Shared) -> Option<SocketAddr> {
-        let settings = shared.settings();
-        let steering = shared.steering();
-        let relays = steering.peers.relays(&settings, shared.clock.now());
-        let is_listed = steering.peers.listed_instances(&settings).includes_self;
-        if relays.includes_self || is_listed || relays.same_region.is_empty() {
-            return None;
-        }
-        Some(relays.same_region[shared.run as usize % relays.same_region.len()])
-    }
-
-    /// Returns the relay to poll, if relays are needed and this instance is not one itself.
-    fn select_relay(&self, shared: &Shared) -> Option<SocketAddr> {
-        let steering = shared.steering();
-        let relays = steering.relays();
-        let is_client = relays.is_needed && !relays.includes_self && !relays.same_region.is_empty();
-        let may_poll = is_client && self.relay_backoff_until.is_past(shared.clock.now());
-        may_poll.then(|| relays.same_region[shared.run as usize % relays.same_region.len()])
-    }
-
-    /// Returns another instance to poll while the fallback from the store is on. Instances of the
-    /// same region come first.
-    fn select_peer(&self, shared: &Shared) -> Option<SocketAddr> {
-        let now = shared.clock.now();
-        if !self.fallback.is_active(now) {
-            return None;
-        }
-        let settings = shared.settings();
-        let steering = shared.steering();
-        let mut peers: Vec<_> = steering
-            .peers
-            .live(now)
-            .map(|(name, member)| {
-                let is_cross_region =
-                    settings.region_of(&member.info.data_centre) != settings.region();
-                (is_cross_region, name, member.info.peer)
-            })
-            .collect();
-        peers.sort_unstable();
-        let (_, _, peer) = peers.get(self.failed_polls % peers.len().max(1))?;
-        Some(*peer)
-    }
-
-    async fn poll_peer(
+    async fn poll(
         &mut self,
         shared: &Shared,
         expiry_grace: &ExpiryGrace,
-        relay: SocketAddr,
+        instance: SocketAddr,
         after: u64,
+        wait: Duration,
     ) -> io::Result<()> {
         let requested_at = StoreFreshness::boottime_us();
-        let is_listed = shared.steering().listed_instances().includes_self;
-        let wait = match (after, is_listed) {
-            (0, _) => FULL_POLL_WAIT,
-            (_, true) => RELAY_WAIT,
-            (_, false) => UNLISTED_RELAY_WAIT,
-        };
-        let response = relay::poll(shared, &mut self.relay_conn, relay, after, wait).await?;
+        let response = relay::poll(shared, &mut self.relay_conn, instance, after, wait).await?;
         let uses_relays = shared.steering().relays().is_needed;
         if uses_relays {
             shared
@@ -239,18 +173,20 @@
                 .on_relay_response(&response, shared.clock.now());
         }
         let age = Duration::from_millis(response.age_ms.into());
-        if age > MAX_RELAY_AGE {
+        if age > self.schedule.limits().max_source_age {
             return Err(io::Error::new(
                 io::ErrorKind::TimedOut,
                 "the relay's store data is too old",
             ));
         }
         if uses_relays {
-            self.on_response(shared, expiry_grace);
+            let was_lost = self.schedule.on_store_response();
+            on_store_response(shared, expiry_grace, was_lost);
         }
+        let revision = after.max(response.revision);
         shared.on_read(LastRead {
-            origin: ReadOrigin::Instance(relay),
-            revision: after.max(response.revision),
+            origin: ReadOrigin::Instance(instance),
+            revision,
         });
         if response.is_full {
             let items = response
@@ -268,7 +204,7 @@
         } else {
             record_changes(shared, expiry_grace, response.changes, response.revision);
         }
-        self.revision = Some(after.max(response.revision));
+        self.schedule.on_poll(revision);
         let age_us = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
         shared
             .freshness
@@ -283,17 +219,12 @@
     ) -> Result<(), StoreError> {
         let requested_at = StoreFreshness::boottime_us();
         let listing = self.store.list(all_keys(), LIST_TIMEOUT).await?;
-        self.on_response(shared, expiry_grace);
         tracing::info!(
             kind = "listed",
             items = listing.items.len(),
             revision = listing.revision
         );
-        self.revision = Some(listing.revision);
-        shared.on_read(LastRead {
-            origin: ReadOrigin::Store,
-            revision: listing.revision,
-        });
+        self.on_store_read(shared, expiry_grace, listing.revision);
         apply_listing(shared, expiry_grace, &listing);
         shared.freshness.record_read(requested_at);
         Ok(())
@@ -304,52 +235,50 @@
         shared: &Shared,
         expiry_grace: &ExpiryGrace,
         after: u64,
+        wait: Duration,
     ) -> Result<(), StoreError> {
         let requested_at = StoreFreshness::boottime_us();
-        // The first watch after a failure returns at once, so that the store's recovery is noticed.
-        let wait = if self.is_store_lost {
-            RECOVERY_WATCH_WAIT
-        } else {
-            WATCH_WAIT
-        };
         let watching = self.store.watch(all_keys(), after, wait, WATCH_SLACK);
         let (changes, next) = watching.await?;
-        self.on_response(shared, expiry_grace);
-        shared.on_read(LastRead {
-            origin: ReadOrigin::Store,
-            revision: next,
-        });
+        self.on_store_read(shared, expiry_grace, next);
         record_changes(shared, expiry_grace, changes, next);
-        self.revision = Some(next);
         shared.freshness.record_read(requested_at);
         Ok(())
     }
 
-    fn on_response(&mut self, shared: &Shared, expiry_grace: &ExpiryGrace) {
-        self.fallback.on_store_response();
-        if std::mem::take(&mut self.is_store_lost) {
-            tracing::info!(kind = "dependency_regained", dependency = "store");
-            expiry_grace.on_store_recovered(shared.clock.now());
-        }
+    fn on_store_read(&mut self, shared: &Shared, expiry_grace: &ExpiryGrace, revision: u64) {
+        let was_lost = self.schedule.on_store_read(revision);
+        on_store_response(shared, expiry_grace, was_lost);
+        shared.on_read(LastRead {
+            origin: ReadOrigin::Store,
+            revision,
+        });
+    }
+
+    fn on_poll_failure(&mut self, shared: &Shared, instance: SocketAddr, error: &io::Error) {
+        shared.metrics.on_store_read("instance", "failed");
+        let news_ms = shared.freshness.age_ms();
+        tracing::info!(kind = "relay_failed", relay = %instance, %error, news_ms);
+        self.schedule.on_poll_failure(shared.clock.now());
     }
 
-    fn on_failure(&mut self, error: &StoreError, now: MonoTime) {
+    fn on_store_failure(&mut self, shared: &Shared, error: &StoreError) {
         if matches!(error, StoreError::HistoryGone) {
-            self.revision = None;
+            self.schedule.on_history_dropped();
             return;
         }
-        if !self.is_store_lost {
+        shared.metrics.on_store_read("store", "failed");
+        if self.schedule.on_store_failure(shared.clock.now()) {
             tracing::warn!(kind = "dependency_lost", dependency = "store", %error);
         }
-        self.is_store_lost = true;
-        self.fallback.on_store_failure(now);
     }
 }
 
-fn on_failed_poll(shared: &Shared, relay: SocketAddr, error: &io::Error) {
-    shared.metrics.on_store_read("instance", "failed");
-    let news_ms = shared.freshness.age_ms();
-    tracing::info!(kind = "relay_failed", %relay, %error, news_ms);
+fn on_store_response(shared: &Shared, expiry_grace: &ExpiryGrace, was_lost: bool) {
+    if was_lost {
+        tracing::info!(kind = "dependency_regained", dependency = "store");
+        expiry_grace.on_store_recovered(shared.clock.now());
+    }
 }
 
 fn apply_listing(shared: &Shared, expiry_grace: &ExpiryGrace, listing: &Listing) {
