Derive the limits of reads from the time within which a change is in force

Callers got 404 for routes that were confirmed long ago (CONFIG), from instances that were back from trouble, or never in any, and read from another one that had lost the store. That one's data was good for 2,760 ms, the wait and the slack of a poll came on top, and so did the store's own answer; the sheets allow 2,500 to 4,000 ms. Each limit was fine alone. Nothing in the system knew the bound.

The settings hand it over (`apply`, 2500ms where left out), and all limits on the way follow from it: how long a watch waits, how old another instance's data may be, how long a poll may take. A poll waits no longer than the own data may get old, so that it ends when there is time left for the store.

--- a/crates/apricotlug-config/src/fields.rs
+++ b/crates/apricotlug-config/src/fields.rs
@@ -141,6 +141,31 @@
         value::span_ms(doc, text, name)
     }
 
+    /// Reads an optional time with its unit, `ms` or `s`, in whole milliseconds, or returns the
+    /// default. A time below `min_ms` is a finding.
+    pub(crate) fn span_ms_or(
+        &mut self,
+        doc: &mut Doc<'_>,
+        name: &'static str,
+        min_ms: u32,
+        default_ms: u32,
+    ) -> Option<u32> {
+        if !self.has(name) {
+            return Some(default_ms);
+        }
+        let text = self.string(doc, name)?;
+        let span_ms = value::span_ms(doc, text, name)?;
+        if span_ms < min_ms {
+            doc.add(
+                FindingCode::OutOfRange,
+                text.offset,
+                format!("`{name}` is {span_ms} ms"),
+                format!("give at least {min_ms} ms"),
+            );
+        }
+        Some(span_ms)
+    }
+
     /// Reads a required number that is not negative.
     pub(crate) fn number(&mut self, doc: &mut Doc<'_>, name: &'static str) -> Option<f64> {
         let value = self.required(doc, name)?;
--- a/crates/apricotlug-config/src/site.rs
+++ b/crates/apricotlug-config/src/site.rs
@@ -12,6 +12,13 @@
     value::{self, Port},
 };
 
+/// Shortest time within which a confirmed plan can be in force: an instance that finds its source
+/// out of date needs most of it to reach the store.
+const MIN_APPLY_MS: u32 = 1_000;
+
+/// Time within which a confirmed plan is in force where the settings do not say.
+const DEFAULT_APPLY_MS: u32 = 2_500;
+
 /// Settings of an entry instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SiteSettings {
@@ -69,6 +76,8 @@
 pub struct SiteBounds {
     /// Time from a request to end until the process is killed.
     pub grace_ms: u32,
+    /// Time within which a confirmed plan is in force on every instance.
+    pub apply_ms: u32,
     /// Longest time for which a withdrawn key still works.
     pub revoke_ms: u32,
     /// Whether a withdrawn key stops on every instance, also where no news comes in.
@@ -179,6 +188,7 @@
 
 fn read_bounds(doc: &mut Doc<'_>, mut fields: Fields<'_>) -> Option<SiteBounds> {
     let grace_ms = fields.span_ms(doc, "grace");
+    let apply_ms = fields.span_ms_or(doc, "apply", MIN_APPLY_MS, DEFAULT_APPLY_MS);
     let revoke_ms = fields.span_ms(doc, "revoke");
     let is_revocation_strict = fields.flag(doc, "strict_revocation");
     let lookup_ms = fields.span_ms(doc, "lookup");
@@ -191,6 +201,7 @@
     fields.finish(doc);
     Some(SiteBounds {
         grace_ms: grace_ms?,
+        apply_ms: apply_ms?,
         revoke_ms: revoke_ms?,
         is_revocation_strict: is_revocation_strict?,
         lookup_ms: lookup_ms?,
--- a/crates/apricotlug-config/tests/site.rs
+++ b/crates/apricotlug-config/tests/site.rs
@@ -17,6 +17,7 @@
     assert_eq!(settings.region_of("nowhere"), "");
     assert_eq!(settings.bounds.lookup_ms, 5_000);
     assert_eq!(settings.bounds.retry_ratio, 0.2);
+    assert_eq!(settings.bounds.apply_ms, 2_500);
     assert_eq!(settings.min_lease_ms, 1_000);
     assert!(settings.is_first_start && settings.bounds.is_revocation_strict);
 }
@@ -34,6 +35,8 @@
         ("grace = \"6s\"", "grace = \"6\"", &[OutOfRange]),
         ("grace = \"6s\"", "grace = \"-6s\"", &[OutOfRange]),
         ("grace = \"6s\"", "grace = 6", &[WrongType]),
+        ("apply = \"2500ms\"", "apply = \"0s\"", &[OutOfRange]),
+        ("apply = \"2500ms\"", "apply = 2500", &[WrongType]),
         ("retry_ratio = 0.2", "retry_ratio = \"0.2\"", &[WrongType]),
         ("retry_ratio = 0.2", "retry_ratio = -0.2", &[OutOfRange]),
         (
--- a/crates/apricotlug-policy/src/steer/read_schedule.rs
+++ b/crates/apricotlug-policy/src/steer/read_schedule.rs
@@ -1,13 +1,33 @@
 //! Where an instance reads the store's items next: at the store, from a relay or from another
 //! instance.
 //!
-//! Each way may fail, or bring old data, and each failure costs time. What they cost together
-//! decides how late a confirmed change is in force.
+//! Each way may fail, or bring old data, and each failure costs time. In sum that may not exceed the
+//! time within which a confirmed change has to be in force, so all limits follow from it:
+//!
+//! | from the last read that another instance passed on | at most |
+//! |---|---|
+//! | its data is too old from then on | `max_source_age` |
+//! | a request to it that has no response | `poll_slack` |
+//! | connecting to the store, and a watch that returns at once | the rest |
 
 use std::{net::SocketAddr, time::Duration};
 
 use apricotlug_model::MonoTime;
 
+/// Longest time that a watch of the store waits for changes.
+const MAX_WATCH_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Fraction of the bound that a watch may wait.
+const WATCH_FRACTION: f64 = 0.4;
+
+/// Fraction of the bound up to which another instance's data may be old. A relay that is well has
+/// data as old as a watch takes, with its delays.
+const SOURCE_AGE_FRACTION: f64 = 0.6;
+
+/// Fraction of the bound for which a response may be overdue, and its longest value.
+const SLACK_FRACTION: f64 = 0.2;
+const MAX_SLACK: Duration = Duration::from_millis(500);
+
 /// Time limits of reads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReadLimits {
@@ -16,13 +36,18 @@
     pub watch_wait: Duration,
     /// Age of another instance's data above which the store is read instead.
     pub max_source_age: Duration,
+    /// Time beyond its wait after which a poll of another instance counts as failed.
+    pub poll_slack: Duration,
 }
 
-impl Default for ReadLimits {
-    fn default() -> Self {
+impl ReadLimits {
+    /// Returns the limits by which a confirmed change is in force within a time.
+    #[must_use]
+    pub fn new(apply: Duration) -> Self {
         Self {
-            watch_wait: Duration::from_millis(1_000),
-            max_source_age: Duration::from_millis(2_760),
+            watch_wait: apply.mul_f64(WATCH_FRACTION).min(MAX_WATCH_WAIT),
+            max_source_age: apply.mul_f64(SOURCE_AGE_FRACTION),
+            poll_slack: apply.mul_f64(SLACK_FRACTION).min(MAX_SLACK),
         }
     }
 }
@@ -30,8 +55,8 @@
 /// Wait of a watch on a store that failed before, so that its recovery is noticed at once.
 const RECOVERY_WATCH_WAIT: Duration = Duration::from_millis(1);
 
-/// Time that another instance may wait for changes before it responds. Each request also reports
-/// what this instance admitted, so the wait bounds how often it reports.
+/// Longest time that another instance may wait for changes before it responds. Each request also
+/// reports what this instance admitted, so the wait bounds how often it reports.
 const POLL_WAIT: Duration = Duration::from_millis(400);
 
 /// Wait of an instance that look-ups do not list: it has no traffic to report, and changes end the
@@ -87,11 +112,13 @@
         after: u64,
         /// Time to wait for a change.
         wait: Duration,
+        /// Time after which the poll counts as failed.
+        time_limit: Duration,
     },
 }
 
 /// Decides where an instance reads next, from what became of its reads so far.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct ReadSchedule {
     limits: ReadLimits,
     /// Revision up to which the items are known; `None` before the first listing and after the
@@ -116,44 +143,54 @@
     pub fn new(limits: ReadLimits) -> Self {
         Self {
             limits,
-            ..Self::default()
+            revision: None,
+            knows_members: false,
+            relay_backoff_until: MonoTime::default(),
+            failed_polls: 0,
+            store_failures: 0,
+            fallback_until: MonoTime::default(),
+            is_store_lost: false,
         }
     }
 
+    /// Replaces the time limits, which apply to reads from then on.
+    pub fn set_limits(&mut self, limits: ReadLimits) {
+        self.limits = limits;
+    }
+
     /// Returns the time limits.
     #[must_use]
     pub fn limits(&self) -> ReadLimits {
         self.limits
     }
 
-    /// Returns the next read.
+    /// Returns the next read. `age` is the age of the last one; `None` before the first.
     #[must_use]
-    pub fn next(&self, sources: &ReadSources, now: MonoTime) -> Read {
-        let wait = if sources.is_listed {
-            POLL_WAIT
-        } else {
-            UNLISTED_POLL_WAIT
-        };
+    pub fn next(&self, sources: &ReadSources, age: Option<Duration>, now: MonoTime) -> Read {
         let may_poll_relay = self.relay_backoff_until.is_past(now);
         let Some(after) = self.revision else {
             let relay = sources.listing_relay.filter(|_| may_poll_relay);
             return match relay {
                 _ if !self.knows_members => Read::ListMembers,
-                Some(instance) => Read::Poll {
-                    instance,
-                    after: 0,
-                    wait: FULL_POLL_WAIT,
-                },
+                Some(instance) => self.poll(instance, 0, FULL_POLL_WAIT),
                 None => Read::List,
             };
         };
         let relay = sources.relay.filter(|_| may_poll_relay);
         match relay.or_else(|| self.fallback(sources, now)) {
-            Some(instance) => Read::Poll {
-                instance,
-                after,
-                wait,
-            },
+            Some(instance) => {
+                let wait = if sources.is_listed {
+                    POLL_WAIT
+                } else {
+                    UNLISTED_POLL_WAIT
+                };
+                // An instance that has nothing new either has to be noticed by then.
+                let left = self
+                    .limits
+                    .max_source_age
+                    .saturating_sub(age.unwrap_or_default());
+                self.poll(instance, after, wait.min(left))
+            }
             None if self.is_store_lost => Read::Watch {
                 after,
                 wait: RECOVERY_WATCH_WAIT,
@@ -165,6 +202,15 @@
         }
     }
 
+    fn poll(&self, instance: SocketAddr, after: u64, wait: Duration) -> Read {
+        Read::Poll {
+            instance,
+            after,
+            wait,
+            time_limit: wait + self.limits.poll_slack,
+        }
+    }
+
     /// Returns the instance to poll while other instances are used in place of the store.
     fn fallback(&self, sources: &ReadSources, now: MonoTime) -> Option<SocketAddr> {
         let count = sources.others.len();
--- a/crates/apricotlug-policy/tests/steer_reads.rs
+++ b/crates/apricotlug-policy/tests/steer_reads.rs
@@ -13,6 +13,10 @@
     ([10, 0, 0, 1], port).into()
 }
 
+fn limits() -> ReadLimits {
+    ReadLimits::new(Duration::from_millis(2_500))
+}
+
 fn others() -> ReadSources {
     ReadSources {
         others: vec![addr(1), addr(2)],
@@ -30,7 +34,7 @@
 
 /// Schedule of an instance that has listed the items.
 fn listed() -> ReadSchedule {
-    let mut schedule = ReadSchedule::new(ReadLimits::default());
+    let mut schedule = ReadSchedule::new(limits());
     schedule.on_members_listed();
     schedule.on_store_read(5);
     schedule
@@ -45,61 +49,61 @@
 
 #[test]
 fn an_instance_lists_the_others_then_all_items_then_watches() {
-    let mut schedule = ReadSchedule::new(ReadLimits::default());
-    assert_eq!(schedule.next(&others(), at(0)), Read::ListMembers);
+    let mut schedule = ReadSchedule::new(limits());
+    assert_eq!(schedule.next(&others(), None, at(0)), Read::ListMembers);
     schedule.on_members_listed();
-    assert_eq!(schedule.next(&others(), at(0)), Read::List);
+    assert_eq!(schedule.next(&others(), None, at(0)), Read::List);
     schedule.on_store_read(5);
     let wait = schedule.limits().watch_wait;
     assert_eq!(
-        schedule.next(&others(), at(0)),
+        schedule.next(&others(), None, at(0)),
         Read::Watch { after: 5, wait }
     );
 }
 
 #[test]
 fn an_instance_without_callers_gets_all_items_from_a_relay() {
-    let mut schedule = ReadSchedule::new(ReadLimits::default());
+    let mut schedule = ReadSchedule::new(limits());
     let sources = ReadSources {
         listing_relay: Some(addr(7)),
         ..relays()
     };
     schedule.on_members_listed();
     assert!(matches!(
-        schedule.next(&sources, at(0)),
+        schedule.next(&sources, None, at(0)),
         Read::Poll { after: 0, .. }
     ));
     schedule.on_poll_failure(at(0));
-    assert_eq!(schedule.next(&sources, at(1)), Read::List);
+    assert_eq!(schedule.next(&sources, None, at(1)), Read::List);
 }
 
 #[test]
 fn a_single_store_failure_does_not_switch_to_other_instances() {
     let mut schedule = listed();
     assert!(schedule.on_store_failure(at(1_000)), "the store is lost");
-    let read = schedule.next(&others(), at(1_001));
+    let read = schedule.next(&others(), None, at(1_001));
     assert!(
         matches!(read, Read::Watch { wait, .. } if wait < Duration::from_millis(10)),
         "one failure is retried at the store: {read:?}"
     );
     assert!(schedule.on_store_read(6), "the store is back");
     assert!(schedule.on_store_failure(at(2_000)));
-    assert_eq!(polled(schedule.next(&others(), at(2_001))), None);
+    assert_eq!(polled(schedule.next(&others(), None, at(2_001))), None);
     assert!(!schedule.on_store_failure(at(2_100)));
     assert_eq!(
-        polled(schedule.next(&others(), at(2_101))),
+        polled(schedule.next(&others(), None, at(2_101))),
         Some(addr(1)),
         "two consecutive failures start the fallback"
     );
     schedule.on_poll_failure(at(2_150));
     assert_eq!(
-        polled(schedule.next(&others(), at(2_200))),
+        polled(schedule.next(&others(), None, at(2_200))),
         None,
         "the other instance had no fresh data either"
     );
     schedule.on_store_failure(at(2_300));
     assert_eq!(
-        polled(schedule.next(&others(), at(2_301))),
+        polled(schedule.next(&others(), None, at(2_301))),
         Some(addr(2)),
         "the next instance is tried"
     );
@@ -108,17 +112,58 @@
 #[test]
 fn an_instance_whose_relay_fails_reads_the_store_for_a_while() {
     let mut schedule = listed();
-    assert_eq!(polled(schedule.next(&relays(), at(0))), Some(addr(7)));
+    assert_eq!(polled(schedule.next(&relays(), None, at(0))), Some(addr(7)));
     schedule.on_poll_failure(at(1_000));
-    assert_eq!(polled(schedule.next(&relays(), at(1_001))), None);
-    assert_eq!(polled(schedule.next(&relays(), at(3_999))), None);
-    assert_eq!(polled(schedule.next(&relays(), at(4_001))), Some(addr(7)));
+    assert_eq!(polled(schedule.next(&relays(), None, at(1_001))), None);
+    assert_eq!(polled(schedule.next(&relays(), None, at(3_999))), None);
+    assert_eq!(
+        polled(schedule.next(&relays(), None, at(4_001))),
+        Some(addr(7))
+    );
 }
 
 #[test]
 fn a_revision_never_goes_back_to_that_of_an_instance_that_is_behind() {
     let mut schedule = listed();
     schedule.on_poll(3);
-    let read = schedule.next(&relays(), at(0));
+    let read = schedule.next(&relays(), None, at(0));
     assert!(matches!(read, Read::Poll { after: 5, .. }), "{read:?}");
 }
+
+/// Guards against an instance that waits for changes at another one past the time at which it would
+/// notice that neither has read the store.
+#[test]
+fn a_poll_waits_no_longer_than_the_own_data_may_get_old() {
+    let schedule = listed();
+    let max_age = schedule.limits().max_source_age;
+    let waits = [0, 100, 2_000].map(|left_ms| {
+        let age = max_age.saturating_sub(Duration::from_millis(left_ms));
+        match schedule.next(&relays(), Some(age), at(0)) {
+            Read::Poll { wait, .. } => wait.as_millis(),
+            other => panic!("{other:?}"),
+        }
+    });
+    assert_eq!(waits, [0, 100, 400]);
+}
+
+/// Guards against time limits that add up beyond the bound: a relay's data at its oldest, a poll that
+/// fails, and the first watch of the store after it.
+#[test]
+fn noticing_stale_data_and_reading_the_store_take_less_than_the_bound() {
+    for apply_ms in [1_000, 2_500, 3_000, 4_000] {
+        let apply = Duration::from_millis(apply_ms);
+        let mut schedule = ReadSchedule::new(ReadLimits::new(apply));
+        schedule.on_members_listed();
+        schedule.on_store_read(5);
+        let max_age = schedule.limits().max_source_age;
+        for age in [Duration::ZERO, max_age / 2, max_age] {
+            let Read::Poll { time_limit, .. } = schedule.next(&relays(), Some(age), at(0)) else {
+                panic!("the relay is polled");
+            };
+            assert!(
+                age + time_limit < apply,
+                "{apply:?}: {age:?}, {time_limit:?}"
+            );
+        }
+    }
+}
--- a/crates/apricotlug-steer/src/store_sync.rs
+++ b/crates/apricotlug-steer/src/store_sync.rs
@@ -5,7 +5,7 @@
 
 use apricotlug_adapter::{Change, Listing, StoreClient, StoreError, all_keys, member_prefix};
 use apricotlug_policy::steer::{Read, ReadLimits, ReadSchedule, ReadSources};
-use async_std::{net::TcpStream, task};
+use async_std::{future::timeout, net::TcpStream, task};
 
 use crate::{
     freshness::StoreFreshness,
@@ -54,7 +54,7 @@
     let mut reader = StoreReader {
         store,
         relay_conn: None,
-        schedule: ReadSchedule::new(ReadLimits::default()),
+        schedule: ReadSchedule::new(read_limits(&shared)),
     };
     if shared.settings().is_first_start {
         task::sleep(FIRST_START_DELAY).await;
@@ -85,6 +85,11 @@
     }
 }
 
+fn read_limits(shared: &Shared) -> ReadLimits {
+    let apply_ms = shared.settings().bounds.apply_ms;
+    ReadLimits::new(Duration::from_millis(apply_ms.into()))
+}
+
 /// Returns the instances that can be read from in place of the store.
 fn read_sources(shared: &Shared) -> ReadSources {
     let now = shared.clock.now();
@@ -126,8 +131,10 @@
         expiry_grace: &ExpiryGrace,
     ) -> Result<(), StoreError> {
         loop {
-            let now = shared.clock.now();
-            match self.schedule.next(&read_sources(shared), now) {
+            // Settings may have been reloaded.
+            self.schedule.set_limits(read_limits(shared));
+            let (age, now) = (shared.freshness.age(), shared.clock.now());
+            match self.schedule.next(&read_sources(shared), age, now) {
                 Read::ListMembers => self.list_members(shared).await?,
                 Read::List => return self.list(shared, expiry_grace).await,
                 Read::Watch { after, wait } => {
@@ -137,9 +144,13 @@
                     instance,
                     after,
                     wait,
+                    time_limit,
                 } => {
                     let polling = self.poll(shared, expiry_grace, instance, after, wait);
-                    match polling.await {
+                    let polled = timeout(time_limit, polling)
+                        .await
+                        .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+                    match polled {
                         Ok(()) => return Ok(()),
                         Err(e) => self.on_poll_failure(shared, instance, &e),
                     }
--- a/crates/apricotlug-steer/tests/support/world.rs
+++ b/crates/apricotlug-steer/tests/support/world.rs
@@ -17,8 +17,6 @@
 const MAX_BACKOFF: u64 = 400;
 const LIST_LIMIT: u64 = 2_500;
 const WATCH_SLACK: u64 = 700;
-const POLL_SLACK: u64 = 500;
-const CONNECT_LIMIT: u64 = 400;
 
 /// Bounds of an installation, times in milliseconds.
 #[derive(Clone, Copy, Debug)]
@@ -184,7 +182,7 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut store = Store::default();
         store.write(0, PLAN, true);
-        let limits = ReadLimits::default();
+        let limits = ReadLimits::new(Duration::from_millis(sheet.apply));
         let instances = (0..sheet.instances).map(|i| Instance {
             region: i % REGIONS,
             store_delay: [1, 20, rng.random_range(20..60)][i % REGIONS],
@@ -458,13 +456,15 @@
 
     fn send(&mut self, i: usize) -> Op {
         let now = self.now;
+        let read_at = self.instances[i].read_at;
+        let age = read_at.map(|at| Duration::from_millis(now - at));
         let read = self.instances[i]
             .schedule
-            .next(&self.sources(i), self.mono());
+            .next(&self.sources(i), age, self.mono());
         let limit = match read {
             Read::List | Read::ListMembers => LIST_LIMIT,
             Read::Watch { wait, .. } => wait.as_millis() as u64 + WATCH_SLACK,
-            Read::Poll { wait, .. } => wait.as_millis() as u64 + POLL_SLACK + CONNECT_LIMIT,
+            Read::Poll { time_limit, .. } => time_limit.as_millis() as u64,
         };
         Op::Sent {
             read,
@@ -480,6 +480,7 @@
             instance,
             after,
             wait,
+            ..
         } = read
         {
             return self.polled(
