Take what an instance passes on, its revision and its age at once

An instance that answers another one took the changes under one lock, and the revision and the time of its last read later under others. A change recorded in between counted as passed on and was not: the other instance would have gone on with the older plan until the next change, and taken it for current.

Also: the age of a response counted from when the request was sent, though it was taken when the response was made, up to a second later. The response says how long it held the request (heldMs in the schema; a sender that does not know it counts as 0, as before).

--- a/crates/apricotlug-model/src/lib.rs
+++ b/crates/apricotlug-model/src/lib.rs
@@ -26,7 +26,7 @@
     Backend, BackendState, CallerLimits, Exchange, MoveOrder, MoveState, MoveStatus, Part, Plan,
     PlanAccount, PlanRoute, PlanService, PlanVersion,
 };
-pub use time::{MonoTime, UnixTime};
+pub use time::{BootTime, MonoTime, UnixTime};
 
 /// Hash map with a fast hasher, for keys that no outsider chooses.
 pub type HashMap<K, V> = std::collections::HashMap<K, V, rustc_hash::FxBuildHasher>;
--- a/crates/apricotlug-model/src/time.rs
+++ b/crates/apricotlug-model/src/time.rs
@@ -57,6 +57,9 @@
 point_in_time! {
     /// Point on a process's own monotonic clock, in microseconds since the process started.
     MonoTime
+    /// Point on the machine's clock that goes on while the machine is suspended, in microseconds since
+    /// it booted.
+    BootTime
     /// Point on the wall clock, in microseconds since 1970-01-01 00:00:00 UTC.
     UnixTime
 }
--- a/crates/apricotlug-steer/schema/pulse.capnp
+++ b/crates/apricotlug-steer/schema/pulse.capnp
@@ -63,4 +63,5 @@
   # Requests admitted by all instances except the receiver.
   proofs @6 :List(Proof);
   busy @7 :List(Busy);
+  heldMs @8 :UInt32;
 }
--- a/crates/apricotlug-steer/src/freshness.rs
+++ b/crates/apricotlug-steer/src/freshness.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use apricotlug_model::BootTime;
 use rustix::time::{ClockId, clock_gettime};
 
 /// Time as of which everything written to the store is known.
@@ -15,18 +16,18 @@
 pub struct StoreFreshness(AtomicU64);
 
 impl StoreFreshness {
-    /// Returns the time since the machine booted, in microseconds, including time spent suspended.
+    /// Returns the present time.
     #[must_use]
-    pub fn boottime_us() -> u64 {
+    pub fn now() -> BootTime {
         let now = clock_gettime(ClockId::Boottime);
         let seconds = u64::try_from(now.tv_sec).unwrap_or_default();
         let nanos = u64::try_from(now.tv_nsec).unwrap_or_default();
-        seconds * 1_000_000 + nanos / 1_000
+        BootTime(seconds * 1_000_000 + nanos / 1_000)
     }
 
-    /// Records that everything written before `requested_at_us` has been read.
-    pub fn record_read(&self, requested_at_us: u64) {
-        self.0.fetch_max(requested_at_us, Ordering::Relaxed);
+    /// Records that everything written before `read_at` is in force here.
+    pub fn record_read(&self, read_at: BootTime) {
+        self.0.fetch_max(read_at.0, Ordering::Relaxed);
     }
 
     /// Returns the age of the last read in milliseconds; `None` if there was none yet.
@@ -41,9 +42,7 @@
     pub fn age(&self) -> Option<Duration> {
         match self.0.load(Ordering::Relaxed) {
             0 => None,
-            at => Some(Duration::from_micros(
-                Self::boottime_us().saturating_sub(at),
-            )),
+            at => Some(Self::now().since(BootTime(at))),
         }
     }
 }
--- a/crates/apricotlug-steer/src/relay/change_log.rs
+++ b/crates/apricotlug-steer/src/relay/change_log.rs
@@ -10,7 +10,7 @@
 };
 
 use apricotlug_adapter::{Change, Item, Listing};
-use apricotlug_model::HashMap;
+use apricotlug_model::{BootTime, HashMap};
 use async_channel::{Receiver, Sender};
 
 /// Number and bytes of removed keys that are kept. An instance whose revision is older than the
@@ -61,6 +61,8 @@
     /// Revision after which the last changes of all keys are kept.
     complete_after: u64,
     revision: u64,
+    /// Time as of which all changes are recorded; `None` before the first read.
+    read_at: Option<BootTime>,
     /// Channel that closes at the next change. Everyone who waits holds a receiver of it, so that
     /// nothing is left of a wait that times out.
     next_change: NextChange,
@@ -69,8 +71,9 @@
 }
 
 impl Inner {
-    fn record(&mut self, changes: &[Change], revision: u64) {
+    fn record(&mut self, changes: &[Change], revision: u64, read_at: BootTime) {
         self.revision = self.revision.max(revision);
+        self.read_at = self.read_at.max(Some(read_at));
         if changes.is_empty() {
             return;
         }
@@ -140,13 +143,39 @@
         changes.reverse();
         changes
     }
+
+    fn delta_after(&self, revision: u64) -> Delta {
+        let is_empty = self.revision == 0;
+        if !is_empty && (revision < self.complete_after || revision == 0) {
+            let all = self.items().cloned().map(Change::Put);
+            return Delta::Full(all.collect());
+        }
+        let changes = self.changes_after(revision);
+        if changes.is_empty() {
+            return Delta::Unchanged(self.next_change.1.clone());
+        }
+        Delta::Changes(changes)
+    }
 }
 
 /// Items of the store and their recent changes.
 #[derive(Debug, Default)]
 pub struct ChangeLog(Mutex<Inner>);
 
-/// What changed after a given revision.
+/// What changed after a given revision, and as of when.
+///
+/// The three are taken at once: a change that is recorded in between would count as passed on.
+#[derive(Debug)]
+pub struct Snapshot {
+    /// Changes after the given revision.
+    pub delta: Delta,
+    /// Revision up to which the changes go.
+    pub revision: u64,
+    /// Time as of which they are all changes; `None` before the first read.
+    pub read_at: Option<BootTime>,
+}
+
+/// Changes after a given revision.
 #[derive(Debug)]
 pub enum Delta {
     /// Nothing yet; the channel closes at the next change.
@@ -158,10 +187,10 @@
 }
 
 impl ChangeLog {
-    /// Records a full listing as the changes from the previous state, so that a store that drops
+    /// Records a full listing, requested at `read_at`, as the changes from the previous state, so that a store that drops
     /// its history does not make every instance fetch all items again. Returns these changes in
     /// order of keys.
-    pub fn on_listing(&self, listing: &Listing) -> Vec<Change> {
+    pub fn on_listing(&self, listing: &Listing, read_at: BootTime) -> Vec<Change> {
         let mut inner = self.lock();
         if inner.revision == 0 {
             inner.complete_after = listing.revision;
@@ -182,18 +211,13 @@
         let updated = updated.map(|item| Change::Put(item.clone()));
         let mut changes: Vec<_> = removed.chain(updated).collect();
         changes.sort_by(|one, other| key_of(one).cmp(key_of(other)));
-        inner.record(&changes, listing.revision);
+        inner.record(&changes, listing.revision, read_at);
         changes
     }
 
-    /// Records changes up to a revision.
-    pub fn on_changes(&self, changes: &[Change], revision: u64) {
-        self.lock().record(changes, revision);
-    }
-
-    /// Returns the revision up to which the store's state is known.
-    pub fn revision(&self) -> u64 {
-        self.lock().revision
+    /// Records the changes up to a revision, which were requested at `read_at`.
+    pub fn on_changes(&self, changes: &[Change], revision: u64, read_at: BootTime) {
+        self.lock().record(changes, revision, read_at);
     }
 
     /// Returns how many instances wait for a change.
@@ -211,18 +235,13 @@
     }
 
     /// Returns what changed after a revision; nothing before the first listing.
-    pub fn delta_after(&self, revision: u64) -> Delta {
+    pub fn snapshot_after(&self, revision: u64) -> Snapshot {
         let inner = self.lock();
-        let is_empty = inner.revision == 0;
-        if !is_empty && (revision < inner.complete_after || revision == 0) {
-            let all = inner.items().cloned().map(Change::Put);
-            return Delta::Full(all.collect());
-        }
-        let changes = inner.changes_after(revision);
-        if changes.is_empty() {
-            return Delta::Unchanged(inner.next_change.1.clone());
+        Snapshot {
+            delta: inner.delta_after(revision),
+            revision: inner.revision,
+            read_at: inner.read_at,
         }
-        Delta::Changes(changes)
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/crates/apricotlug-steer/src/relay/server.rs
+++ b/crates/apricotlug-steer/src/relay/server.rs
@@ -10,6 +10,7 @@
 
 use super::{change_log::Delta, read, write};
 use crate::{
+    freshness::StoreFreshness,
     shared::Shared,
     wire::{RelayRequest, RelayResponse, decode_relay_request, encode_relay_response},
 };
@@ -65,32 +66,38 @@
 }
 
 async fn build_response(shared: &Shared, request: RelayRequest) -> RelayResponse {
+    let received_at = StoreFreshness::now();
     shared
         .steering()
         .on_relay_request(&request, shared.clock.now());
     let wait = Duration::from_millis(request.wait_ms.into()).min(MAX_WAIT);
-    let mut delta = shared.change_log.delta_after(request.after);
-    if let Delta::Unchanged(changed) = &delta {
+    let mut snapshot = shared.change_log.snapshot_after(request.after);
+    if let Delta::Unchanged(changed) = &snapshot.delta {
         // A change and a time-out are handled alike: the changes known by then are returned.
         let _ = timeout(wait, changed.recv()).await;
-        delta = shared.change_log.delta_after(request.after);
+        snapshot = shared.change_log.snapshot_after(request.after);
     }
-    let (is_full, changes) = match delta {
+    let (is_full, changes) = match snapshot.delta {
         Delta::Unchanged(_) => (false, Vec::new()),
         Delta::Changes(changes) => (false, changes),
         Delta::Full(changes) => (true, changes),
     };
-    let age = shared.freshness.age();
+    let now = StoreFreshness::now();
     let mut response = RelayResponse {
         run: shared.run,
-        revision: shared.change_log.revision(),
+        revision: snapshot.revision,
         is_full,
-        age_ms: age.map_or(u32::MAX, |age| {
-            u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
-        }),
+        held_ms: whole_ms(now.since(received_at)),
+        age_ms: snapshot
+            .read_at
+            .map_or(u32::MAX, |read_at| whole_ms(now.since(read_at))),
         changes,
         ..RelayResponse::default()
     };
     shared.steering().fill_response(request.run, &mut response);
     response
 }
+
+fn whole_ms(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/apricotlug-steer/src/store_sync.rs
+++ b/crates/apricotlug-steer/src/store_sync.rs
@@ -4,6 +4,7 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use apricotlug_adapter::{Change, Listing, StoreClient, StoreError, all_keys, member_prefix};
+use apricotlug_model::BootTime;
 use apricotlug_policy::steer::{Read, ReadLimits, ReadSchedule, ReadSources};
 use async_std::{future::timeout, net::TcpStream, task};
 
@@ -175,7 +176,7 @@
         after: u64,
         wait: Duration,
     ) -> io::Result<()> {
-        let requested_at = StoreFreshness::boottime_us();
+        let requested_at = StoreFreshness::now();
         let response = relay::poll(shared, &mut self.relay_conn, instance, after, wait).await?;
         let uses_relays = shared.steering().relays().is_needed;
         if uses_relays {
@@ -183,13 +184,14 @@
                 .steering()
                 .on_relay_response(&response, shared.clock.now());
         }
-        let age = Duration::from_millis(response.age_ms.into());
-        if age > self.schedule.limits().max_source_age {
-            return Err(io::Error::new(
-                io::ErrorKind::TimedOut,
-                "the relay's store data is too old",
-            ));
-        }
+        let read_at = response.read_at(requested_at);
+        let is_fresh =
+            |read_at| StoreFreshness::now().since(read_at) <= self.schedule.limits().max_source_age;
+        let read_at = read_at
+            .filter(|read_at| is_fresh(*read_at))
+            .ok_or_else(|| {
+                io::Error::new(io::ErrorKind::TimedOut, "the relay's store data is too old")
+            })?;
         if uses_relays {
             let was_lost = self.schedule.on_store_response();
             on_store_response(shared, expiry_grace, was_lost);
@@ -211,15 +213,13 @@
                 items: items.collect(),
                 revision: response.revision,
             };
-            apply_listing(shared, expiry_grace, &listing);
+            apply_listing(shared, expiry_grace, &listing, read_at);
         } else {
-            record_changes(shared, expiry_grace, response.changes, response.revision);
+            let revision = response.revision;
+            record_changes(shared, expiry_grace, response.changes, revision, read_at);
         }
         self.schedule.on_poll(revision);
-        let age_us = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
-        shared
-            .freshness
-            .record_read(requested_at.saturating_sub(age_us));
+        shared.freshness.record_read(read_at);
         Ok(())
     }
 
@@ -228,7 +228,7 @@
         shared: &Shared,
         expiry_grace: &ExpiryGrace,
     ) -> Result<(), StoreError> {
-        let requested_at = StoreFreshness::boottime_us();
+        let requested_at = StoreFreshness::now();
         let listing = self.store.list(all_keys(), LIST_TIMEOUT).await?;
         tracing::info!(
             kind = "listed",
@@ -236,7 +236,7 @@
             revision = listing.revision
         );
         self.on_store_read(shared, expiry_grace, listing.revision);
-        apply_listing(shared, expiry_grace, &listing);
+        apply_listing(shared, expiry_grace, &listing, requested_at);
         shared.freshness.record_read(requested_at);
         Ok(())
     }
@@ -248,11 +248,11 @@
         after: u64,
         wait: Duration,
     ) -> Result<(), StoreError> {
-        let requested_at = StoreFreshness::boottime_us();
+        let requested_at = StoreFreshness::now();
         let watching = self.store.watch(all_keys(), after, wait, WATCH_SLACK);
         let (changes, next) = watching.await?;
         self.on_store_read(shared, expiry_grace, next);
-        record_changes(shared, expiry_grace, changes, next);
+        record_changes(shared, expiry_grace, changes, next, requested_at);
         shared.freshness.record_read(requested_at);
         Ok(())
     }
@@ -292,8 +292,13 @@
     }
 }
 
-fn apply_listing(shared: &Shared, expiry_grace: &ExpiryGrace, listing: &Listing) {
-    let changes = shared.change_log.on_listing(listing);
+fn apply_listing(
+    shared: &Shared,
+    expiry_grace: &ExpiryGrace,
+    listing: &Listing,
+    read_at: BootTime,
+) {
+    let changes = shared.change_log.on_listing(listing, read_at);
     apply_changes(shared, expiry_grace, changes);
 }
 
@@ -302,7 +307,8 @@
     expiry_grace: &ExpiryGrace,
     changes: Vec<Change>,
     revision: u64,
+    read_at: BootTime,
 ) {
-    shared.change_log.on_changes(&changes, revision);
+    shared.change_log.on_changes(&changes, revision, read_at);
     apply_changes(shared, expiry_grace, changes);
 }
--- a/crates/apricotlug-steer/src/wire.rs
+++ b/crates/apricotlug-steer/src/wire.rs
@@ -1,5 +1,7 @@
 //! Messages between instances: datagrams, relay requests and relay responses.
 
+use std::time::Duration;
+
 use capnp::{
     message::{Builder, ReaderOptions},
     serialize_packed,
@@ -7,6 +9,7 @@
 use thiserror::Error;
 
 use apricotlug_adapter::{Change, Item};
+use apricotlug_model::BootTime;
 
 use crate::pulse_capnp::{ask, busy, proof, pulse, spent, told};
 
@@ -23,6 +26,9 @@
 /// Largest relay response that is read, in words of 8 bytes.
 const MAX_RESPONSE_WORDS: usize = 8 << 20;
 
+/// Most by which an age in whole milliseconds is too low.
+const ROUNDING: Duration = Duration::from_millis(1);
+
 /// Why a message cannot be read.
 #[derive(Debug, Error)]
 pub enum WireError {
@@ -232,8 +238,11 @@
     pub revision: u64,
     /// Whether the changes are all items of the store.
     pub is_full: bool,
-    /// Age of the responder's last store read, in milliseconds; the maximum if it has read nothing.
+    /// Age of the responder's last store read when it responded, in milliseconds; the maximum if it
+    /// has read nothing.
     pub age_ms: u32,
+    /// Time for which the responder held the request, in milliseconds.
+    pub held_ms: u32,
     /// Changes in the order in which they were made.
     pub changes: Vec<Change>,
     /// Requests admitted by all instances except the receiver.
@@ -282,6 +291,23 @@
     })
 }
 
+impl RelayResponse {
+    /// Returns the time of the responder's last store read, on the clock on which the request was
+    /// sent; `None` if it has read nothing.
+    ///
+    /// How long either message was under way is not known. So the response counts as made at once
+    /// after the request arrived and was held, and the request as arrived when it was sent.
+    #[must_use]
+    pub fn read_at(&self, requested_at: BootTime) -> Option<BootTime> {
+        let ms = |ms: u32| Duration::from_millis(ms.into());
+        (self.age_ms < u32::MAX).then(|| {
+            requested_at
+                .after(ms(self.held_ms))
+                .before(ms(self.age_ms).saturating_add(ROUNDING))
+        })
+    }
+}
+
 /// Encodes a relay response.
 #[must_use]
 pub fn encode_relay_response(source: &RelayResponse) -> Vec<u8> {
@@ -291,6 +317,7 @@
     builder.set_revision(source.revision);
     builder.set_is_full(source.is_full);
     builder.set_age_ms(source.age_ms);
+    builder.set_held_ms(source.held_ms);
     let mut changes = builder.reborrow().init_changes(source.changes.len() as u32);
     for (i, change) in source.changes.iter().enumerate() {
         let mut builder = changes.reborrow().get(i as u32);
@@ -345,6 +372,7 @@
         revision: reader.get_revision(),
         is_full: reader.get_is_full(),
         age_ms: reader.get_age_ms(),
+        held_ms: reader.get_held_ms(),
         changes,
         usage: read_usage(reader.get_spent()?),
         evidence: read_evidence(reader.get_proofs()?),
--- a/crates/apricotlug-steer/tests/peers.rs
+++ b/crates/apricotlug-steer/tests/peers.rs
@@ -1,10 +1,14 @@
 //! Messages between instances, and which instances report to which.
 
-use std::time::Duration;
+use std::{
+    sync::atomic::{AtomicBool, Ordering},
+    thread,
+    time::Duration,
+};
 
 use apricotlug_adapter::{Change, Item, Listing};
 use apricotlug_config::{SiteSettings, parse_site};
-use apricotlug_model::MonoTime;
+use apricotlug_model::{BootTime, MonoTime};
 use apricotlug_steer::{
     AccountUsage, BackendLoad, ChangeLog, Delta, ListedInstances, MemberInfo, MoveEvidence, Peers,
     RelayRequest, RelayResponse, Relays, StatusDatagram, decode_datagram, decode_relay_request,
@@ -13,6 +17,9 @@
 
 const SETTINGS: &str = include_str!("../../../examples/steer.toml");
 
+/// Time of reads where it does not matter.
+const READ_AT: BootTime = BootTime(1);
+
 fn at(ms: u64) -> MonoTime {
     MonoTime::default().after(Duration::from_millis(ms))
 }
@@ -101,6 +108,7 @@
         revision: 9,
         is_full: true,
         age_ms: 17,
+        held_ms: 5,
         changes: vec![Change::Put(item), Change::Removed("c".to_owned())],
         usage: usage(),
         evidence: evidence(),
@@ -204,9 +212,15 @@
 fn a_listing_after_the_history_was_dropped_yields_only_what_changed() {
     let change_log = ChangeLog::default();
     let listing = |items: Vec<Item>, revision| Listing { items, revision };
-    change_log.on_listing(&listing(vec![item("a", 1), item("b", 2), item("c", 3)], 5));
-    change_log.on_listing(&listing(vec![item("a", 1), item("b", 7), item("d", 8)], 9));
-    let Delta::Changes(changes) = change_log.delta_after(5) else {
+    change_log.on_listing(
+        &listing(vec![item("a", 1), item("b", 2), item("c", 3)], 5),
+        READ_AT,
+    );
+    change_log.on_listing(
+        &listing(vec![item("a", 1), item("b", 7), item("d", 8)], 9),
+        READ_AT,
+    );
+    let Delta::Changes(changes) = change_log.snapshot_after(5).delta else {
         panic!("the changes since the first listing are known");
     };
     let expected = [
@@ -215,8 +229,11 @@
         Change::Put(item("d", 8)),
     ];
     assert_eq!(changes, expected);
-    assert!(matches!(change_log.delta_after(9), Delta::Unchanged(_)));
-    assert!(matches!(change_log.delta_after(4), Delta::Full(all) if all.len() == 3));
+    assert!(matches!(
+        change_log.snapshot_after(9).delta,
+        Delta::Unchanged(_)
+    ));
+    assert!(matches!(change_log.snapshot_after(4).delta, Delta::Full(all) if all.len() == 3));
 }
 
 #[test]
@@ -278,16 +295,16 @@
 #[test]
 fn a_relay_that_has_listed_nothing_yet_lets_its_clients_wait() {
     let change_log = ChangeLog::default();
-    let Delta::Unchanged(listed) = change_log.delta_after(0) else {
+    let Delta::Unchanged(listed) = change_log.snapshot_after(0).delta else {
         panic!("an empty state is not the store's");
     };
     let listing = Listing {
         items: vec![item("a", 1)],
         revision: 5,
     };
-    change_log.on_listing(&listing);
+    change_log.on_listing(&listing, READ_AT);
     assert!(listed.is_closed(), "the first listing ends the wait");
-    assert!(matches!(change_log.delta_after(0), Delta::Full(all) if all.len() == 1));
+    assert!(matches!(change_log.snapshot_after(0).delta, Delta::Full(all) if all.len() == 1));
 }
 
 /// Guards against a log that keeps replaced values: 19 storms of large desired states took every
@@ -297,16 +314,19 @@
     const LARGE: usize = 800_000;
     const WRITES: u64 = 100;
     let change_log = ChangeLog::default();
-    change_log.on_listing(&Listing {
-        items: vec![item("a", 1), item("b", 2)],
-        revision: 5,
-    });
+    change_log.on_listing(
+        &Listing {
+            items: vec![item("a", 1), item("b", 2)],
+            revision: 5,
+        },
+        READ_AT,
+    );
     let large = |revision| Item {
         value: vec![7; LARGE],
         ..item("large", revision)
     };
     for revision in 6..6 + WRITES {
-        change_log.on_changes(&[Change::Put(large(revision))], revision);
+        change_log.on_changes(&[Change::Put(large(revision))], revision, READ_AT);
     }
     assert!(
         change_log.held_bytes() < 2 * LARGE,
@@ -315,12 +335,15 @@
     );
     let last = 5 + WRITES;
     for after in [5, 50, last - 1] {
-        let Delta::Changes(changes) = change_log.delta_after(after) else {
+        let Delta::Changes(changes) = change_log.snapshot_after(after).delta else {
             panic!("the last change of every key is kept");
         };
         assert_eq!(changes, [Change::Put(large(last))], "after {after}");
     }
-    assert!(matches!(change_log.delta_after(last), Delta::Unchanged(_)));
+    assert!(matches!(
+        change_log.snapshot_after(last).delta,
+        Delta::Unchanged(_)
+    ));
 }
 
 /// Guards against keys of backend servers that come and go, each under a new name.
@@ -328,15 +351,18 @@
 fn keys_that_come_and_go_are_held_up_to_a_limit() {
     const KEYS: u64 = 20_000;
     let change_log = ChangeLog::default();
-    change_log.on_listing(&Listing {
-        items: vec![item("a", 1)],
-        revision: 5,
-    });
+    change_log.on_listing(
+        &Listing {
+            items: vec![item("a", 1)],
+            revision: 5,
+        },
+        READ_AT,
+    );
     let long_key = |i| format!("{}{i}", "x".repeat(1_000));
     for i in 0..KEYS {
         let (key, revision) = (long_key(i), 6 + 2 * i);
-        change_log.on_changes(&[Change::Put(item(&key, revision))], revision);
-        change_log.on_changes(&[Change::Removed(key)], revision + 1);
+        change_log.on_changes(&[Change::Put(item(&key, revision))], revision, READ_AT);
+        change_log.on_changes(&[Change::Removed(key)], revision + 1, READ_AT);
     }
     assert!(
         change_log.held_bytes() < 2 << 20,
@@ -344,12 +370,12 @@
         change_log.held_bytes()
     );
     let last = 5 + 2 * KEYS;
-    let Delta::Changes(changes) = change_log.delta_after(last - 1) else {
+    let Delta::Changes(changes) = change_log.snapshot_after(last - 1).delta else {
         panic!("recent removals are kept");
     };
     assert_eq!(changes, [Change::Removed(long_key(KEYS - 1))]);
     assert!(
-        matches!(change_log.delta_after(6), Delta::Full(all) if all == [Change::Put(item("a", 1))]),
+        matches!(change_log.snapshot_after(6).delta, Delta::Full(all) if all == [Change::Put(item("a", 1))]),
         "an instance that missed a dropped removal gets all items"
     );
 }
@@ -359,17 +385,84 @@
 #[test]
 fn a_wait_that_timed_out_leaves_nothing_behind() {
     let change_log = ChangeLog::default();
-    change_log.on_changes(&[Change::Put(item("a", 5))], 5);
+    change_log.on_changes(&[Change::Put(item("a", 5))], 5, READ_AT);
     for _ in 0..1_000 {
-        let delta = change_log.delta_after(5);
+        let delta = change_log.snapshot_after(5).delta;
         assert!(matches!(delta, Delta::Unchanged(_)));
     }
     assert_eq!(change_log.waiting(), 0);
-    let waits = [change_log.delta_after(5), change_log.delta_after(5)];
+    let waits = [
+        change_log.snapshot_after(5).delta,
+        change_log.snapshot_after(5).delta,
+    ];
     assert_eq!(change_log.waiting(), 2);
-    change_log.on_changes(&[Change::Put(item("a", 6))], 6);
+    change_log.on_changes(&[Change::Put(item("a", 6))], 6, READ_AT);
     for wait in waits {
         assert!(matches!(wait, Delta::Unchanged(changed) if changed.is_closed()));
     }
     assert_eq!(change_log.waiting(), 0);
 }
+
+/// Guards against a change that is missed for good: it was recorded while a response to another
+/// instance was put together, of which the changes did not have it, and the revision did.
+#[test]
+fn a_snapshot_holds_all_changes_up_to_its_revision_while_others_are_recorded() {
+    const ROUNDS: u64 = 50_000;
+    let change_log = ChangeLog::default();
+    let record = |revision| {
+        let change = Change::Put(item("plan", revision));
+        change_log.on_changes(&[change], revision, BootTime(revision));
+    };
+    record(1);
+    let is_done = AtomicBool::new(false);
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut revisions = 2..;
+            while !is_done.load(Ordering::Relaxed) {
+                revisions.by_ref().take(1).for_each(record);
+            }
+        });
+        let mut known = 1;
+        let mut wrong = None;
+        for _ in 0..ROUNDS {
+            let snapshot = change_log.snapshot_after(known);
+            let held = match &snapshot.delta {
+                Delta::Unchanged(_) => known,
+                Delta::Changes(changes) | Delta::Full(changes) => match changes.last() {
+                    Some(Change::Put(item)) => item.revision,
+                    _ => 0,
+                },
+            };
+            let claimed = (snapshot.revision, snapshot.read_at);
+            if claimed != (held, Some(BootTime(held))) {
+                wrong = Some((held, claimed));
+            }
+            known = snapshot.revision;
+        }
+        is_done.store(true, Ordering::Relaxed);
+        assert_eq!(
+            wrong, None,
+            "held, and claimed revision and time of the read"
+        );
+    });
+}
+
+/// Guards against relayed data that counts as older than it is by the time for which the relay held
+/// the request: in quiet times that was up to a second.
+#[test]
+fn relayed_data_is_as_old_as_when_the_relay_responded() {
+    let requested_at = BootTime(10_000_000);
+    let response = |age_ms, held_ms| RelayResponse {
+        age_ms,
+        held_ms,
+        ..RelayResponse::default()
+    };
+    let read_at = |age_ms, held_ms| response(age_ms, held_ms).read_at(requested_at);
+    assert_eq!(read_at(300, 0), Some(BootTime(9_699_000)));
+    assert_eq!(
+        read_at(300, 1_000),
+        Some(BootTime(10_699_000)),
+        "the relay read the store while it held the request"
+    );
+    assert_eq!(read_at(u32::MAX, 1_000), None, "it has read nothing");
+}
--- a/crates/apricotlug-steer/tests/reads_model.rs
+++ b/crates/apricotlug-steer/tests/reads_model.rs
@@ -1,7 +1,7 @@
 //! Instances that read the store, relays and each other, as a model in virtual time: how late a
 //! confirmed change is in force, and whether an instance holds what it claims to know.
 
-#[path = "support/world.rs"]
+#[path = "support/world/mod.rs"]
 mod world;
 
 use world::{Sheet, World};
--- /dev/null
+++ b/crates/apricotlug-steer/tests/support/world/calls.rs
@@ -0,0 +1,255 @@
+//! What becomes of the reads of an instance of the model, tick by tick.
+
+use std::time::Duration;
+
+use apricotlug_adapter::{Change, Listing};
+use apricotlug_policy::steer::Read;
+use apricotlug_steer::Delta;
+
+use super::{Answer, MAX_MESHED, MIN_BACKOFF, Op, World, boot, millis};
+
+const MAX_BACKOFF: u64 = 400;
+const LIST_LIMIT: u64 = 2_500;
+const WATCH_SLACK: u64 = 700;
+
+impl World {
+    pub(super) fn act(&mut self, i: usize) {
+        if !self.is_running(i) {
+            return;
+        }
+        let now = self.now;
+        let op = std::mem::replace(&mut self.instances[i].op, Op::Sleep { until: 0 });
+        let op = match op {
+            Op::Sleep { until } if now < until => Op::Sleep { until },
+            Op::Sleep { .. } => self.send(i),
+            Op::Sent { gives_up, read, .. } | Op::Answered { gives_up, read, .. }
+                if now >= gives_up =>
+            {
+                self.deliver(i, read, now, Answer::Failed)
+            }
+            Op::Sent {
+                read,
+                at,
+                reaches,
+                gives_up,
+            } if now < reaches => Op::Sent {
+                read,
+                at,
+                reaches,
+                gives_up,
+            },
+            Op::Sent {
+                read,
+                at,
+                reaches,
+                gives_up,
+            } => match self.answer(i, read, reaches) {
+                Some(answer) => {
+                    let arrives = now + self.delay(i, read);
+                    Op::Answered {
+                        read,
+                        at,
+                        arrives,
+                        gives_up,
+                        answer,
+                    }
+                }
+                None => Op::Sent {
+                    read,
+                    at,
+                    reaches,
+                    gives_up,
+                },
+            },
+            Op::Answered {
+                read,
+                at,
+                arrives,
+                gives_up,
+                answer,
+            } if now < arrives => Op::Answered {
+                read,
+                at,
+                arrives,
+                gives_up,
+                answer,
+            },
+            Op::Answered {
+                read,
+                at,
+                gives_up,
+                answer,
+                ..
+            } => {
+                let is_lost = match read {
+                    Read::Poll { instance, .. } => {
+                        self.is_isolated(i) || self.is_isolated(usize::from(instance.port()))
+                    }
+                    _ => self.store_answers(i).is_none(),
+                };
+                if is_lost {
+                    Op::Sent {
+                        read,
+                        at,
+                        reaches: u64::MAX,
+                        gives_up,
+                    }
+                } else {
+                    self.deliver(i, read, at, answer)
+                }
+            }
+        };
+        self.instances[i].op = op;
+    }
+
+    fn send(&mut self, i: usize) -> Op {
+        let now = self.now;
+        let read_at = self.instances[i].read_at;
+        let age = read_at.map(|at| Duration::from_millis(now - at));
+        let read = self.instances[i]
+            .schedule
+            .next(&self.sources(i), age, self.mono());
+        let limit = match read {
+            Read::List | Read::ListMembers => LIST_LIMIT,
+            Read::Watch { wait, .. } => wait.as_millis() as u64 + WATCH_SLACK,
+            Read::Poll { time_limit, .. } => time_limit.as_millis() as u64,
+        };
+        Op::Sent {
+            read,
+            at: now,
+            reaches: now + self.delay(i, read),
+            gives_up: now + limit,
+        }
+    }
+
+    /// Returns the answer to a read, once there is one.
+    fn answer(&self, i: usize, read: Read, reached: u64) -> Option<Answer> {
+        if let Read::Poll {
+            instance,
+            after,
+            wait,
+            ..
+        } = read
+        {
+            return self.polled(
+                i,
+                usize::from(instance.port()),
+                after,
+                reached + wait.as_millis() as u64,
+            );
+        }
+        if !self.store_answers(i)? {
+            return Some(Answer::Failed);
+        }
+        let store = &self.store;
+        match read {
+            Read::ListMembers => Some(Answer::Members),
+            Read::List => Some(Answer::Listing(store.listing())),
+            Read::Watch { after, .. } if after < store.dropped => Some(Answer::HistoryGone),
+            Read::Watch { after, wait } => {
+                let changes = store.changes_after(after);
+                let is_due = !changes.is_empty() || self.now >= reached + wait.as_millis() as u64;
+                is_due.then_some(Answer::Changes(changes, store.revision))
+            }
+            Read::Poll { .. } => None,
+        }
+    }
+
+    fn polled(&self, i: usize, other: usize, after: u64, wait_until: u64) -> Option<Answer> {
+        if self.is_isolated(i) || self.is_isolated(other) {
+            return None;
+        }
+        if !self.is_running(other) || self.instances[other].started + 100 > self.now {
+            return Some(Answer::Failed);
+        }
+        let snapshot = self.instances[other].log.snapshot_after(after);
+        let (is_full, changes) = match snapshot.delta {
+            Delta::Unchanged(_) if self.now < wait_until => return None,
+            Delta::Unchanged(_) => (false, Vec::new()),
+            Delta::Changes(changes) => (false, changes),
+            Delta::Full(changes) => (true, changes),
+        };
+        Some(Answer::Polled {
+            is_full,
+            changes,
+            revision: snapshot.revision,
+            read_at: snapshot.read_at.map(millis),
+        })
+    }
+
+    fn deliver(&mut self, i: usize, read: Read, sent: u64, answer: Answer) -> Op {
+        let (now, mono) = (self.now, self.mono());
+        let is_relay = self.is_relay(i);
+        let delay = self.delay(i, read);
+        let uses_relays = self.instances.len() > MAX_MESHED;
+        let instance = &mut self.instances[i];
+        let is_poll = matches!(read, Read::Poll { .. });
+        let mut is_failed = false;
+        match answer {
+            Answer::Failed if is_poll => instance.schedule.on_poll_failure(mono),
+            Answer::Failed => {
+                instance.schedule.on_store_failure(mono);
+                is_failed = true;
+            }
+            Answer::HistoryGone => {
+                instance.schedule.on_history_dropped();
+                is_failed = true;
+            }
+            Answer::Members => instance.schedule.on_members_listed(),
+            Answer::Listing(listing) => {
+                instance.schedule.on_store_read(listing.revision);
+                instance.apply_listing(&listing, sent);
+            }
+            Answer::Changes(changes, revision) => {
+                instance.schedule.on_store_read(revision);
+                instance.log.on_changes(&changes, revision, boot(sent));
+                instance.apply(&changes, sent);
+            }
+            Answer::Polled {
+                is_full,
+                changes,
+                revision,
+                read_at,
+            } => {
+                let max_age = instance.schedule.limits().max_source_age.as_millis() as u64;
+                let read_at = read_at.map(|at| at.saturating_sub(delay));
+                match read_at.filter(|at| now - at <= max_age) {
+                    None => instance.schedule.on_poll_failure(mono),
+                    Some(read_at) => {
+                        if uses_relays {
+                            instance.schedule.on_store_response();
+                        }
+                        instance.schedule.on_poll(revision);
+                        if is_full {
+                            let items = changes.into_iter().filter_map(|change| match change {
+                                Change::Put(item) => Some(item),
+                                Change::Removed(_) => None,
+                            });
+                            let listing = Listing {
+                                items: items.collect(),
+                                revision,
+                            };
+                            instance.apply_listing(&listing, read_at);
+                        } else {
+                            instance.log.on_changes(&changes, revision, boot(read_at));
+                            instance.apply(&changes, read_at);
+                        }
+                    }
+                }
+            }
+        }
+        if is_failed {
+            let until = now + instance.backoff;
+            instance.backoff = (instance.backoff * 2).min(MAX_BACKOFF);
+            return Op::Sleep { until };
+        }
+        instance.backoff = MIN_BACKOFF;
+        let is_starting = now < instance.started + 3_000;
+        let delay = match (is_starting, is_relay) {
+            (true, _) => 300,
+            (false, true) => 180,
+            (false, false) => 60,
+        };
+        Op::Sleep { until: now + delay }
+    }
+}
--- /dev/null
+++ b/crates/apricotlug-steer/tests/support/world/checks.rs
@@ -0,0 +1,51 @@
+//! What has to hold in the model at any time.
+
+use super::{Sheet, World, store::PLAN};
+
+impl World {
+    /// Tells of an instance that is in touch and does not hold a plan that was confirmed in time.
+    pub fn late_change(&self) -> Option<String> {
+        let Sheet { apply, touch, .. } = self.sheet;
+        let confirmed = self.now.checked_sub(apply)?;
+        let is_calm = |since: u64| self.now >= since + touch;
+        if !is_calm(self.store.calm_since) {
+            return None;
+        }
+        let needed = self.last_plan(|(_, at)| at <= confirmed);
+        let in_touch = self.instances.iter().enumerate();
+        let mut in_touch = in_touch.filter(|(_, instance)| is_calm(instance.calm_since));
+        in_touch.find_map(|(i, instance)| {
+            let held = instance.held.get(PLAN).copied().unwrap_or_default();
+            let age = instance.read_at.map(|at| self.now - at);
+            (held < needed).then(|| {
+                format!(
+                    "at {} ms instance {i} holds {held}, not {needed}; last read {age:?} ms ago",
+                    self.now
+                )
+            })
+        })
+    }
+
+    /// Tells of an instance that holds less than it claims to know.
+    pub fn false_claim(&self) -> Option<String> {
+        self.instances.iter().enumerate().find_map(|(i, instance)| {
+            let held = instance.held.get(PLAN).copied().unwrap_or_default();
+            let claimed = instance.log.snapshot_after(u64::MAX).revision;
+            let by_revision = self.last_plan(|(revision, _)| revision <= claimed);
+            let by_time = instance.read_at.map_or(0, |read| self.last_plan(|(_, at)| at < read));
+            (held < by_revision.max(by_time)).then(|| {
+                format!(
+                    "at {} ms instance {i} holds {held}; claims {claimed}, so {by_revision}, read at {:?}, so {by_time}",
+                    self.now, instance.read_at
+                )
+            })
+        })
+    }
+
+    /// Returns the revision of the last plan that fits; those before it fit too.
+    fn last_plan(&self, fits: impl Fn((u64, u64)) -> bool) -> u64 {
+        let plans = &self.store.plans;
+        let next = plans.partition_point(|plan| fits(*plan));
+        next.checked_sub(1).map_or(0, |last| plans[last].0)
+    }
+}
--- /dev/null
+++ b/crates/apricotlug-steer/tests/support/world/mod.rs
@@ -0,0 +1,331 @@
+//! Model of a store and the instances that read it: calls take time, and are lost, turned away or
+//! answered from old data.
+
+mod calls;
+mod checks;
+mod store;
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use apricotlug_adapter::{Change, Listing};
+use apricotlug_model::{BootTime, MonoTime};
+use apricotlug_policy::steer::{Read, ReadLimits, ReadSchedule, ReadSources};
+use apricotlug_steer::ChangeLog;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use store::{PLAN, Store};
+
+const REGIONS: usize = 3;
+const RELAYS_PER_REGION: usize = 2;
+const MAX_MESHED: usize = 16;
+pub const MIN_BACKOFF: u64 = 50;
+
+/// Bounds of an installation, times in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Sheet {
+    pub instances: usize,
+    /// Time within which a confirmed change is in force.
+    pub apply: u64,
+    /// Time without trouble after which an instance has to keep that.
+    pub touch: u64,
+}
+
+impl Sheet {
+    pub const fn new(instances: usize, apply: u64, touch: u64) -> Self {
+        Self {
+            instances,
+            apply,
+            touch,
+        }
+    }
+}
+
+/// Trouble of an instance or, as `Refused` and `Cut`, of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    None,
+    /// The store turns its calls away.
+    Refused,
+    /// Nothing passes between it and the store.
+    Cut,
+    /// Nothing passes between it and anything else.
+    Isolated,
+    /// Its process is restarted.
+    Restart,
+}
+
+enum Answer {
+    Failed,
+    HistoryGone,
+    Members,
+    Listing(Listing),
+    Changes(Vec<Change>, u64),
+    Polled {
+        is_full: bool,
+        changes: Vec<Change>,
+        revision: u64,
+        /// Time of the last read of the instance that was polled.
+        read_at: Option<u64>,
+    },
+}
+
+enum Op {
+    Sleep {
+        until: u64,
+    },
+    /// On its way to the store or to an instance, or waiting there.
+    Sent {
+        read: Read,
+        at: u64,
+        reaches: u64,
+        gives_up: u64,
+    },
+    Answered {
+        read: Read,
+        at: u64,
+        arrives: u64,
+        gives_up: u64,
+        answer: Answer,
+    },
+}
+
+struct Instance {
+    region: usize,
+    /// One-way delay to the store.
+    store_delay: u64,
+    trouble: Trouble,
+    trouble_until: u64,
+    next_trouble: u64,
+    calm_since: u64,
+    started: u64,
+    schedule: ReadSchedule,
+    log: ChangeLog,
+    /// Revision of each item that is held.
+    held: BTreeMap<String, u64>,
+    read_at: Option<u64>,
+    backoff: u64,
+    op: Op,
+}
+
+fn boot(ms: u64) -> BootTime {
+    BootTime(ms * 1_000)
+}
+
+fn millis(at: BootTime) -> u64 {
+    at.0 / 1_000
+}
+
+pub struct World {
+    sheet: Sheet,
+    now: u64,
+    rng: SmallRng,
+    store: Store,
+    instances: Vec<Instance>,
+}
+
+impl World {
+    pub const TICK_MS: u64 = 10;
+
+    pub fn new(sheet: Sheet, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut store = Store::default();
+        store.write(0, PLAN, true);
+        let limits = ReadLimits::new(Duration::from_millis(sheet.apply));
+        let instances = (0..sheet.instances).map(|i| Instance {
+            region: i % REGIONS,
+            store_delay: [1, 20, rng.random_range(20..60)][i % REGIONS],
+            trouble: Trouble::None,
+            trouble_until: 0,
+            next_trouble: u64::MAX,
+            calm_since: 0,
+            started: 0,
+            schedule: ReadSchedule::new(limits),
+            log: ChangeLog::default(),
+            held: BTreeMap::new(),
+            read_at: None,
+            backoff: MIN_BACKOFF,
+            op: Op::Sleep {
+                until: rng.random_range(0..300),
+            },
+        });
+        let instances = instances.collect();
+        Self {
+            sheet,
+            now: 0,
+            rng,
+            store,
+            instances,
+        }
+    }
+
+    /// Lets one tick pass. The instances act in random order.
+    pub fn tick(&mut self) {
+        self.now += Self::TICK_MS;
+        self.write_to_store();
+        self.make_trouble();
+        let mut order: Vec<_> = (0..self.instances.len()).collect();
+        for i in (1..order.len()).rev() {
+            order.swap(i, self.rng.random_range(0..=i));
+        }
+        for i in order {
+            self.act(i);
+        }
+    }
+
+    fn chance(&mut self, per_s: f64) -> bool {
+        self.rng.random::<f64>() < per_s * Self::TICK_MS as f64 / 1_000.0
+    }
+
+    fn write_to_store(&mut self) {
+        // Quiet times, and storms of changes.
+        let per_s = if self.now / 4_000 % 3 == 1 { 5.0 } else { 0.3 };
+        if self.chance(per_s) {
+            self.store.write(self.now, PLAN, true);
+        }
+        if self.chance(2.0) {
+            let key = format!("backend-{}", self.rng.random_range(0..6));
+            let is_put = self.rng.random();
+            self.store.write(self.now, &key, is_put);
+        }
+        if self.chance(0.05) {
+            self.store.dropped = self.store.revision;
+        }
+    }
+
+    fn make_trouble(&mut self) {
+        if self.now < self.store.trouble_until {
+            self.store.calm_since = self.now;
+        } else if self.chance(0.03) {
+            self.store.trouble_until = self.now + self.rng.random_range(100..5_000);
+            self.store.is_silent = self.rng.random();
+        }
+        for i in 0..self.instances.len() {
+            if self.now < self.instances[i].trouble_until {
+                self.instances[i].calm_since = self.now;
+                continue;
+            }
+            let has_ended = self.instances[i].trouble != Trouble::None;
+            self.instances[i].trouble = Trouble::None;
+            if has_ended && self.rng.random() {
+                // Troubles come in series: the next one hits the instance that this one reads from.
+                let other = self.sources(i).others[0].port();
+                let at = self.now + self.rng.random_range(0..1_500);
+                self.instances[usize::from(other)].next_trouble = at;
+            }
+            let is_next = self.now >= self.instances[i].next_trouble;
+            if is_next || self.chance(0.06) {
+                self.instances[i].next_trouble = u64::MAX;
+                let trouble = match self.rng.random_range(0..8) {
+                    0..3 => Trouble::Refused,
+                    3..6 => Trouble::Cut,
+                    6 => Trouble::Isolated,
+                    _ => Trouble::Restart,
+                };
+                let until = self.now + self.rng.random_range(300..6_000);
+                let is_restart = trouble == Trouble::Restart;
+                let instance = &mut self.instances[i];
+                instance.trouble = trouble;
+                instance.trouble_until = until;
+                instance.calm_since = self.now;
+                if is_restart {
+                    instance.schedule = ReadSchedule::new(instance.schedule.limits());
+                    instance.log = ChangeLog::default();
+                    instance.held.clear();
+                    instance.read_at = None;
+                    instance.backoff = MIN_BACKOFF;
+                    instance.started = until;
+                    instance.op = Op::Sleep { until };
+                }
+            }
+        }
+    }
+
+    fn addr(i: usize) -> SocketAddr {
+        ([10, 0, 0, 1], i as u16).into()
+    }
+
+    fn is_running(&self, i: usize) -> bool {
+        self.instances[i].trouble != Trouble::Restart
+    }
+
+    fn sources(&self, i: usize) -> ReadSources {
+        let region = self.instances[i].region;
+        let mut others: Vec<_> = (0..self.instances.len())
+            .filter(|other| *other != i && self.is_running(*other))
+            .map(|other| (self.instances[other].region != region, other))
+            .collect();
+        others.sort_unstable();
+        let mut sources = ReadSources {
+            others: others
+                .into_iter()
+                .map(|(_, other)| Self::addr(other))
+                .collect(),
+            is_listed: i % 4 != 3,
+            ..ReadSources::default()
+        };
+        if self.instances.len() > MAX_MESHED {
+            let in_region = (0..self.instances.len())
+                .filter(|other| self.instances[*other].region == region && self.is_running(*other));
+            let relays: Vec<_> = in_region.take(RELAYS_PER_REGION).collect();
+            if !relays.contains(&i) && !relays.is_empty() {
+                let relay = Self::addr(relays[i / REGIONS % relays.len()]);
+                sources.relay = Some(relay);
+                sources.listing_relay = Some(relay).filter(|_| !sources.is_listed);
+            }
+        }
+        sources
+    }
+
+    fn is_relay(&self, i: usize) -> bool {
+        self.instances.len() > MAX_MESHED && self.sources(i).relay.is_none()
+    }
+
+    fn mono(&self) -> MonoTime {
+        MonoTime::default().after(Duration::from_millis(self.now))
+    }
+
+    /// Returns whether the store answers calls of an instance: `None` if nothing comes back.
+    fn store_answers(&self, i: usize) -> Option<bool> {
+        let is_down = self.now < self.store.trouble_until;
+        match self.instances[i].trouble {
+            Trouble::Cut | Trouble::Isolated => None,
+            _ if is_down && self.store.is_silent => None,
+            Trouble::Refused => Some(false),
+            _ => Some(!is_down),
+        }
+    }
+
+    fn is_isolated(&self, i: usize) -> bool {
+        self.instances[i].trouble == Trouble::Isolated
+    }
+
+    fn delay(&self, i: usize, read: Read) -> u64 {
+        match read {
+            Read::Poll { instance, .. } => {
+                let other = usize::from(instance.port());
+                if self.instances[other].region == self.instances[i].region {
+                    1
+                } else {
+                    30
+                }
+            }
+            _ => self.instances[i].store_delay,
+        }
+    }
+}
+
+impl Instance {
+    fn apply_listing(&mut self, listing: &Listing, read_at: u64) {
+        let changes = self.log.on_listing(listing, boot(read_at));
+        self.apply(&changes, read_at);
+    }
+
+    fn apply(&mut self, changes: &[Change], read_at: u64) {
+        for change in changes {
+            match change {
+                Change::Put(item) => self.held.insert(item.key.clone(), item.revision),
+                Change::Removed(key) => self.held.remove(key),
+            };
+        }
+        self.read_at = self.read_at.max(Some(read_at));
+    }
+}
