Refuse a request for good only on a recent read

Test: an_unknown_route_or_key_is_refused_for_good_only_after_a_recent_read (steer_reads); before, it waited in vain for a 503.

--- a/crates/apricotlug-steer/src/admission.rs
+++ b/crates/apricotlug-steer/src/admission.rs
@@ -111,7 +111,7 @@
     let route_key = plan
         .route(host, head.path())
         .or_else(|| plan.route(host.split(':').next().unwrap_or_default(), head.path()))
-        .ok_or(Refusal::new(404, "Not Found", "no_route"))?;
+        .ok_or_else(|| definite_refusal(shared, Refusal::new(404, "Not Found", "no_route")))?;
     let route = &plan.routes[route_key];
     let account = identify(shared, &plan, route, &metadata)?;
     let now = shared.clock.now();
@@ -160,6 +160,16 @@
     })
 }
 
+/// Returns a refusal that the caller takes for final, or a temporary one while a plan may be in force
+/// that this instance has not read: a route or key that is not known here may be in it.
+fn definite_refusal(shared: &Shared, refusal: Refusal) -> Refusal {
+    let apply = Duration::from_millis(shared.settings().bounds.apply_ms.into());
+    if shared.freshness.age().is_some_and(|age| age < apply) {
+        return refusal;
+    }
+    Refusal::new(503, "Service Unavailable", "stale_plan").with_retry_ms(NOT_READY_RETRY_MS)
+}
+
 fn identify(
     shared: &Shared,
     plan: &Plan,
@@ -175,7 +185,8 @@
         return Ok(None);
     }
     let Some(account) = account else {
-        return Err(Refusal::new(401, "Unauthorized", "unknown_key"));
+        let refusal = Refusal::new(401, "Unauthorized", "unknown_key");
+        return Err(definite_refusal(shared, refusal));
     };
     let bounds = shared.settings().bounds;
     let max_age = Duration::from_millis(bounds.revoke_ms.into()).mul_f64(FRESHNESS_FRACTION);
--- a/src/commands/why.rs
+++ b/src/commands/why.rs
@@ -240,6 +240,7 @@
         "over_rate" => "refused, the account's rate was used up here",
         "no_news" => "refused, no fresh news of withdrawn keys",
         "no_plan" => "refused, no configuration is known yet",
+        "stale_plan" => "refused for now, the route or key may be in a newer configuration",
         "no_route" => "refused, no route fits",
         "unknown_key" => "refused, no account has this key",
         "crowded" => "refused unsent, its wait would have made it late",
