Keep what is known when the store drops its history

A watch that got 410 made an instance forget its revision. Two faults followed:

- It asked no other instance from then on, so that one which the store turned away at that moment stayed with its old plan, however many others had the new one.

The revision stays known; the store is only listed where nobody else can be read from. A listing older than what is known is refused, from wherever it comes. An instance that the store turns away at its start gets the items from others too, once it knows them.

--- a/crates/apricotlug-policy/src/steer/read_schedule.rs
+++ b/crates/apricotlug-policy/src/steer/read_schedule.rs
@@ -121,9 +121,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ReadSchedule {
     limits: ReadLimits,
-    /// Revision up to which the items are known; `None` before the first listing and after the
-    /// store has dropped its history.
+    /// Revision up to which the items are known; `None` before the first read.
     revision: Option<u64>,
+    /// Whether the store has dropped changes after that revision, so that it must be listed.
+    is_history_gone: bool,
     /// Whether the instances' entries have been listed.
     knows_members: bool,
     /// Time until which no relay is polled, because one failed.
@@ -144,6 +145,7 @@
         Self {
             limits,
             revision: None,
+            is_history_gone: false,
             knows_members: false,
             relay_backoff_until: MonoTime::default(),
             failed_polls: 0,
@@ -168,38 +170,39 @@
     #[must_use]
     pub fn next(&self, sources: &ReadSources, age: Option<Duration>, now: MonoTime) -> Read {
         let may_poll_relay = self.relay_backoff_until.is_past(now);
+        let fallback = self.fallback(sources, now);
         let Some(after) = self.revision else {
             let relay = sources.listing_relay.filter(|_| may_poll_relay);
-            return match relay {
+            return match (relay, fallback) {
                 _ if !self.knows_members => Read::ListMembers,
-                Some(instance) => self.poll(instance, 0, FULL_POLL_WAIT),
-                None => Read::List,
+                (Some(relay), _) => self.poll(relay, 0, FULL_POLL_WAIT),
+                (None, Some(instance)) => self.poll(instance, 0, POLL_WAIT),
+                (None, None) => Read::List,
             };
         };
         let relay = sources.relay.filter(|_| may_poll_relay);
-        match relay.or_else(|| self.fallback(sources, now)) {
-            Some(instance) => {
-                let wait = if sources.is_listed {
-                    POLL_WAIT
-                } else {
-                    UNLISTED_POLL_WAIT
-                };
-                // An instance that has nothing new either has to be noticed by then.
-                let left = self
-                    .limits
-                    .max_source_age
-                    .saturating_sub(age.unwrap_or_default());
-                self.poll(instance, after, wait.min(left))
-            }
-            None if self.is_store_lost => Read::Watch {
-                after,
-                wait: RECOVERY_WATCH_WAIT,
-            },
-            None => Read::Watch {
-                after,
-                wait: self.limits.watch_wait,
-            },
+        if let Some(instance) = relay.or(fallback) {
+            let wait = if sources.is_listed {
+                POLL_WAIT
+            } else {
+                UNLISTED_POLL_WAIT
+            };
+            // An instance that has nothing new either has to be noticed by then.
+            let left = self
+                .limits
+                .max_source_age
+                .saturating_sub(age.unwrap_or_default());
+            return self.poll(instance, after, wait.min(left));
+        }
+        if self.is_history_gone {
+            return Read::List;
         }
+        let wait = if self.is_store_lost {
+            RECOVERY_WATCH_WAIT
+        } else {
+            self.limits.watch_wait
+        };
+        Read::Watch { after, wait }
     }
 
     fn poll(&self, instance: SocketAddr, after: u64, wait: Duration) -> Read {
@@ -227,6 +230,7 @@
     /// failed before.
     pub fn on_store_read(&mut self, revision: u64) -> bool {
         self.revision = Some(revision);
+        self.is_history_gone = false;
         self.on_store_response()
     }
 
@@ -239,7 +243,11 @@
 
     /// Records the revision that another instance reported to know.
     pub fn on_poll(&mut self, revision: u64) {
-        self.revision = Some(self.revision.unwrap_or_default().max(revision));
+        if self.revision.is_none_or(|known| known < revision) {
+            self.revision = Some(revision);
+            // The store may still have what comes after.
+            self.is_history_gone = false;
+        }
     }
 
     /// Records that the store rejected a call or did not respond. Returns whether it had responded
@@ -252,9 +260,10 @@
         !std::mem::replace(&mut self.is_store_lost, true)
     }
 
-    /// Records that the store has dropped the changes after the known revision.
+    /// Records that the store has dropped changes after the known revision. What is known stays
+    /// known: other instances can pass on what came after it.
     pub fn on_history_dropped(&mut self) {
-        self.revision = None;
+        self.is_history_gone = true;
     }
 
     /// Records that another instance did not respond in time, or had no fresh data either. That ends
--- a/crates/apricotlug-policy/tests/steer_reads.rs
+++ b/crates/apricotlug-policy/tests/steer_reads.rs
@@ -167,3 +167,35 @@
         }
     }
 }
+
+/// Guards against an instance without any source: after the history was dropped it asked no other
+/// instance, however long the store turned it away.
+#[test]
+fn after_the_history_was_dropped_others_are_read_from_while_the_store_fails() {
+    let mut schedule = listed();
+    schedule.on_history_dropped();
+    assert_eq!(schedule.next(&others(), None, at(0)), Read::List);
+    schedule.on_store_failure(at(100));
+    schedule.on_store_failure(at(200));
+    let read = schedule.next(&others(), None, at(201));
+    assert!(matches!(read, Read::Poll { after: 5, .. }), "{read:?}");
+    schedule.on_poll(5);
+    assert_eq!(
+        schedule.next(&others(), None, at(4_000)),
+        Read::List,
+        "nothing came after what is known"
+    );
+    schedule.on_poll(8);
+    let read = schedule.next(&others(), None, at(4_000));
+    assert!(matches!(read, Read::Watch { after: 8, .. }), "{read:?}");
+}
+
+#[test]
+fn an_instance_that_the_store_turns_away_at_its_start_gets_all_items_from_another() {
+    let mut schedule = ReadSchedule::new(limits());
+    schedule.on_members_listed();
+    schedule.on_store_failure(at(100));
+    schedule.on_store_failure(at(200));
+    let read = schedule.next(&others(), None, at(201));
+    assert!(matches!(read, Read::Poll { after: 0, .. }), "{read:?}");
+}
--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -39,7 +39,7 @@
 pub use freshness::StoreFreshness;
 pub use instance::{Instance, StartError};
 pub use peers::{ListedInstances, Member, MemberInfo, Peers, Relays};
-pub use relay::{ChangeLog, Delta, Snapshot};
+pub use relay::{ChangeLog, Delta, OlderListing, Snapshot};
 pub use steering::SteeringState;
 pub use wire::{
     AccountUsage, BackendLoad, MoveEvidence, RelayRequest, RelayResponse, StatusDatagram,
--- a/crates/apricotlug-steer/src/relay/change_log.rs
+++ b/crates/apricotlug-steer/src/relay/change_log.rs
@@ -12,6 +12,7 @@
 use apricotlug_adapter::{Change, Item, Listing};
 use apricotlug_model::{BootTime, HashMap};
 use async_channel::{Receiver, Sender};
+use thiserror::Error;
 
 /// Number and bytes of removed keys that are kept. An instance whose revision is older than the
 /// last removal beyond them gets all items.
@@ -158,6 +159,16 @@
     }
 }
 
+/// Error of a listing that would take the items back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the listing is of revision {listed}, and revision {known} is known")]
+pub struct OlderListing {
+    /// Revision of the listing.
+    pub listed: u64,
+    /// Revision up to which changes are recorded.
+    pub known: u64,
+}
+
 /// Items of the store and their recent changes.
 #[derive(Debug, Default)]
 pub struct ChangeLog(Mutex<Inner>);
@@ -190,8 +201,21 @@
     /// Records a full listing, requested at `read_at`, as the changes from the previous state, so that a store that drops
     /// its history does not make every instance fetch all items again. Returns these changes in
     /// order of keys.
-    pub fn on_listing(&self, listing: &Listing, read_at: BootTime) -> Vec<Change> {
+    ///
+    /// # Errors
+    /// Returns an error if the listing is older than what is known, and then changes nothing.
+    pub fn on_listing(
+        &self,
+        listing: &Listing,
+        read_at: BootTime,
+    ) -> Result<Vec<Change>, OlderListing> {
         let mut inner = self.lock();
+        if listing.revision < inner.revision {
+            return Err(OlderListing {
+                listed: listing.revision,
+                known: inner.revision,
+            });
+        }
         if inner.revision == 0 {
             inner.complete_after = listing.revision;
         }
@@ -212,7 +236,7 @@
         let mut changes: Vec<_> = removed.chain(updated).collect();
         changes.sort_by(|one, other| key_of(one).cmp(key_of(other)));
         inner.record(&changes, listing.revision, read_at);
-        changes
+        Ok(changes)
     }
 
     /// Records the changes up to a revision, which were requested at `read_at`.
--- a/crates/apricotlug-steer/src/store_sync.rs
+++ b/crates/apricotlug-steer/src/store_sync.rs
@@ -4,7 +4,6 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use apricotlug_adapter::{Change, Listing, StoreClient, StoreError, all_keys, member_prefix};
-use apricotlug_model::BootTime;
 use apricotlug_policy::steer::{Read, ReadLimits, ReadSchedule, ReadSources};
 use async_std::{future::timeout, net::TcpStream, task};
 
@@ -197,27 +196,24 @@
             on_store_response(shared, expiry_grace, was_lost);
         }
         let revision = after.max(response.revision);
-        shared.on_read(LastRead {
-            origin: ReadOrigin::Instance(instance),
-            revision,
-        });
-        if response.is_full {
-            let items = response
-                .changes
-                .into_iter()
-                .filter_map(|change| match change {
-                    Change::Put(item) => Some(item),
-                    Change::Removed(_) => None,
-                });
+        let changes = if response.is_full {
+            let items = response.changes.into_iter().filter_map(Change::into_item);
             let listing = Listing {
                 items: items.collect(),
                 revision: response.revision,
             };
-            apply_listing(shared, expiry_grace, &listing, read_at);
+            let changes = shared.change_log.on_listing(&listing, read_at);
+            changes.map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?
         } else {
-            let revision = response.revision;
-            record_changes(shared, expiry_grace, response.changes, revision, read_at);
-        }
+            let changes = response.changes;
+            shared.change_log.on_changes(&changes, revision, read_at);
+            changes
+        };
+        shared.on_read(LastRead {
+            origin: ReadOrigin::Instance(instance),
+            revision,
+        });
+        apply_changes(shared, expiry_grace, changes);
         self.schedule.on_poll(revision);
         shared.freshness.record_read(read_at);
         Ok(())
@@ -235,8 +231,10 @@
             items = listing.items.len(),
             revision = listing.revision
         );
+        let changes = shared.change_log.on_listing(&listing, requested_at);
+        let changes = changes.map_err(|e| StoreError::Malformed(e.to_string()))?;
         self.on_store_read(shared, expiry_grace, listing.revision);
-        apply_listing(shared, expiry_grace, &listing, requested_at);
+        apply_changes(shared, expiry_grace, changes);
         shared.freshness.record_read(requested_at);
         Ok(())
     }
@@ -251,8 +249,9 @@
         let requested_at = StoreFreshness::now();
         let watching = self.store.watch(all_keys(), after, wait, WATCH_SLACK);
         let (changes, next) = watching.await?;
+        shared.change_log.on_changes(&changes, next, requested_at);
         self.on_store_read(shared, expiry_grace, next);
-        record_changes(shared, expiry_grace, changes, next, requested_at);
+        apply_changes(shared, expiry_grace, changes);
         shared.freshness.record_read(requested_at);
         Ok(())
     }
@@ -291,24 +290,3 @@
         expiry_grace.on_store_recovered(shared.clock.now());
     }
 }
-
-fn apply_listing(
-    shared: &Shared,
-    expiry_grace: &ExpiryGrace,
-    listing: &Listing,
-    read_at: BootTime,
-) {
-    let changes = shared.change_log.on_listing(listing, read_at);
-    apply_changes(shared, expiry_grace, changes);
-}
-
-fn record_changes(
-    shared: &Shared,
-    expiry_grace: &ExpiryGrace,
-    changes: Vec<Change>,
-    revision: u64,
-    read_at: BootTime,
-) {
-    shared.change_log.on_changes(&changes, revision, read_at);
-    apply_changes(shared, expiry_grace, changes);
-}
--- a/crates/apricotlug-steer/tests/peers.rs
+++ b/crates/apricotlug-steer/tests/peers.rs
@@ -10,9 +10,10 @@
 use apricotlug_config::{SiteSettings, parse_site};
 use apricotlug_model::{BootTime, MonoTime};
 use apricotlug_steer::{
-    AccountUsage, BackendLoad, ChangeLog, Delta, ListedInstances, MemberInfo, MoveEvidence, Peers,
-    RelayRequest, RelayResponse, Relays, StatusDatagram, decode_datagram, decode_relay_request,
-    decode_relay_response, encode_datagram, encode_relay_request, encode_relay_response,
+    AccountUsage, BackendLoad, ChangeLog, Delta, ListedInstances, MemberInfo, MoveEvidence,
+    OlderListing, Peers, RelayRequest, RelayResponse, Relays, StatusDatagram, decode_datagram,
+    decode_relay_request, decode_relay_response, encode_datagram, encode_relay_request,
+    encode_relay_response,
 };
 
 const SETTINGS: &str = include_str!("../../../examples/steer.toml");
@@ -212,14 +213,18 @@
 fn a_listing_after_the_history_was_dropped_yields_only_what_changed() {
     let change_log = ChangeLog::default();
     let listing = |items: Vec<Item>, revision| Listing { items, revision };
-    change_log.on_listing(
-        &listing(vec![item("a", 1), item("b", 2), item("c", 3)], 5),
-        READ_AT,
-    );
-    change_log.on_listing(
-        &listing(vec![item("a", 1), item("b", 7), item("d", 8)], 9),
-        READ_AT,
-    );
+    change_log
+        .on_listing(
+            &listing(vec![item("a", 1), item("b", 2), item("c", 3)], 5),
+            READ_AT,
+        )
+        .unwrap();
+    change_log
+        .on_listing(
+            &listing(vec![item("a", 1), item("b", 7), item("d", 8)], 9),
+            READ_AT,
+        )
+        .unwrap();
     let Delta::Changes(changes) = change_log.snapshot_after(5).delta else {
         panic!("the changes since the first listing are known");
     };
@@ -302,7 +307,7 @@
         items: vec![item("a", 1)],
         revision: 5,
     };
-    change_log.on_listing(&listing, READ_AT);
+    change_log.on_listing(&listing, READ_AT).unwrap();
     assert!(listed.is_closed(), "the first listing ends the wait");
     assert!(matches!(change_log.snapshot_after(0).delta, Delta::Full(all) if all.len() == 1));
 }
@@ -314,13 +319,15 @@
     const LARGE: usize = 800_000;
     const WRITES: u64 = 100;
     let change_log = ChangeLog::default();
-    change_log.on_listing(
-        &Listing {
-            items: vec![item("a", 1), item("b", 2)],
-            revision: 5,
-        },
-        READ_AT,
-    );
+    change_log
+        .on_listing(
+            &Listing {
+                items: vec![item("a", 1), item("b", 2)],
+                revision: 5,
+            },
+            READ_AT,
+        )
+        .unwrap();
     let large = |revision| Item {
         value: vec![7; LARGE],
         ..item("large", revision)
@@ -351,13 +358,15 @@
 fn keys_that_come_and_go_are_held_up_to_a_limit() {
     const KEYS: u64 = 20_000;
     let change_log = ChangeLog::default();
-    change_log.on_listing(
-        &Listing {
-            items: vec![item("a", 1)],
-            revision: 5,
-        },
-        READ_AT,
-    );
+    change_log
+        .on_listing(
+            &Listing {
+                items: vec![item("a", 1)],
+                revision: 5,
+            },
+            READ_AT,
+        )
+        .unwrap();
     let long_key = |i| format!("{}{i}", "x".repeat(1_000));
     for i in 0..KEYS {
         let (key, revision) = (long_key(i), 6 + 2 * i);
@@ -466,3 +475,28 @@
     );
     assert_eq!(read_at(u32::MAX, 1_000), None, "it has read nothing");
 }
+
+/// Guards against items that go back: after the history was dropped, a relay that was itself behind
+/// passed on all of its items, and they counted as of the higher revision that was known.
+#[test]
+fn a_listing_that_is_older_than_what_is_known_changes_nothing() {
+    let change_log = ChangeLog::default();
+    let listing = |revision| Listing {
+        items: vec![item("plan", revision)],
+        revision,
+    };
+    change_log.on_listing(&listing(60), BootTime(1)).unwrap();
+    let newer = Change::Put(item("plan", 65));
+    change_log.on_changes(std::slice::from_ref(&newer), 67, BootTime(2));
+    let older = OlderListing {
+        listed: 60,
+        known: 67,
+    };
+    assert_eq!(change_log.on_listing(&listing(60), BootTime(3)), Err(older));
+    let snapshot = change_log.snapshot_after(60);
+    assert_eq!(
+        (snapshot.revision, snapshot.read_at),
+        (67, Some(BootTime(2)))
+    );
+    assert!(matches!(snapshot.delta, Delta::Changes(changes) if changes == [newer]));
+}
--- a/crates/apricotlug-steer/tests/support/world/calls.rs
+++ b/crates/apricotlug-steer/tests/support/world/calls.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use apricotlug_adapter::{Change, Listing};
 use apricotlug_policy::steer::Read;
 use apricotlug_steer::Delta;
 
@@ -197,8 +196,12 @@
             }
             Answer::Members => instance.schedule.on_members_listed(),
             Answer::Listing(listing) => {
-                instance.schedule.on_store_read(listing.revision);
-                instance.apply_listing(&listing, sent);
+                is_failed = !instance.apply_listing(&listing, sent);
+                if is_failed {
+                    instance.schedule.on_store_failure(mono);
+                } else {
+                    instance.schedule.on_store_read(listing.revision);
+                }
             }
             Answer::Changes(changes, revision) => {
                 instance.schedule.on_store_read(revision);
@@ -213,28 +216,17 @@
             } => {
                 let max_age = instance.schedule.limits().max_source_age.as_millis() as u64;
                 let read_at = read_at.map(|at| at.saturating_sub(delay));
-                match read_at.filter(|at| now - at <= max_age) {
-                    None => instance.schedule.on_poll_failure(mono),
-                    Some(read_at) => {
-                        if uses_relays {
-                            instance.schedule.on_store_response();
-                        }
-                        instance.schedule.on_poll(revision);
-                        if is_full {
-                            let items = changes.into_iter().filter_map(|change| match change {
-                                Change::Put(item) => Some(item),
-                                Change::Removed(_) => None,
-                            });
-                            let listing = Listing {
-                                items: items.collect(),
-                                revision,
-                            };
-                            instance.apply_listing(&listing, read_at);
-                        } else {
-                            instance.log.on_changes(&changes, revision, boot(read_at));
-                            instance.apply(&changes, read_at);
-                        }
-                    }
+                let read_at = read_at.filter(|at| now - at <= max_age);
+                if uses_relays && read_at.is_some() {
+                    instance.schedule.on_store_response();
+                }
+                let is_taken = read_at.is_some_and(|read_at| {
+                    instance.apply_polled(is_full, changes, revision, read_at)
+                });
+                if is_taken {
+                    instance.schedule.on_poll(revision);
+                } else {
+                    instance.schedule.on_poll_failure(mono);
                 }
             }
         }
--- a/crates/apricotlug-steer/tests/support/world/mod.rs
+++ b/crates/apricotlug-steer/tests/support/world/mod.rs
@@ -314,9 +314,31 @@
 }
 
 impl Instance {
-    fn apply_listing(&mut self, listing: &Listing, read_at: u64) {
+    /// Applies a listing. Returns whether it was not older than what is known.
+    fn apply_listing(&mut self, listing: &Listing, read_at: u64) -> bool {
         let changes = self.log.on_listing(listing, boot(read_at));
+        let is_newer = changes.is_ok();
+        changes
+            .iter()
+            .for_each(|changes| self.apply(changes, read_at));
+        is_newer
+    }
+
+    /// Applies what another instance passed on. Returns whether it was not older than what is known.
+    fn apply_polled(
+        &mut self,
+        is_full: bool,
+        changes: Vec<Change>,
+        revision: u64,
+        read_at: u64,
+    ) -> bool {
+        if is_full {
+            let items = changes.into_iter().filter_map(Change::into_item).collect();
+            return self.apply_listing(&Listing { items, revision }, read_at);
+        }
+        self.log.on_changes(&changes, revision, boot(read_at));
         self.apply(&changes, read_at);
+        true
     }
 
     fn apply(&mut self, changes: &[Change], read_at: u64) {
