Let an instance say whether its state is current

The limit on the age of another instance's data, derived from the bound, was too tight for a relay that is well: its last read counts from when it asked, so that it is two waits old (2.2 s) shortly before the next one ends.

Age cannot tell a relay that waits from one that is cut off. The relay can: its read of the store is overdue, or it is not. An instance now passes its state on as current only while its own next read of the store is not overdue by more than a fifth of the bound, and only if it read from the store itself; a request that waits there ends at that time. So instances that read from each other cannot take each other for current at all, where it took them up to 2.8 s to notice. The age stays as the limit for releases that do not say it.

--- a/crates/apricotlug-policy/src/steer/read_schedule.rs
+++ b/crates/apricotlug-policy/src/steer/read_schedule.rs
@@ -4,11 +4,15 @@
 //! Each way may fail, or bring old data, and each failure costs time. In sum that may not exceed the
 //! time within which a confirmed change has to be in force, so all limits follow from it:
 //!
-//! | from the last read that another instance passed on | at most |
+//! | of that time | part |
 //! |---|---|
-//! | its data is too old from then on | `max_source_age` |
-//! | a request to it that has no response | `poll_slack` |
-//! | connecting to the store, and a watch that returns at once | the rest |
+//! | a watch of the store, or a poll of another instance, is waiting | 0.4 |
+//! | its response is overdue, and no longer waited for | 0.2 |
+//! | the store is connected to, and a watch returns what was missed | the rest |
+//!
+//! An instance passes on what it read from the store itself, and only while its next read is not
+//! overdue. What it got from another one it keeps to itself: instances that read from each other would
+//! take each other for current, though none of them reads the store.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -17,12 +21,8 @@
 /// Longest time that a watch of the store waits for changes.
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(1_000);
 
-/// Fraction of the bound that a watch may wait.
-const WATCH_FRACTION: f64 = 0.4;
-
-/// Fraction of the bound up to which another instance's data may be old. A relay that is well has
-/// data as old as a watch takes, with its delays.
-const SOURCE_AGE_FRACTION: f64 = 0.6;
+/// Fraction of the bound that a read may wait for changes.
+const WAIT_FRACTION: f64 = 0.4;
 
 /// Fraction of the bound for which a response may be overdue, and its longest value.
 const SLACK_FRACTION: f64 = 0.2;
@@ -31,23 +31,27 @@
 /// Time limits of reads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReadLimits {
-    /// Time that a watch of the store waits for changes. A response without changes confirms that
-    /// the state is current.
+    /// Longest time that a watch of the store waits for changes. A response without changes confirms
+    /// that the state is current.
     pub watch_wait: Duration,
-    /// Age of another instance's data above which the store is read instead.
+    /// Longest time that another instance may wait for changes before it responds.
+    pub poll_wait: Duration,
+    /// Time by which a read may be overdue before it counts as failed.
+    pub slack: Duration,
+    /// Age of another instance's data above which it is not used, whatever that one says of it.
     pub max_source_age: Duration,
-    /// Time beyond its wait after which a poll of another instance counts as failed.
-    pub poll_slack: Duration,
 }
 
 impl ReadLimits {
     /// Returns the limits by which a confirmed change is in force within a time.
     #[must_use]
     pub fn new(apply: Duration) -> Self {
+        let wait = apply.mul_f64(WAIT_FRACTION);
         Self {
-            watch_wait: apply.mul_f64(WATCH_FRACTION).min(MAX_WATCH_WAIT),
-            max_source_age: apply.mul_f64(SOURCE_AGE_FRACTION),
-            poll_slack: apply.mul_f64(SLACK_FRACTION).min(MAX_SLACK),
+            watch_wait: wait.min(MAX_WATCH_WAIT),
+            poll_wait: wait,
+            slack: apply.mul_f64(SLACK_FRACTION).min(MAX_SLACK),
+            max_source_age: apply,
         }
     }
 }
@@ -125,6 +129,8 @@
     revision: Option<u64>,
     /// Whether the store has dropped changes after that revision, so that it must be listed.
     is_history_gone: bool,
+    /// Whether the last successful read was one of the store, and none has failed since.
+    is_first_hand: bool,
     /// Whether the instances' entries have been listed.
     knows_members: bool,
     /// Time until which no relay is polled, because one failed.
@@ -146,6 +152,7 @@
             limits,
             revision: None,
             is_history_gone: false,
+            is_first_hand: false,
             knows_members: false,
             relay_backoff_until: MonoTime::default(),
             failed_polls: 0,
@@ -166,9 +173,9 @@
         self.limits
     }
 
-    /// Returns the next read. `age` is the age of the last one; `None` before the first.
+    /// Returns the next read.
     #[must_use]
-    pub fn next(&self, sources: &ReadSources, age: Option<Duration>, now: MonoTime) -> Read {
+    pub fn next(&self, sources: &ReadSources, now: MonoTime) -> Read {
         let may_poll_relay = self.relay_backoff_until.is_past(now);
         let fallback = self.fallback(sources, now);
         let Some(after) = self.revision else {
@@ -187,12 +194,7 @@
             } else {
                 UNLISTED_POLL_WAIT
             };
-            // An instance that has nothing new either has to be noticed by then.
-            let left = self
-                .limits
-                .max_source_age
-                .saturating_sub(age.unwrap_or_default());
-            return self.poll(instance, after, wait.min(left));
+            return self.poll(instance, after, wait.min(self.limits.poll_wait));
         }
         if self.is_history_gone {
             return Read::List;
@@ -210,7 +212,19 @@
             instance,
             after,
             wait,
-            time_limit: wait + self.limits.poll_slack,
+            time_limit: wait + self.limits.slack,
+        }
+    }
+
+    /// Returns for how long from its start a read of this instance does not make it doubt its state:
+    /// for that time it passes the state on as current.
+    #[must_use]
+    pub fn current_for(&self, read: Read) -> Duration {
+        match read {
+            _ if !self.is_first_hand => Duration::ZERO,
+            Read::Watch { wait, .. } => wait + self.limits.slack,
+            Read::List | Read::ListMembers => self.limits.slack,
+            Read::Poll { .. } => Duration::ZERO,
         }
     }
 
@@ -231,6 +245,7 @@
     pub fn on_store_read(&mut self, revision: u64) -> bool {
         self.revision = Some(revision);
         self.is_history_gone = false;
+        self.is_first_hand = true;
         self.on_store_response()
     }
 
@@ -243,6 +258,7 @@
 
     /// Records the revision that another instance reported to know.
     pub fn on_poll(&mut self, revision: u64) {
+        self.is_first_hand = false;
         if self.revision.is_none_or(|known| known < revision) {
             self.revision = Some(revision);
             // The store may still have what comes after.
@@ -253,6 +269,7 @@
     /// Records that the store rejected a call or did not respond. Returns whether it had responded
     /// before.
     pub fn on_store_failure(&mut self, now: MonoTime) -> bool {
+        self.is_first_hand = false;
         self.store_failures += 1;
         if self.store_failures >= FALLBACK_THRESHOLD {
             self.fallback_until = now.after(FALLBACK_DURATION);
--- a/crates/apricotlug-steer/schema/pulse.capnp
+++ b/crates/apricotlug-steer/schema/pulse.capnp
@@ -64,4 +64,5 @@
   proofs @6 :List(Proof);
   busy @7 :List(Busy);
   heldMs @8 :UInt32;
+  isBehind @9 :Bool;
 }
--- a/crates/apricotlug-steer/src/freshness.rs
+++ b/crates/apricotlug-steer/src/freshness.rs
@@ -46,3 +46,21 @@
         }
     }
 }
+
+/// Time until which this instance passes its state on as current. It goes on counting while the
+/// machine is suspended, too.
+#[derive(Debug, Default)]
+pub struct CurrentUntil(AtomicU64);
+
+impl CurrentUntil {
+    /// Replaces the time.
+    pub fn set(&self, until: BootTime) {
+        self.0.store(until.0, Ordering::Relaxed);
+    }
+
+    /// Returns the time that is left; zero once it has passed.
+    #[must_use]
+    pub fn remaining(&self) -> Duration {
+        BootTime(self.0.load(Ordering::Relaxed)).since(StoreFreshness::now())
+    }
+}
--- a/crates/apricotlug-steer/src/relay/server.rs
+++ b/crates/apricotlug-steer/src/relay/server.rs
@@ -71,10 +71,19 @@
         .steering()
         .on_relay_request(&request, shared.clock.now());
     let wait = Duration::from_millis(request.wait_ms.into()).min(MAX_WAIT);
+    let wait_until = shared.clock.now().after(wait);
     let mut snapshot = shared.change_log.snapshot_after(request.after);
-    if let Delta::Unchanged(changed) = &snapshot.delta {
-        // A change and a time-out are handled alike: the changes known by then are returned.
-        let _ = timeout(wait, changed.recv()).await;
+    // Ends at a change, after the wait, or when this instance's own read of the store is overdue.
+    while let Delta::Unchanged(changed) = &snapshot.delta {
+        let mut remaining = shared.clock.remaining(wait_until);
+        // Before the first read there is nothing yet that could be overdue.
+        if snapshot.read_at.is_some() {
+            remaining = remaining.min(shared.current_until.remaining());
+        }
+        if remaining.is_zero() {
+            break;
+        }
+        let _ = timeout(remaining, changed.recv()).await;
         snapshot = shared.change_log.snapshot_after(request.after);
     }
     let (is_full, changes) = match snapshot.delta {
@@ -91,6 +100,7 @@
         age_ms: snapshot
             .read_at
             .map_or(u32::MAX, |read_at| whole_ms(now.since(read_at))),
+        is_behind: shared.current_until.remaining().is_zero(),
         changes,
         ..RelayResponse::default()
     };
--- a/crates/apricotlug-steer/src/shared.rs
+++ b/crates/apricotlug-steer/src/shared.rs
@@ -14,7 +14,10 @@
 use async_channel::{Receiver, Sender};
 
 use crate::{
-    body_buffer::BufferedBytes, freshness::StoreFreshness, pool::Pool, relay::ChangeLog,
+    body_buffer::BufferedBytes,
+    freshness::{CurrentUntil, StoreFreshness},
+    pool::Pool,
+    relay::ChangeLog,
     steering::SteeringState,
 };
 
@@ -74,6 +77,8 @@
     pub clock: Clock,
     /// Age of the last store read.
     pub freshness: StoreFreshness,
+    /// Time until which the state is passed on to other instances as current.
+    pub current_until: CurrentUntil,
     last_read: Mutex<Option<LastRead>>,
     /// State for steering decisions; locked for one decision at a time.
     steering: Mutex<SteeringState>,
@@ -101,6 +106,7 @@
             run,
             clock: Clock::start(),
             freshness: StoreFreshness::default(),
+            current_until: CurrentUntil::default(),
             last_read: Mutex::default(),
             steering: Mutex::new(SteeringState::new(&settings)),
             settings: RwLock::new(Arc::new(settings)),
@@ -161,6 +167,11 @@
         }
     }
 
+    /// Passes the state on to other instances as current for a time from now on, and not after it.
+    pub fn stay_current_for(&self, span: Duration) {
+        self.current_until.set(StoreFreshness::now().after(span));
+    }
+
     /// Marks the instance as leaving, and returns the times of its stop. Only the first call sets
     /// them.
     pub fn start_leaving(&self) -> Leave {
--- a/crates/apricotlug-steer/src/store_sync.rs
+++ b/crates/apricotlug-steer/src/store_sync.rs
@@ -103,9 +103,11 @@
     // Before the first tick, the relays follow from the listed entries alone.
     let at_start = steering.peers.relays(&settings, now);
     let is_listed_at_start = steering.peers.listed_instances(&settings).includes_self;
+    // Instances that poll a relay pass nothing on.
     let mut others: Vec<_> = steering
         .peers
         .live(now)
+        .filter(|(_, member)| !relays.is_needed || relays.all.contains(&member.info.peer))
         .map(|(name, member)| {
             let is_cross_region = settings.region_of(&member.info.data_centre) != settings.region();
             (is_cross_region, name, member.info.peer)
@@ -133,8 +135,12 @@
         loop {
             // Settings may have been reloaded.
             self.schedule.set_limits(read_limits(shared));
-            let (age, now) = (shared.freshness.age(), shared.clock.now());
-            match self.schedule.next(&read_sources(shared), age, now) {
+            let read = self
+                .schedule
+                .next(&read_sources(shared), shared.clock.now());
+            let current_for = self.schedule.current_for(read);
+            shared.stay_current_for(current_for);
+            match read {
                 Read::ListMembers => self.list_members(shared).await?,
                 Read::List => return self.list(shared, expiry_grace).await,
                 Read::Watch { after, wait } => {
@@ -183,6 +189,10 @@
                 .steering()
                 .on_relay_response(&response, shared.clock.now());
         }
+        if response.is_behind {
+            let text = "the instance is not current itself";
+            return Err(io::Error::new(io::ErrorKind::TimedOut, text));
+        }
         let read_at = response.read_at(requested_at);
         let is_fresh =
             |read_at| StoreFreshness::now().since(read_at) <= self.schedule.limits().max_source_age;
@@ -258,6 +268,8 @@
 
     fn on_store_read(&mut self, shared: &Shared, expiry_grace: &ExpiryGrace, revision: u64) {
         let was_lost = self.schedule.on_store_read(revision);
+        // The next read starts after the batch delay.
+        shared.stay_current_for(self.schedule.limits().slack);
         on_store_response(shared, expiry_grace, was_lost);
         shared.on_read(LastRead {
             origin: ReadOrigin::Store,
@@ -278,6 +290,7 @@
             return;
         }
         shared.metrics.on_store_read("store", "failed");
+        shared.stay_current_for(Duration::ZERO);
         if self.schedule.on_store_failure(shared.clock.now()) {
             tracing::warn!(kind = "dependency_lost", dependency = "store", %error);
         }
--- a/crates/apricotlug-steer/src/wire.rs
+++ b/crates/apricotlug-steer/src/wire.rs
@@ -243,6 +243,9 @@
     pub age_ms: u32,
     /// Time for which the responder held the request, in milliseconds.
     pub held_ms: u32,
+    /// Whether the responder does not know its state to be current: its own read of the store is
+    /// overdue, or it reads from another instance.
+    pub is_behind: bool,
     /// Changes in the order in which they were made.
     pub changes: Vec<Change>,
     /// Requests admitted by all instances except the receiver.
@@ -318,6 +321,7 @@
     builder.set_is_full(source.is_full);
     builder.set_age_ms(source.age_ms);
     builder.set_held_ms(source.held_ms);
+    builder.set_is_behind(source.is_behind);
     let mut changes = builder.reborrow().init_changes(source.changes.len() as u32);
     for (i, change) in source.changes.iter().enumerate() {
         let mut builder = changes.reborrow().get(i as u32);
@@ -373,6 +377,7 @@
         is_full: reader.get_is_full(),
         age_ms: reader.get_age_ms(),
         held_ms: reader.get_held_ms(),
+        is_behind: reader.get_is_behind(),
         changes,
         usage: read_usage(reader.get_spent()?),
         evidence: read_evidence(reader.get_proofs()?),
--- a/crates/apricotlug-steer/tests/peers.rs
+++ b/crates/apricotlug-steer/tests/peers.rs
@@ -110,6 +110,7 @@
         is_full: true,
         age_ms: 17,
         held_ms: 5,
+        is_behind: true,
         changes: vec![Change::Put(item), Change::Removed("c".to_owned())],
         usage: usage(),
         evidence: evidence(),
