Put only the newest of several missed plans in force

Changes that come together are applied newest plan first; earlier ones only where it cannot be used.

--- a/crates/apricotlug-steer/src/store_changes.rs
+++ b/crates/apricotlug-steer/src/store_changes.rs
@@ -9,7 +9,8 @@
 };
 
 use apricotlug_adapter::{
-    Change, Item, StoreKey, decode_backend, decode_move, decode_move_status, decode_plan, parse_key,
+    Change, Item, StoreKey, decode_backend, decode_move, decode_move_status, decode_plan,
+    is_plan_key, parse_key,
 };
 use apricotlug_model::MonoTime;
 
@@ -68,9 +69,17 @@
     }
 }
 
-/// Applies changes in the order in which they were made.
+/// Applies changes: the newest plan first, then the others in the order in which they were made.
 pub fn apply_changes(shared: &Shared, expiry_grace: &ExpiryGrace, changes: Vec<Change>) {
-    for change in changes {
+    let is_plan = |change: &Change| matches!(change, Change::Put(item) if is_plan_key(&item.key));
+    let (plans, others): (Vec<_>, Vec<_>) = changes.into_iter().partition(is_plan);
+    let newest_first = plans.into_iter().rev().filter_map(Change::into_item);
+    for item in newest_first {
+        if apply_plan(shared, &item) {
+            break;
+        }
+    }
+    for change in others {
         match change {
             Change::Put(item) => apply_put(shared, expiry_grace, item),
             Change::Removed(key) => apply_removal(shared, expiry_grace, parse_key(&key)),
@@ -102,7 +111,6 @@
 fn apply_put(shared: &Shared, expiry_grace: &ExpiryGrace, item: Item) {
     let now = shared.clock.now();
     match parse_key(&item.key) {
-        StoreKey::Plan => apply_plan(shared, &item),
         StoreKey::Backend(id) => match decode_backend(&id, &item.value) {
             Ok(backend) if is_instance_addr(shared, backend.addr) => {
                 // Requests would come back to the instances until their deadline.
@@ -164,16 +172,18 @@
             });
         }
         StoreKey::Member(name) => apply_member(shared, &name, &item),
-        StoreKey::Other => {}
+        // `apply_changes` has picked the plans out.
+        StoreKey::Plan | StoreKey::Other => {}
     }
 }
 
-fn apply_plan(shared: &Shared, item: &Item) {
+/// Puts a plan in force. Returns whether it was newer than the one in force and could be used.
+fn apply_plan(shared: &Shared, item: &Item) -> bool {
     let plan = match decode_plan(&item.value) {
         Ok(plan) => plan,
         Err(e) => {
             reject(shared, &item.key, &e);
-            return;
+            return false;
         }
     };
     let held = shared
@@ -183,7 +193,7 @@
         .map(|plan| plan.version);
     if held.is_some_and(|held| held >= plan.version) {
         tracing::info!(kind = "plan_ignored", version = plan.version, held);
-        return;
+        return false;
     }
     let origin = shared.last_read().map(|read| read.origin);
     tracing::info!(
@@ -194,6 +204,7 @@
     );
     shared.steering().on_plan(&plan, shared.clock.now());
     shared.update_operator_state(|operator_state| operator_state.plan = Some(Arc::new(plan)));
+    true
 }
 
 /// Registers the instances among a listing of their entries. What cannot be used is left to the
