Judge a request by the limits in force when it begins

The bounds on callers were taken from the plan when a connection became idle. A plan that came into force meanwhile did not hold for the next request, however much later: 431 for a head that it allows, and a connection closed by an idle time that it had raised.

They are taken when the first bytes of a request have arrived, and an idle connection is closed by the idle time of the plan then in force. Test: an_idle_connection_follows_the_limits_of_the_plan_in_force (steer_reads); before, the connection was closed.

--- a/crates/apricotlug-steer/src/caller.rs
+++ b/crates/apricotlug-steer/src/caller.rs
@@ -2,7 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use apricotlug_http::{BodyReader, Conn, Framing, HttpError, Limits, RequestHead, request_framing};
+use apricotlug_http::{
+    BodyReader, Conn, Framing, HttpError, Limits, Phase, RequestHead, request_framing,
+};
 use apricotlug_model::{CallerLimits, MonoTime};
 use async_std::{
     net::{TcpListener, TcpStream},
@@ -59,15 +61,13 @@
 
 async fn serve(shared: &Arc<Shared>, stream: TcpStream) {
     let mut conn = Conn::new(stream, Limits::default());
-    loop {
-        let caller_limits = shared
-            .operator_state()
-            .plan
-            .as_ref()
-            .map_or_else(CallerLimits::default, |plan| plan.limits);
+    while await_request(shared, &mut conn).await {
+        // The connection may have been idle since long before the plan came into force.
+        let caller_limits = caller_limits(shared);
         conn.set_limits(conn_limits(caller_limits));
-        let Some(head) = next_head(shared, &mut conn).await else {
-            return;
+        let head = match conn.read_request().await {
+            Err(e) if e.caller_status().is_none() => return,
+            head => head,
         };
         let in_flight = shared.drain.count_request();
         let after = match head {
@@ -82,24 +82,35 @@
     }
 }
 
-/// Reads the next request head. Returns `None` if the connection ends or the instance stops
-/// accepting between two requests.
-async fn next_head(shared: &Shared, conn: &mut Conn) -> Option<Result<RequestHead, HttpError>> {
-    let closed = async {
-        shared.accepting_stopped().await;
-        None
-    };
-    let head = future::or(async { Some(conn.read_request().await) }, closed).await;
-    let head = match head {
-        Some(head) => head,
-        // A head that has partly arrived is still read and served.
-        None if !conn.buffered().is_empty() => conn.read_request().await,
-        None => return None,
-    };
-    match head {
-        Err(e) if e.caller_status().is_none() => None,
-        head => Some(head),
+/// Returns the limits on callers of the plan in force.
+fn caller_limits(shared: &Shared) -> CallerLimits {
+    let operator_state = shared.operator_state();
+    let plan = operator_state.plan.as_ref();
+    plan.map_or_else(CallerLimits::default, |plan| plan.limits)
+}
+
+/// Waits until the first bytes of a request have arrived. Returns `false` if the connection ends, has
+/// been idle for too long, or the instance stops accepting first.
+async fn await_request(shared: &Shared, conn: &mut Conn) -> bool {
+    let idle_since = shared.clock.now();
+    while conn.buffered().is_empty() {
+        // A plan that comes into force meanwhile may allow more.
+        let max_idle = Duration::from_millis(caller_limits(shared).idle_ms.into());
+        let remaining = shared.clock.remaining(idle_since.after(max_idle));
+        if remaining.is_zero() {
+            return false;
+        }
+        let arriving = async { Some(conn.fill(remaining, Phase::Idle).await) };
+        let stopped = async {
+            shared.accepting_stopped().await;
+            None
+        };
+        match future::or(arriving, stopped).await {
+            Some(Ok(1..) | Err(HttpError::TimedOut(Phase::Idle))) => {}
+            Some(Ok(0) | Err(_)) | None => return false,
+        }
     }
+    true
 }
 
 async fn refuse_malformed(conn: &mut Conn, error: &HttpError) -> AfterResponse {
