Derive the limits of reads from the shortest bound on changes

What the store reports of backend servers comes in the same way as plans, and has a bound of its own: nothing reaches one that leaves later than drain. The settings hand it over (drain, 2500ms where left out), and the shorter one counts.

Test: the settings' faults, one more row.

--- a/crates/apricotlug-config/src/site.rs
+++ b/crates/apricotlug-config/src/site.rs
@@ -12,11 +12,11 @@
     value::{self, Port},
 };
 
-/// Shortest time within which a confirmed plan can be in force: an instance that finds its source
+/// Shortest time within which a confirmed change can be in force: an instance that finds its source
 /// out of date needs most of it to reach the store.
 const MIN_APPLY_MS: u32 = 1_000;
 
-/// Time within which a confirmed plan is in force where the settings do not say.
+/// Time within which a confirmed change is in force where the settings do not say.
 const DEFAULT_APPLY_MS: u32 = 2_500;
 
 /// Settings of an entry instance.
@@ -78,6 +78,8 @@
     pub grace_ms: u32,
     /// Time within which a confirmed plan is in force on every instance.
     pub apply_ms: u32,
+    /// Time within which a backend server that the store reports as leaving gets no more requests.
+    pub drain_ms: u32,
     /// Longest time for which a withdrawn key still works.
     pub revoke_ms: u32,
     /// Whether a withdrawn key stops on every instance, also where no news comes in.
@@ -189,6 +191,7 @@
 fn read_bounds(doc: &mut Doc<'_>, mut fields: Fields<'_>) -> Option<SiteBounds> {
     let grace_ms = fields.span_ms(doc, "grace");
     let apply_ms = fields.span_ms_or(doc, "apply", MIN_APPLY_MS, DEFAULT_APPLY_MS);
+    let drain_ms = fields.span_ms_or(doc, "drain", MIN_APPLY_MS, DEFAULT_APPLY_MS);
     let revoke_ms = fields.span_ms(doc, "revoke");
     let is_revocation_strict = fields.flag(doc, "strict_revocation");
     let lookup_ms = fields.span_ms(doc, "lookup");
@@ -202,6 +205,7 @@
     Some(SiteBounds {
         grace_ms: grace_ms?,
         apply_ms: apply_ms?,
+        drain_ms: drain_ms?,
         revoke_ms: revoke_ms?,
         is_revocation_strict: is_revocation_strict?,
         lookup_ms: lookup_ms?,
--- a/crates/apricotlug-config/tests/site.rs
+++ b/crates/apricotlug-config/tests/site.rs
@@ -37,6 +37,7 @@
         ("grace = \"6s\"", "grace = 6", &[WrongType]),
         ("apply = \"2500ms\"", "apply = \"0s\"", &[OutOfRange]),
         ("apply = \"2500ms\"", "apply = 2500", &[WrongType]),
+        ("drain = \"2500ms\"", "drain = \"999ms\"", &[OutOfRange]),
         ("retry_ratio = 0.2", "retry_ratio = \"0.2\"", &[WrongType]),
         ("retry_ratio = 0.2", "retry_ratio = -0.2", &[OutOfRange]),
         (
--- a/crates/apricotlug-steer/src/store_sync.rs
+++ b/crates/apricotlug-steer/src/store_sync.rs
@@ -85,9 +85,11 @@
     }
 }
 
+/// Returns the limits by which every change of the store is in force in time.
 fn read_limits(shared: &Shared) -> ReadLimits {
-    let apply_ms = shared.settings().bounds.apply_ms;
-    ReadLimits::new(Duration::from_millis(apply_ms.into()))
+    let bounds = shared.settings().bounds;
+    let in_force_ms = bounds.apply_ms.min(bounds.drain_ms);
+    ReadLimits::new(Duration::from_millis(in_force_ms.into()))
 }
 
 /// Returns the instances that can be read from in place of the store.
