--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -20,6 +20,7 @@
 mod moves;
 mod peers;
 mod pool;
+mod read_sources;
 mod registration;
 mod relay;
 mod response;
--- a/crates/apricotlug-steer/src/store_sync.rs
+++ b/crates/apricotlug-steer/src/store_sync.rs
@@ -4,14 +4,17 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use apricotlug_adapter::{Change, Listing, StoreClient, StoreError, all_keys, member_prefix};
-use apricotlug_policy::steer::{Read, ReadLimits, ReadSchedule, ReadSources};
+use apricotlug_model::BootTime;
+use apricotlug_policy::steer::{Read, ReadSchedule};
 use async_std::{future::timeout, net::TcpStream, task};
 
 use crate::{
     freshness::StoreFreshness,
+    read_sources::{read_limits, read_sources},
     relay,
     shared::{LastRead, ReadOrigin, Shared},
     store_changes::{ExpiryGrace, apply_changes, register_members},
+    wire::RelayResponse,
 };
 
 /// Time limit for listing all items.
@@ -85,47 +88,6 @@
     }
 }
 
-/// Returns the limits by which every change of the store is in force in time.
-fn read_limits(shared: &Shared) -> ReadLimits {
-    let bounds = shared.settings().bounds;
-    let in_force_ms = bounds.apply_ms.min(bounds.drain_ms);
-    ReadLimits::new(Duration::from_millis(in_force_ms.into()))
-}
-
-/// Returns the instances that can be read from in place of the store.
-fn read_sources(shared: &Shared) -> ReadSources {
-    let now = shared.clock.now();
-    let settings = shared.settings();
-    let steering = shared.steering();
-    let pick = |relays: &[SocketAddr]| {
-        let index = shared.run as usize % relays.len().max(1);
-        relays.get(index).copied()
-    };
-    let relays = steering.relays();
-    // Before the first tick, the relays follow from the listed entries alone.
-    let at_start = steering.peers.relays(&settings, now);
-    let is_listed_at_start = steering.peers.listed_instances(&settings).includes_self;
-    // Instances that poll a relay pass nothing on.
-    let mut others: Vec<_> = steering
-        .peers
-        .live(now)
-        .filter(|(_, member)| !relays.is_needed || relays.all.contains(&member.info.peer))
-        .map(|(name, member)| {
-            let is_cross_region = settings.region_of(&member.info.data_centre) != settings.region();
-            (is_cross_region, name, member.info.peer)
-        })
-        .collect();
-    others.sort_unstable();
-    ReadSources {
-        relay: pick(&relays.same_region).filter(|_| relays.is_needed && !relays.includes_self),
-        // Instances that look-ups list wait for nobody before they serve.
-        listing_relay: pick(&at_start.same_region)
-            .filter(|_| !at_start.includes_self && !is_listed_at_start),
-        others: others.into_iter().map(|(_, _, peer)| peer).collect(),
-        is_listed: steering.listed_instances().includes_self,
-    }
-}
-
 impl StoreReader {
     /// Does the next read of items and applies what it brings. Where another instance fails, the store
     /// is read at once.
@@ -191,36 +153,13 @@
                 .steering()
                 .on_relay_response(&response, shared.clock.now());
         }
-        if response.is_behind {
-            let text = "the instance is not current itself";
-            return Err(io::Error::new(io::ErrorKind::TimedOut, text));
-        }
-        let read_at = response.read_at(requested_at);
-        let is_fresh =
-            |read_at| StoreFreshness::now().since(read_at) <= self.schedule.limits().max_source_age;
-        let read_at = read_at
-            .filter(|read_at| is_fresh(*read_at))
-            .ok_or_else(|| {
-                io::Error::new(io::ErrorKind::TimedOut, "the relay's store data is too old")
-            })?;
+        let read_at = self.check_source(&response, requested_at)?;
         if uses_relays {
             let was_lost = self.schedule.on_store_response();
             on_store_response(shared, expiry_grace, was_lost);
         }
         let revision = after.max(response.revision);
-        let changes = if response.is_full {
-            let items = response.changes.into_iter().filter_map(Change::into_item);
-            let listing = Listing {
-                items: items.collect(),
-                revision: response.revision,
-            };
-            let changes = shared.change_log.on_listing(&listing, read_at);
-            changes.map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?
-        } else {
-            let changes = response.changes;
-            shared.change_log.on_changes(&changes, revision, read_at);
-            changes
-        };
+        let changes = record_response(shared, response, revision, read_at)?;
         shared.on_read(LastRead {
             origin: ReadOrigin::Instance(instance),
             revision,
@@ -231,6 +170,26 @@
         Ok(())
     }
 
+    /// Returns the time of the read of the store that a response passes on.
+    ///
+    /// # Errors
+    /// Returns an error if the responder is not current, or its data too old.
+    fn check_source(
+        &self,
+        response: &RelayResponse,
+        requested_at: BootTime,
+    ) -> io::Result<BootTime> {
+        let too_old = |text| io::Error::new(io::ErrorKind::TimedOut, text);
+        if response.is_behind {
+            return Err(too_old("the instance is not current itself"));
+        }
+        let max_age = self.schedule.limits().max_source_age;
+        let read_at = response.read_at(requested_at);
+        read_at
+            .filter(|read_at| StoreFreshness::now().since(*read_at) <= max_age)
+            .ok_or_else(|| too_old("the instance's data is too old"))
+    }
+
     async fn list(
         &mut self,
         shared: &Shared,
@@ -299,6 +258,30 @@
     }
 }
 
+/// Records what another instance passed on, and returns the changes to apply.
+///
+/// # Errors
+/// Returns an error if these are all items of an older revision than what is known.
+fn record_response(
+    shared: &Shared,
+    response: RelayResponse,
+    revision: u64,
+    read_at: BootTime,
+) -> io::Result<Vec<Change>> {
+    if response.is_full {
+        let items = response.changes.into_iter().filter_map(Change::into_item);
+        let listing = Listing {
+            items: items.collect(),
+            revision: response.revision,
+        };
+        let changes = shared.change_log.on_listing(&listing, read_at);
+        return changes.map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e));
+    }
+    let log = &shared.change_log;
+    log.on_changes(&response.changes, revision, read_at);
+    Ok(response.changes)
+}
+
 fn on_store_response(shared: &Shared, expiry_grace: &ExpiryGrace, was_lost: bool) {
     if was_lost {
         tracing::info!(kind = "dependency_regained", dependency = "store");
