Count as current before the change that others wait for is recorded

Instances that wait for a change respond as soon as it is recorded, on another thread perhaps before the reading task goes on. Found by reading; no run has shown it.

--- a/crates/apricotlug-steer/src/store_sync.rs
+++ b/crates/apricotlug-steer/src/store_sync.rs
@@ -202,6 +202,7 @@
             items = listing.items.len(),
             revision = listing.revision
         );
+        self.before_passing_on(shared);
         let changes = shared.change_log.on_listing(&listing, requested_at);
         let changes = changes.map_err(|e| StoreError::Malformed(e.to_string()))?;
         self.on_store_read(shared, expiry_grace, listing.revision);
@@ -220,6 +221,7 @@
         let requested_at = StoreFreshness::now();
         let watching = self.store.watch(all_keys(), after, wait, WATCH_SLACK);
         let (changes, next) = watching.await?;
+        self.before_passing_on(shared);
         shared.change_log.on_changes(&changes, next, requested_at);
         self.on_store_read(shared, expiry_grace, next);
         apply_changes(shared, expiry_grace, changes);
@@ -227,10 +229,14 @@
         Ok(())
     }
 
+    /// Lets the state count as current until the next read starts, after the batch delay. Instances
+    /// that wait for a change respond as soon as it is recorded, so this comes first.
+    fn before_passing_on(&self, shared: &Shared) {
+        shared.stay_current_for(self.schedule.limits().slack);
+    }
+
     fn on_store_read(&mut self, shared: &Shared, expiry_grace: &ExpiryGrace, revision: u64) {
         let was_lost = self.schedule.on_store_read(revision);
-        // The next read starts after the batch delay.
-        shared.stay_current_for(self.schedule.limits().slack);
         on_store_response(shared, expiry_grace, was_lost);
         shared.on_read(LastRead {
             origin: ReadOrigin::Store,
