Return at once from the first watch after another instance was read from

An instance that stops reading from another one knows what that one knew at its last response, which may be a whole wait old; its own first watch then waited up to a second for changes before a silent store could show.

--- a/crates/apricotlug-policy/src/steer/read_schedule.rs
+++ b/crates/apricotlug-policy/src/steer/read_schedule.rs
@@ -56,8 +56,9 @@
     }
 }
 
-/// Wait of a watch on a store that failed before, so that its recovery is noticed at once.
-const RECOVERY_WATCH_WAIT: Duration = Duration::from_millis(1);
+/// Wait of a watch after the store has failed, or after another instance has been read from: whether
+/// the store is within reach, and what was missed, shows at once.
+const FIRST_WATCH_WAIT: Duration = Duration::from_millis(1);
 
 /// Longest time that another instance may wait for changes before it responds. Each request also
 /// reports what this instance admitted, so the wait bounds how often it reports.
@@ -129,7 +130,7 @@
     revision: Option<u64>,
     /// Whether the store has dropped changes after that revision, so that it must be listed.
     is_history_gone: bool,
-    /// Whether the last successful read was one of the store, and none has failed since.
+    /// Whether the last successful read was one of the store itself, and none has failed since.
     is_first_hand: bool,
     /// Whether the instances' entries have been listed.
     knows_members: bool,
@@ -199,8 +200,8 @@
         if self.is_history_gone {
             return Read::List;
         }
-        let wait = if self.is_store_lost {
-            RECOVERY_WATCH_WAIT
+        let wait = if self.is_store_lost || !self.is_first_hand {
+            FIRST_WATCH_WAIT
         } else {
             self.limits.watch_wait
         };
@@ -216,10 +217,10 @@
         }
     }
 
-    /// Returns for how long from its start a read of this instance does not make it doubt its state:
-    /// for that time it passes the state on as current.
+    /// Returns for how long from its start a read lets this instance pass its state on as current:
+    /// until it is overdue.
     #[must_use]
-    pub fn current_for(&self, read: Read) -> Duration {
+    pub fn passes_on_for(&self, read: Read) -> Duration {
         match read {
             _ if !self.is_first_hand => Duration::ZERO,
             Read::Watch { wait, .. } => wait + self.limits.slack,
--- a/crates/apricotlug-policy/tests/steer_reads.rs
+++ b/crates/apricotlug-policy/tests/steer_reads.rs
@@ -147,7 +147,7 @@
         });
         let is_in_time = |span: Duration| span <= apply.mul_f64(0.6);
         assert!(
-            is_in_time(schedule.current_for(watch)),
+            is_in_time(schedule.passes_on_for(watch)),
             "{apply:?}: {watch:?}"
         );
         assert!(polls.into_iter().all(is_in_time), "{apply:?}: {polls:?}");
@@ -157,24 +157,31 @@
 /// Guards against instances that read from each other and take each other for current, and against
 /// one that passes on what it read before the store fell silent.
 #[test]
-fn an_instance_is_current_only_by_its_own_reads_of_the_store() {
+fn an_instance_passes_on_only_its_own_reads_of_the_store() {
     let mut schedule = listed();
     let limits = schedule.limits();
     let watch = schedule.next(&others(), at(0));
-    assert_eq!(
-        schedule.current_for(watch),
-        limits.watch_wait + limits.slack
-    );
+    let overdue = limits.watch_wait + limits.slack;
+    assert_eq!(schedule.passes_on_for(watch), overdue);
     let poll = schedule.next(&relays(), at(0));
-    assert_eq!(schedule.current_for(poll), Duration::ZERO);
+    assert_eq!(schedule.passes_on_for(poll), Duration::ZERO);
     schedule.on_poll(6);
     let watch = schedule.next(&others(), at(0));
-    assert_eq!(schedule.current_for(watch), Duration::ZERO, "second hand");
+    assert_eq!(
+        schedule.passes_on_for(watch),
+        Duration::ZERO,
+        "second hand until the store is read"
+    );
     schedule.on_store_read(6);
-    assert!(schedule.current_for(watch) > Duration::ZERO);
+    let watch = schedule.next(&others(), at(0));
+    assert_eq!(schedule.passes_on_for(watch), overdue);
     schedule.on_store_failure(at(10));
     let watch = schedule.next(&others(), at(11));
-    assert_eq!(schedule.current_for(watch), Duration::ZERO, "a read failed");
+    assert_eq!(
+        schedule.passes_on_for(watch),
+        Duration::ZERO,
+        "a read failed"
+    );
 }
 
 /// Guards against an instance without any source: after the history was dropped it asked no other
@@ -208,3 +215,20 @@
     let read = schedule.next(&others(), at(201));
     assert!(matches!(read, Read::Poll { after: 0, .. }), "{read:?}");
 }
+
+/// Guards against waits that add up where an instance stops reading from another one: that one's last
+/// read may be a whole wait ago, and the store out of reach.
+#[test]
+fn the_first_watch_after_another_instance_was_read_from_returns_at_once() {
+    let mut schedule = listed();
+    schedule.on_poll(6);
+    let read = schedule.next(&others(), at(0));
+    assert!(
+        matches!(read, Read::Watch { after: 6, wait } if wait < Duration::from_millis(10)),
+        "{read:?}"
+    );
+    schedule.on_store_read(6);
+    let wait = schedule.limits().watch_wait;
+    let read = schedule.next(&others(), at(0));
+    assert_eq!(read, Read::Watch { after: 6, wait });
+}
--- a/crates/apricotlug-steer/src/admission.rs
+++ b/crates/apricotlug-steer/src/admission.rs
@@ -163,8 +163,7 @@
 /// Returns a refusal that the caller takes for final, or a temporary one while a plan may be in force
 /// that this instance has not read: a route or key that is not known here may be in it.
 fn definite_refusal(shared: &Shared, refusal: Refusal) -> Refusal {
-    let apply = Duration::from_millis(shared.settings().bounds.apply_ms.into());
-    if shared.freshness.age().is_some_and(|age| age < apply) {
+    if shared.knows_plan_in_force() {
         return refusal;
     }
     Refusal::new(503, "Service Unavailable", "stale_plan").with_retry_ms(NOT_READY_RETRY_MS)
--- a/crates/apricotlug-steer/src/freshness.rs
+++ b/crates/apricotlug-steer/src/freshness.rs
@@ -47,15 +47,15 @@
     }
 }
 
-/// Time until which this instance passes its state on as current. It goes on counting while the
-/// machine is suspended, too.
+/// Deadline that the clock reaches also while the machine is suspended.
 #[derive(Debug, Default)]
-pub struct CurrentUntil(AtomicU64);
+pub struct BootDeadline(AtomicU64);
 
-impl CurrentUntil {
-    /// Replaces the time.
-    pub fn set(&self, until: BootTime) {
-        self.0.store(until.0, Ordering::Relaxed);
+impl BootDeadline {
+    /// Moves the deadline to a time from now on.
+    pub fn set_after(&self, span: Duration) {
+        let at = StoreFreshness::now().after(span);
+        self.0.store(at.0, Ordering::Relaxed);
     }
 
     /// Returns the time that is left; zero once it has passed.
@@ -63,4 +63,10 @@
     pub fn remaining(&self) -> Duration {
         BootTime(self.0.load(Ordering::Relaxed)).since(StoreFreshness::now())
     }
+
+    /// Returns whether it has passed.
+    #[must_use]
+    pub fn is_past(&self) -> bool {
+        self.remaining().is_zero()
+    }
 }
--- a/crates/apricotlug-steer/src/relay/server.rs
+++ b/crates/apricotlug-steer/src/relay/server.rs
@@ -78,7 +78,7 @@
         let mut remaining = shared.clock.remaining(wait_until);
         // Before the first read there is nothing yet that could be overdue.
         if snapshot.read_at.is_some() {
-            remaining = remaining.min(shared.current_until.remaining());
+            remaining = remaining.min(shared.passes_on_until.remaining());
         }
         if remaining.is_zero() {
             break;
@@ -100,7 +100,7 @@
         age_ms: snapshot
             .read_at
             .map_or(u32::MAX, |read_at| whole_ms(now.since(read_at))),
-        is_behind: shared.current_until.remaining().is_zero(),
+        is_behind: shared.passes_on_until.is_past(),
         changes,
         ..RelayResponse::default()
     };
--- a/crates/apricotlug-steer/src/shared.rs
+++ b/crates/apricotlug-steer/src/shared.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     body_buffer::BufferedBytes,
-    freshness::{CurrentUntil, StoreFreshness},
+    freshness::{BootDeadline, StoreFreshness},
     pool::Pool,
     relay::ChangeLog,
     steering::SteeringState,
@@ -78,7 +78,7 @@
     /// Age of the last store read.
     pub freshness: StoreFreshness,
     /// Time until which the state is passed on to other instances as current.
-    pub current_until: CurrentUntil,
+    pub passes_on_until: BootDeadline,
     last_read: Mutex<Option<LastRead>>,
     /// State for steering decisions; locked for one decision at a time.
     steering: Mutex<SteeringState>,
@@ -106,7 +106,7 @@
             run,
             clock: Clock::start(),
             freshness: StoreFreshness::default(),
-            current_until: CurrentUntil::default(),
+            passes_on_until: BootDeadline::default(),
             last_read: Mutex::default(),
             steering: Mutex::new(SteeringState::new(&settings)),
             settings: RwLock::new(Arc::new(settings)),
@@ -167,9 +167,11 @@
         }
     }
 
-    /// Passes the state on to other instances as current for a time from now on, and not after it.
-    pub fn stay_current_for(&self, span: Duration) {
-        self.current_until.set(StoreFreshness::now().after(span));
+    /// Returns whether every plan is known that has to be in force by now.
+    #[must_use]
+    pub fn knows_plan_in_force(&self) -> bool {
+        let apply = Duration::from_millis(self.settings().bounds.apply_ms.into());
+        self.freshness.age().is_some_and(|age| age < apply)
     }
 
     /// Marks the instance as leaving, and returns the times of its stop. Only the first call sets
--- a/crates/apricotlug-steer/src/store_sync.rs
+++ b/crates/apricotlug-steer/src/store_sync.rs
@@ -102,8 +102,8 @@
             let read = self
                 .schedule
                 .next(&read_sources(shared), shared.clock.now());
-            let current_for = self.schedule.current_for(read);
-            shared.stay_current_for(current_for);
+            let passes_on_for = self.schedule.passes_on_for(read);
+            shared.passes_on_until.set_after(passes_on_for);
             match read {
                 Read::ListMembers => self.list_members(shared).await?,
                 Read::List => return self.list(shared, expiry_grace).await,
@@ -229,10 +229,11 @@
         Ok(())
     }
 
-    /// Lets the state count as current until the next read starts, after the batch delay. Instances
-    /// that wait for a change respond as soon as it is recorded, so this comes first.
+    /// Lets the state be passed on until the next read starts, after the batch delay. Instances that
+    /// wait for a change respond as soon as it is recorded, so this comes first.
     fn before_passing_on(&self, shared: &Shared) {
-        shared.stay_current_for(self.schedule.limits().slack);
+        let slack = self.schedule.limits().slack;
+        shared.passes_on_until.set_after(slack);
     }
 
     fn on_store_read(&mut self, shared: &Shared, expiry_grace: &ExpiryGrace, revision: u64) {
@@ -257,7 +258,7 @@
             return;
         }
         shared.metrics.on_store_read("store", "failed");
-        shared.stay_current_for(Duration::ZERO);
+        shared.passes_on_until.set_after(Duration::ZERO);
         if self.schedule.on_store_failure(shared.clock.now()) {
             tracing::warn!(kind = "dependency_lost", dependency = "store", %error);
         }
--- a/crates/apricotlug-steer/tests/reads_model.rs
+++ b/crates/apricotlug-steer/tests/reads_model.rs
@@ -61,3 +61,10 @@
 fn an_instance_holds_what_its_revision_and_its_last_read_claim() {
     assert_none(&findings(World::false_claim));
 }
+
+/// Guards against a refusal that a caller takes for final, and that a confirmed plan forbids: by an
+/// instance in any trouble, in touch or not.
+#[test]
+fn an_instance_that_refuses_for_good_knows_every_plan_in_force() {
+    assert_none(&findings(World::wrong_refusal));
+}
--- a/crates/apricotlug-steer/tests/support/world/calls.rs
+++ b/crates/apricotlug-steer/tests/support/world/calls.rs
@@ -6,7 +6,7 @@
 use super::{Answer, MAX_MESHED, MIN_BACKOFF, Op, World, boot, millis};
 
 const MAX_BACKOFF: u64 = 400;
-const LIST_LIMIT: u64 = 2_500;
+const LIST_LIMIT: u64 = 1_200;
 const WATCH_SLACK: u64 = 700;
 
 impl World {
@@ -105,7 +105,8 @@
             .schedule
             .next(&self.sources(i), self.mono());
         let instance = &mut self.instances[i];
-        instance.current_until = now + instance.schedule.current_for(read).as_millis() as u64;
+        let passes_on_for = instance.schedule.passes_on_for(read);
+        instance.passes_on_until = now + passes_on_for.as_millis() as u64;
         let limit = match read {
             Read::List | Read::ListMembers => LIST_LIMIT,
             Read::Watch { wait, .. } => wait.as_millis() as u64 + WATCH_SLACK,
@@ -160,7 +161,7 @@
             return Some(Answer::Failed);
         }
         let snapshot = self.instances[other].log.snapshot_after(after);
-        let is_behind = self.now >= self.instances[other].current_until;
+        let is_behind = self.now >= self.instances[other].passes_on_until;
         let may_wait = self.now < wait_until && (!is_behind || snapshot.read_at.is_none());
         let (is_full, changes) = match snapshot.delta {
             Delta::Unchanged(_) if may_wait => return None,
@@ -190,7 +191,7 @@
             Answer::Failed if is_poll => instance.schedule.on_poll_failure(mono),
             Answer::Failed => {
                 instance.schedule.on_store_failure(mono);
-                instance.current_until = 0;
+                instance.passes_on_until = 0;
                 is_failed = true;
             }
             Answer::HistoryGone => {
@@ -204,12 +205,12 @@
                     instance.schedule.on_store_failure(mono);
                 } else {
                     instance.schedule.on_store_read(listing.revision);
-                    instance.current_until = now + slack;
+                    instance.passes_on_until = now + slack;
                 }
             }
             Answer::Changes(changes, revision) => {
                 instance.schedule.on_store_read(revision);
-                instance.current_until = now + slack;
+                instance.passes_on_until = now + slack;
                 instance.log.on_changes(&changes, revision, boot(sent));
                 instance.apply(&changes, sent);
             }
--- a/crates/apricotlug-steer/tests/support/world/checks.rs
+++ b/crates/apricotlug-steer/tests/support/world/checks.rs
@@ -26,6 +26,23 @@
         })
     }
 
+    /// Tells of an instance that would refuse for good what a plan allows that has to be in force: its
+    /// last read is recent, and it does not hold that plan.
+    pub fn wrong_refusal(&self) -> Option<String> {
+        let apply = self.sheet.apply;
+        let needed = self.last_plan(|(_, at)| at + apply <= self.now);
+        self.instances.iter().enumerate().find_map(|(i, instance)| {
+            let is_certain = instance.read_at.is_some_and(|at| self.now - at < apply);
+            let held = instance.held.get(PLAN).copied().unwrap_or_default();
+            (is_certain && held < needed).then(|| {
+                format!(
+                    "at {} ms instance {i} holds {held}, not {needed}; read at {:?}",
+                    self.now, instance.read_at
+                )
+            })
+        })
+    }
+
     /// Tells of an instance that holds less than it claims to know.
     pub fn false_claim(&self) -> Option<String> {
         self.instances.iter().enumerate().find_map(|(i, instance)| {
--- a/crates/apricotlug-steer/tests/support/world/mod.rs
+++ b/crates/apricotlug-steer/tests/support/world/mod.rs
@@ -105,7 +105,7 @@
     held: BTreeMap<String, u64>,
     read_at: Option<u64>,
     /// Time until which it passes its state on as current.
-    current_until: u64,
+    passes_on_until: u64,
     backoff: u64,
     op: Op,
 }
@@ -146,7 +146,7 @@
             log: ChangeLog::default(),
             held: BTreeMap::new(),
             read_at: None,
-            current_until: 0,
+            passes_on_until: 0,
             backoff: MIN_BACKOFF,
             op: Op::Sleep {
                 until: rng.random_range(0..300),
@@ -236,7 +236,7 @@
                     instance.log = ChangeLog::default();
                     instance.held.clear();
                     instance.read_at = None;
-                    instance.current_until = 0;
+                    instance.passes_on_until = 0;
                     instance.backoff = MIN_BACKOFF;
                     instance.started = until;
                     instance.op = Op::Sleep { until };
