--- a/crates/apricotlug-policy/src/steer/cold.rs
+++ b/crates/apricotlug-policy/src/steer/cold.rs
@@ -35,6 +35,12 @@
         !self.until.is_past(now)
     }
 
+    /// Returns for how long the backend server still counts as cold.
+    #[must_use]
+    pub fn remaining(&self, now: MonoTime) -> Duration {
+        self.until.since(now)
+    }
+
     /// Returns whether this instance may send it a request now.
     ///
     /// `rate` is its permitted rate in requests per second, 0 for no limit. `holders` is the number
--- a/crates/apricotlug-steer/src/dispatch.rs
+++ b/crates/apricotlug-steer/src/dispatch.rs
@@ -392,6 +392,20 @@
         }
         steering.fleet.on_send(&choice_request, choice.key, now);
         let entry = steering.fleet.entry(choice.key);
+        if entry.cold.is_cold(now) {
+            tracing::info!(
+                kind = "cold_send",
+                request = request.metadata.request_id,
+                backend = entry.backend.id,
+                cold_ms = entry.cold.remaining(now).as_millis() as u64,
+                rate = choice_request.cold_rate,
+                is_listed = steering.listed_instances().includes_self,
+                index = choice_request.own_index,
+                instances = choice_request.instances,
+                known_instances = steering.peers.count(),
+                news_ms = shared.freshness.age_ms()
+            );
+        }
         return Ok(Placement {
             slot: SlotGuard {
                 shared,
