--- a/crates/apricotlug-steer/tests/cold_limit_model.rs
+++ b/crates/apricotlug-steer/tests/cold_limit_model.rs
@@ -1,12 +1,15 @@
 //! Requests that instances send together to a cold backend server, as a model in virtual time: the
 //! bound has to hold whatever each of them knows of the others.
 //!
-//! `COLD_LIMIT_SEEDS` sets the number of seeds of every sheet. With `--nocapture`, the tests print
-//! which share of the requests that it is made for the backend server got.
+//! `COLD_LIMIT_SEEDS` sets the number of seeds of every sheet, and with `COLD_LIMIT_WHOLE` all
+//! instances of the largest deployment are played. With `--nocapture`, the tests print which share of
+//! the requests that it is made for the backend server got.
 
 #[path = "support/cold_limit/mod.rs"]
 mod cold_limit;
 
+use std::cmp::Reverse;
+
 use cold_limit::{Links, Play, Row, Sheet};
 
 /// Sheets of installations, with the number of seeds that are played.
@@ -24,38 +27,42 @@
 fn assert_holds(row: Row, links: &[Links]) {
     let seeds = std::env::var("COLD_LIMIT_SEEDS").ok();
     let seeds: Option<u64> = seeds.map(|text| text.parse().unwrap());
+    let is_whole = std::env::var_os("COLD_LIMIT_WHOLE").is_some();
     let mut findings = Vec::new();
-    for (sheet, usual) in SHEETS {
+    for (mut sheet, usual) in SHEETS {
         // The largest deployment is costly and is played with the last links only.
-        let skipped = if sheet.is_sampled() {
-            links.len() - 1
-        } else {
-            0
-        };
+        let is_costly = sheet.played_one_in > 1;
+        let skipped = if is_costly { links.len() - 1 } else { 0 };
+        if is_whole {
+            sheet.played_one_in = 1;
+        }
         for links in &links[skipped..] {
-            let place = format!("{row:?}, {links:?}, {} instances", sheet.instances);
-            let seeds = seeds.unwrap_or(usual);
-            let plays = (0..seeds).map(|seed| (seed, Play::run(sheet, row, *links, seed)));
-            let mut plays: Vec<_> = plays.collect();
-            let share: f64 = plays.iter().map(|(_, play)| play.used_share(&sheet)).sum();
-            println!("{place}: {:.2} of its rate", share / seeds as f64);
-            plays.sort_by_key(|(_, play)| std::cmp::Reverse(play.most));
-            let wrong = plays.iter().filter_map(|(seed, play)| {
-                let finding = play.finding(&sheet)?;
-                Some(format!("seed {seed}: {finding}"))
-            });
-            let wrong: Vec<_> = wrong.collect();
-            if let Some(first) = wrong.first() {
-                findings.push(format!(
-                    "{place}: {} of {seeds} plays, {first}",
-                    wrong.len()
-                ));
-            }
+            findings.extend(finding(sheet, row, *links, seeds.unwrap_or(usual)));
         }
     }
     assert!(findings.is_empty(), "{}", findings.join("\n"));
 }
 
+/// Plays a row with every seed. Returns how many plays are wrong, and the worst, or `None`.
+fn finding(sheet: Sheet, row: Row, links: Links, seeds: u64) -> Option<String> {
+    let place = format!("{row:?}, {links:?}, {} instances", sheet.instances);
+    let plays = (0..seeds).map(|seed| (seed, Play::run(sheet, row, links, seed)));
+    let mut plays: Vec<_> = plays.collect();
+    let share: f64 = plays.iter().map(|(_, play)| play.used_share(&sheet)).sum();
+    println!("{place}: {:.2} of its rate", share / seeds as f64);
+    plays.sort_by_key(|(_, play)| Reverse(play.most));
+    let wrong = plays.iter().filter_map(|(seed, play)| {
+        let finding = play.finding(&sheet)?;
+        Some(format!("seed {seed}: {finding}"))
+    });
+    let wrong: Vec<_> = wrong.collect();
+    let worst = wrong.first()?;
+    Some(format!(
+        "{place}: {} of {seeds} plays, {worst}",
+        wrong.len()
+    ))
+}
+
 const BOTH: [Links; 2] = [Links::Equal, Links::FewWide];
 
 #[test]
--- a/crates/apricotlug-steer/tests/support/cold_limit/mod.rs
+++ b/crates/apricotlug-steer/tests/support/cold_limit/mod.rs
@@ -30,9 +30,6 @@
 /// Time from the start of an instance to its entry in the store.
 const ENTRY_MS: u64 = 400;
 
-/// Instances of the largest deployment for each one that is played.
-const SAMPLED_ONE_IN: u32 = 10;
-
 /// Instances that try to send in one millisecond. All of a larger deployment do so in turn, in an
 /// order that is drawn for each round.
 const MAX_TRIES_PER_MS: usize = 8;
@@ -45,6 +42,9 @@
     pub rate: f64,
     /// Requests that it may get in a second beyond 1.5 times that rate.
     pub slack: f64,
+    /// Instances for each one that is played, whose requests alone then have to keep the bound of
+    /// all.
+    pub played_one_in: u32,
 }
 
 impl Sheet {
@@ -53,15 +53,10 @@
             instances,
             rate,
             slack,
+            played_one_in: if instances > 1_000 { 10 } else { 1 },
         }
     }
 
-    /// Returns whether only one in `SAMPLED_ONE_IN` instances is played, whose requests alone then
-    /// have to keep the bound of all.
-    pub fn is_sampled(&self) -> bool {
-        self.instances > 1_000
-    }
-
     /// Returns the number of requests that it may get in a second.
     fn bound(&self) -> f64 {
         self.rate * 1.5 + self.slack
@@ -145,7 +140,7 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let instances = 0..sheet.instances;
         let instances = instances.map(|i| {
-            let is_played = !sheet.is_sampled() || rng.random_ratio(1, SAMPLED_ONE_IN);
+            let is_played = rng.random_ratio(1, sheet.played_one_in);
             Instance::new(i, links.mbps(i), is_played)
         });
         let instances = instances.collect();
--- a/crates/apricotlug-steer/tests/support/cold_limit/record.rs
+++ b/crates/apricotlug-steer/tests/support/cold_limit/record.rs
@@ -14,7 +14,7 @@
         self.cold_until = self.now + COLD_MS;
         self.last_cooled_at = Some(self.now);
         let mut instances = self.instances.iter().enumerate();
-        self.is_owed = !self.sheet.is_sampled()
+        self.is_owed = self.sheet.played_one_in == 1
             && self.now >= SETTLED_MS
             && instances.any(|(i, instance)| {
                 self.links.is_listed(i) && instance.has_listed_by(self.now - SETTLED_MS)
