Read from the settings how far a cold backend server's rate may be exceeded

cold_overage (1 where left out, the least) and cold_slack (0): requests in one second are at most the rate that the backend server bears times the first, and the second. What all instances together send is to follow from that. Two new names of the settings; test: the settings' faults, three more rows.

--- a/crates/apricotlug-config/src/fields.rs
+++ b/crates/apricotlug-config/src/fields.rs
@@ -172,6 +172,29 @@
         value::number(doc, value, name)
     }
 
+    /// Reads an optional number that is at least `min`, or returns the default.
+    pub(crate) fn number_or(
+        &mut self,
+        doc: &mut Doc<'_>,
+        name: &'static str,
+        min: f64,
+        default: f64,
+    ) -> Option<f64> {
+        let Some(value) = self.optional(name) else {
+            return Some(default);
+        };
+        let number = value::number(doc, value, name)?;
+        if number < min {
+            doc.add(
+                FindingCode::OutOfRange,
+                value.span().start,
+                format!("`{name}` is {number}"),
+                format!("give at least {min}"),
+            );
+        }
+        Some(number)
+    }
+
     /// Reads an optional integer within a range, or returns the default.
     pub(crate) fn integer_or<T: TryFrom<i64>>(
         &mut self,
--- a/crates/apricotlug-config/src/site.rs
+++ b/crates/apricotlug-config/src/site.rs
@@ -98,6 +98,11 @@
     pub quota_overage: f64,
     /// Requests by which it may be exceeded beside.
     pub quota_slack: f64,
+    /// Factor by which requests in one second to a cold backend server may exceed the rate that it
+    /// bears.
+    pub cold_overage: f64,
+    /// Requests by which they may exceed that beside.
+    pub cold_slack: f64,
 }
 
 /// Parses and checks the settings of an entry instance on the platform.
@@ -201,6 +206,8 @@
     let quota_window_ms = fields.span_ms(doc, "quota_window");
     let quota_overage = fields.number(doc, "quota_overage");
     let quota_slack = fields.number(doc, "quota_slack");
+    let cold_overage = fields.number_or(doc, "cold_overage", 1.0, 1.0);
+    let cold_slack = fields.number_or(doc, "cold_slack", 0.0, 0.0);
     fields.finish(doc);
     Some(SiteBounds {
         grace_ms: grace_ms?,
@@ -215,5 +222,7 @@
         quota_window_ms: quota_window_ms?,
         quota_overage: quota_overage?,
         quota_slack: quota_slack?,
+        cold_overage: cold_overage?,
+        cold_slack: cold_slack?,
     })
 }
--- a/crates/apricotlug-config/tests/site.rs
+++ b/crates/apricotlug-config/tests/site.rs
@@ -40,6 +40,9 @@
         ("drain = \"2500ms\"", "drain = \"999ms\"", &[OutOfRange]),
         ("retry_ratio = 0.2", "retry_ratio = \"0.2\"", &[WrongType]),
         ("retry_ratio = 0.2", "retry_ratio = -0.2", &[OutOfRange]),
+        ("cold_overage = 1.5", "cold_overage = \"1.5\"", &[WrongType]),
+        ("cold_overage = 1.5", "cold_overage = 0.9", &[OutOfRange]),
+        ("cold_slack = 5", "cold_slack = -5", &[OutOfRange]),
         (
             "quota_slack = 20",
             "quota_slack = 20\nmore = 1",
