Keep the part of a limit over all instances that one instance may use

Limits over all instances are divided by what each believes of the others: a count of the listed ones, an index among their names. The parts add up to more than the limit where beliefs differ, and where instances are left out.

The listing by links moves to a file of its own.

--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -17,6 +17,7 @@
 mod freshness;
 mod http_api;
 mod instance;
+mod listed;
 mod moves;
 mod peers;
 mod pool;
@@ -39,7 +40,8 @@
 pub use body_buffer::{BodyBuffer, BufferedBytes};
 pub use freshness::StoreFreshness;
 pub use instance::{Instance, StartError};
-pub use peers::{ListedInstances, Member, MemberInfo, Peers, Relays};
+pub use listed::ListedInstances;
+pub use peers::{Member, MemberInfo, Peers, Relays};
 pub use relay::{ChangeLog, Delta, OlderListing, Snapshot};
 pub use steering::SteeringState;
 pub use wire::{
--- a/crates/apricotlug-steer/src/peers.rs
+++ b/crates/apricotlug-steer/src/peers.rs
@@ -41,18 +41,6 @@
     pub all: Vec<SocketAddr>,
 }
 
-/// Instances that look-ups list, among which limits on traffic are divided.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ListedInstances {
-    /// Number of listed instances, this one included if it is listed.
-    pub count: usize,
-    /// Whether this instance is listed.
-    pub includes_self: bool,
-    /// Index of this instance among the listed ones in order of names, from 0; equal to `count`
-    /// if it is not listed.
-    pub own_index: usize,
-}
-
 /// Entry that an instance writes to the store about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberInfo {
@@ -197,40 +185,6 @@
         unreported.count()
     }
 
-    /// Returns the instances that look-ups list: in each region those whose link is not much slower
-    /// than the fastest one. All known instances that may be running are considered, and this one.
-    #[must_use]
-    pub fn listed_instances(&self, settings: &SiteSettings) -> ListedInstances {
-        let bandwidth = settings.link_mbps as u32;
-        let mut fastest: HashMap<&str, u32> = HashMap::default();
-        fastest.insert(settings.region(), bandwidth);
-        for member in self.0.values() {
-            let region = settings.region_of(&member.info.data_centre);
-            let max_mbps = fastest.entry(region).or_default();
-            *max_mbps = member.info.link_mbps.max(*max_mbps);
-        }
-        let is_fast_enough = |region: &str, bandwidth: u32| {
-            let max_mbps = fastest.get(region).copied().unwrap_or_default();
-            bandwidth.saturating_mul(MAX_LINK_RATIO) >= max_mbps
-        };
-        let others = self.iter().filter(|(_, member)| {
-            let region = settings.region_of(&member.info.data_centre);
-            is_fast_enough(region, member.info.link_mbps)
-        });
-        let names: Vec<_> = others.map(|(name, _)| name).collect();
-        let own = settings.instance.as_str();
-        let includes_self = is_fast_enough(settings.region(), bandwidth);
-        ListedInstances {
-            count: names.len() + usize::from(includes_self),
-            includes_self,
-            own_index: if includes_self {
-                names.iter().filter(|name| **name < own).count()
-            } else {
-                names.len()
-            },
-        }
-    }
-
     /// Returns the number of live instances whose names sort before `own`.
     #[must_use]
     pub fn rank_of(&self, own: &str, now: MonoTime) -> usize {
--- a/crates/apricotlug-steer/src/steering.rs
+++ b/crates/apricotlug-steer/src/steering.rs
@@ -5,14 +5,15 @@
 use apricotlug_config::SiteSettings;
 use apricotlug_model::{HashMap, MonoTime, Plan};
 use apricotlug_policy::steer::{
-    BackendKey, CallerWaits, Fleet, Quotas, ReportDelay, ReportInterval, ServiceRetryBudget,
-    object_hash,
+    BackendKey, CallerWaits, Fleet, LimitShare, Quotas, ReportDelay, ReportInterval,
+    ServiceRetryBudget, object_hash,
 };
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
+    listed::ListedInstances,
     moves::{DEPARTED_REPORTED, Moves},
-    peers::{ListedInstances, Peers, Relays},
+    peers::{Peers, Relays},
     wire::{AccountUsage, BackendLoad, MoveEvidence, RelayRequest, RelayResponse, StatusDatagram},
 };
 
@@ -39,6 +40,8 @@
     pub peers: Peers,
     /// Moves of services to other versions.
     pub moves: Moves,
+    /// Part of limits over all instances that this one may use.
+    pub limit_share: LimitShare,
     /// How long callers usually wait, by route.
     pub caller_waits: CallerWaits,
     /// Random source for draws.
@@ -74,6 +77,7 @@
             ),
             peers: Peers::default(),
             moves: Moves::default(),
+            limit_share: LimitShare::default(),
             caller_waits: CallerWaits::default(),
             rng: SmallRng::from_rng(&mut rand::rng()),
             retry_budgets: HashMap::default(),
@@ -118,7 +122,7 @@
     }
 
     /// Starts a new interval between two datagrams: selects the relays, removes stale instances and
-    /// recalculates this instance's shares of the accounts' rates.
+    /// recalculates this instance's shares of the accounts' rates and of other limits.
     pub fn tick(&mut self, settings: &SiteSettings, now: MonoTime) {
         self.relays = self.peers.relays(settings, now);
         self.listed_instances = self.peers.listed_instances(settings);
@@ -126,6 +130,10 @@
             self.forget_relay();
         }
         self.remove_stale(now);
+        let regions = settings.regions.values().map(String::as_str);
+        let instances = self.peers.known_instances(settings);
+        self.limit_share
+            .update(&settings.instance, instances, regions, now);
         let known = self.peers.count();
         let ListedInstances {
             count: spenders,
--- a/crates/apricotlug-steer/src/store_sync.rs
+++ b/crates/apricotlug-steer/src/store_sync.rs
@@ -71,7 +71,11 @@
                 let now = shared.clock.now();
                 let startup_ends_at = *startup_ends_at.get_or_insert(now.after(STARTUP_PERIOD));
                 let is_started = startup_ends_at.is_past(now);
-                let is_relay = shared.steering().relays().includes_self;
+                let is_relay = {
+                    let mut steering = shared.steering();
+                    steering.limit_share.on_others_known(now);
+                    steering.relays().includes_self
+                };
                 task::sleep(match (is_started, is_relay) {
                     (false, _) => STARTUP_BATCH_DELAY,
                     (true, true) => RELAY_BATCH_DELAY,
