Take turns at cold backend servers by a share that holds whatever others believe

Cause: the gate split the rate among the instances with the lowest places, by the number of listed instances and an index among their names. All instances that are not listed had the index of the first listed one, 52 of 64 on the incident's site; each change of the membership moved all places; and a new holder had credit for a request at once. When the instances of a region came back together, up to 18 sent at the same time.

Now each instance counts its turns by its own part of the rate (LimitShare), in an order that differs from one backend server to the next and that one instance more or less moves by one place. A turn that passes is lost, so nothing is saved up for the moment at which callers come back. The rate follows from the stated bound, so that two groups that do not know of each other keep it.

The adapter of the model follows the gate: the share in place of count and index, and the usable rate.

--- a/crates/apricotlug-policy/examples/steer_cost.rs
+++ b/crates/apricotlug-policy/examples/steer_cost.rs
@@ -9,7 +9,7 @@
 };
 
 use apricotlug_model::{Backend, BackendState, MonoTime};
-use apricotlug_policy::steer::{ChoiceRequest, Fleet, RequestOutcome, object_hash};
+use apricotlug_policy::steer::{ChoiceRequest, Fleet, LimitShare, RequestOutcome, object_hash};
 
 const SERVICE: &str = "stock";
 const REGIONS: [&str; 3] = ["east", "mid", "west"];
@@ -51,6 +51,7 @@
         .map(|i| object_hash(SERVICE, &i.to_string()))
         .collect();
     let mut in_flight = VecDeque::new();
+    let share = LimitShare::default();
     let started_at = Instant::now();
     for i in 0..CHOICES {
         let now = MonoTime::default().after(Duration::from_millis(u64::from(i) * 4));
@@ -66,8 +67,7 @@
             version_filter: None,
             excluded: &[],
             cold_rate: 13.0,
-            instances: 12,
-            own_index: 3,
+            share: &share,
             is_large_deployment,
         };
         let Ok(choice) = black_box(fleet.choose(&request, 800, now)) else {
--- a/crates/apricotlug-policy/src/steer/choose.rs
+++ b/crates/apricotlug-policy/src/steer/choose.rs
@@ -8,6 +8,7 @@
     affinity::rank_weight,
     entry::{BackendKey, Entry, MAX_LOAD_FACTOR},
     fleet::Fleet,
+    limit_share::LimitShare,
     measurements::ServiceTime,
 };
 
@@ -94,12 +95,10 @@
     pub version_filter: Option<(&'a str, bool)>,
     /// Backend servers of earlier attempts, which are excluded.
     pub excluded: &'a [BackendKey],
-    /// Requests per second that a cold backend server may get from all instances; 0 for no limit.
+    /// Requests per second that all instances together send to a cold backend server; 0 for no limit.
     pub cold_rate: f64,
-    /// Number of instances, this one included, among which `cold_rate` is split.
-    pub instances: usize,
-    /// Index of this instance in the order of all instances, from 0.
-    pub own_index: usize,
+    /// Part of `cold_rate` that this instance may use.
+    pub share: &'a LimitShare,
     /// Whether there are so many instances that each sees only a small share of the load itself and
     /// receives reports of the rest late. The choice is then limited to the homes of the object.
     pub is_large_deployment: bool,
@@ -171,7 +170,7 @@
         self.choices = self.choices.wrapping_add(1);
         let object = request
             .object
-            .unwrap_or_else(|| rank_weight(self.choices, request.own_index as u64));
+            .unwrap_or_else(|| rank_weight(self.choices, request.share.own()));
         let region = self
             .assigned_region(request, object, now)
             .unwrap_or_default();
@@ -233,7 +232,6 @@
         let is_allowed_version = request
             .version_filter
             .is_none_or(|(version, is_required)| (entry.backend.version == version) == is_required);
-        let rotated_index = (request.own_index + entry.hash as usize) % request.instances.max(1);
         entry.takes_requests(now)
             && is_allowed_region
             && is_open
@@ -241,7 +239,7 @@
             && !request.excluded.contains(&key)
             && entry
                 .cold
-                .may_send(now, request.cold_rate, request.instances, rotated_index)
+                .may_send(now, request.cold_rate, &entry.region, request.share)
     }
 
     /// Returns the cost of time at the service's backend servers relative to the cost of callers'
--- a/crates/apricotlug-policy/src/steer/cold.rs
+++ b/crates/apricotlug-policy/src/steer/cold.rs
@@ -1,26 +1,61 @@
 //! Rate limit for cold backend servers, which can handle only few requests per second from all
 //! instances together.
+//!
+//! Instances take turns, in an order that differs from one backend server to the next. Each counts the
+//! turns by its share of the limit, so that the rate holds whoever else sends, and a turn that passes
+//! without a request is lost: after a quiet time, or a return of many callers at once, no two instances
+//! have requests to make up for.
 
 use std::time::Duration;
 
 use apricotlug_model::MonoTime;
 
-/// Share of the permitted rate that all instances together use. The rest covers instances that do
-/// not yet agree on which of them send, and requests that arrive in bursts.
-const USABLE_SHARE: f64 = 0.8;
+use super::limit_share::LimitShare;
 
-/// Minimum rate of one instance in requests per second. Fewer instances share the rate if it is too
-/// low for all.
-const MIN_INSTANCE_RATE: f64 = 1.5;
+/// Time within which a turn can be used.
+const TURN: Duration = Duration::from_millis(500);
 
-/// Maximum time for which unused rate is kept.
-const MAX_UNUSED: Duration = Duration::from_millis(700);
+/// Largest share of the rate that backend servers bear which all instances together use.
+const MAX_USED_SHARE: f64 = 0.9;
+
+/// Returns the requests per second that all instances together send to a cold backend server.
+///
+/// It bears `rate` requests per second, and may get `rate * overage + slack` in one second. Two groups
+/// of instances that do not know of each other stay within that, also where all turns that begin
+/// within a second and the time of a turn are used in one second.
+#[must_use]
+pub fn usable_cold_rate(rate: f64, overage: f64, slack: f64) -> f64 {
+    let allowed = rate * overage + slack;
+    let counted_s = 1.0 + TURN.as_secs_f64();
+    (allowed / (2.0 * counted_s)).min(rate * MAX_USED_SHARE)
+}
+
+/// Turns of this instance at one backend server while that one is cold.
+#[derive(Clone, Copy, Debug)]
+struct Turns {
+    /// Accrued share at the start.
+    start_s: f64,
+    /// Place of this instance among those that take turns, 0 to 1.
+    place: f64,
+    /// Number of the last turn that was used, from 1; 0 for none.
+    last_used: u64,
+}
+
+impl Turns {
+    /// Returns the number of the turn that can be used at `now`, from 1.
+    fn current(&self, now: MonoTime, rate: f64, region: &str, share: &LimitShare) -> Option<u64> {
+        let turns = (share.accrued_s(region, now) - self.start_s) * rate - self.place;
+        let since_start_s = turns.fract() / (rate * share.in_region(region));
+        let is_open = turns >= 0.0 && since_start_s < TURN.as_secs_f64();
+        is_open.then_some(turns as u64 + 1)
+    }
+}
 
 /// Rate limiter of one instance for one backend server. Not cold by default.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ColdGate {
     until: MonoTime,
-    next_at: MonoTime,
+    turns: Option<Turns>,
 }
 
 impl ColdGate {
@@ -41,32 +76,38 @@
         self.until.since(now)
     }
 
-    /// Returns whether this instance may send it a request now.
-    ///
-    /// `rate` is its permitted rate in requests per second, 0 for no limit. `holders` is the number
-    /// of instances that may share the rate, and `own_index` the index of this instance among them.
+    /// Starts or ends the turns at the backend server, whose hash determines their order.
+    pub fn update(&mut self, now: MonoTime, hash: u64, region: &str, share: &LimitShare) {
+        if !self.is_cold(now) {
+            self.turns = None;
+        } else if self.turns.is_none() && share.in_region(region) > 0.0 {
+            self.turns = Some(Turns {
+                start_s: share.accrued_s(region, now),
+                place: share.place(region, hash),
+                last_used: 0,
+            });
+        }
+    }
+
+    /// Returns whether this instance may send it a request now. `rate` is the limit in requests per
+    /// second from all instances, 0 for none, and `region` the one of the backend server.
     #[must_use]
-    pub fn may_send(&self, now: MonoTime, rate: f64, holders: usize, own_index: usize) -> bool {
+    pub fn may_send(&self, now: MonoTime, rate: f64, region: &str, share: &LimitShare) -> bool {
         if !self.is_cold(now) || rate <= 0.0 {
             return true;
         }
-        own_index < share_count(rate, holders) && self.next_at.is_past(now)
+        self.turns.is_some_and(|turns| {
+            let current = turns.current(now, rate, region, share);
+            current.is_some_and(|turn| turn > turns.last_used)
+        })
     }
 
     /// Records that a request was sent.
-    pub fn on_send(&mut self, now: MonoTime, rate: f64, holders: usize) {
-        if !self.is_cold(now) || rate <= 0.0 {
-            return;
+    pub fn on_send(&mut self, now: MonoTime, rate: f64, region: &str, share: &LimitShare) {
+        if let Some(turns) = &mut self.turns
+            && let Some(turn) = turns.current(now, rate, region, share)
+        {
+            turns.last_used = turn;
         }
-        let gap =
-            Duration::from_secs_f64(share_count(rate, holders) as f64 / (rate * USABLE_SHARE));
-        let from = self.next_at.max(now.before(MAX_UNUSED.min(gap)));
-        self.next_at = from.max(now.before(gap)).after(gap).max(now);
     }
 }
-
-/// Returns the number of instances among which the rate is split.
-fn share_count(rate: f64, holders: usize) -> usize {
-    let max = (rate * USABLE_SHARE / MIN_INSTANCE_RATE).max(1.0) as usize;
-    holders.clamp(1, max)
-}
--- a/crates/apricotlug-policy/src/steer/fleet.rs
+++ b/crates/apricotlug-policy/src/steer/fleet.rs
@@ -10,6 +10,7 @@
 use super::{
     choose::{Choice, ChoiceRequest},
     entry::{BackendKey, Entry, RequestOutcome},
+    limit_share::LimitShare,
     measurements::{ServiceTime, TIME_GAIN},
     ranking::RankingCache,
     regions::RegionSplit,
@@ -171,6 +172,16 @@
         }
     }
 
+    /// Starts and ends this instance's turns at cold backend servers.
+    pub fn update_cold(&mut self, now: MonoTime, share: &LimitShare) {
+        for entry in &mut self.entries {
+            let Entry {
+                cold, region, hash, ..
+            } = entry;
+            cold.update(now, *hash, region, share);
+        }
+    }
+
     /// Returns the network round-trip time to a data centre in milliseconds, or a default if it has
     /// not been measured.
     #[must_use]
@@ -206,10 +217,10 @@
 
     /// Records that a request was sent.
     pub fn on_send(&mut self, request: &ChoiceRequest<'_>, key: BackendKey, now: MonoTime) {
-        let (rate, instances) = (request.cold_rate, request.instances);
         let entry = self.entry_mut(key);
         entry.own_requests += 1;
-        entry.cold.on_send(now, rate, instances);
+        let Entry { cold, region, .. } = entry;
+        cold.on_send(now, request.cold_rate, region, request.share);
         if let Some((_, reported_load)) = &mut entry.reported_load {
             *reported_load += 1;
         }
--- a/crates/apricotlug-policy/src/steer/homes.rs
+++ b/crates/apricotlug-policy/src/steer/homes.rs
@@ -51,7 +51,7 @@
         self.choices = self.choices.wrapping_add(1);
         let object = request
             .object
-            .unwrap_or_else(|| rank_weight(self.choices, request.own_index as u64));
+            .unwrap_or_else(|| rank_weight(self.choices, request.share.own()));
         let ranking = Ranking {
             object,
             version_filter: request.version_filter,
--- a/crates/apricotlug-policy/src/steer/mod.rs
+++ b/crates/apricotlug-policy/src/steer/mod.rs
@@ -23,7 +23,7 @@
 pub use affinity::{object_hash, rank_weight};
 pub use caller_waits::CallerWaits;
 pub use choose::{Choice, ChoiceRequest, NoBackend};
-pub use cold::ColdGate;
+pub use cold::{ColdGate, usable_cold_rate};
 pub use entry::{BackendKey, Entry, RequestOutcome};
 pub use fleet::Fleet;
 pub use leave::Leave;
--- a/crates/apricotlug-policy/tests/steer_fleet.rs
+++ b/crates/apricotlug-policy/tests/steer_fleet.rs
@@ -1,15 +1,17 @@
 //! Choice of a backend server by object affinity, load, home regions, evacuation and health.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, sync::LazyLock, time::Duration};
 
 use apricotlug_model::{Backend, BackendState, MonoTime};
 use apricotlug_policy::steer::{
-    BackendKey, Choice, ChoiceRequest, Fleet, NoBackend, RequestOutcome, object_hash,
+    BackendKey, Choice, ChoiceRequest, Fleet, LimitShare, NoBackend, RequestOutcome, object_hash,
 };
 
 const TARGET_MS: u32 = 400;
 const SERVICE: &str = "stock";
 
+static NO_SHARE: LazyLock<LimitShare> = LazyLock::new(LimitShare::default);
+
 fn at(ms: u64) -> MonoTime {
     MonoTime::default().after(Duration::from_millis(ms + 10_000))
 }
@@ -53,8 +55,7 @@
         version_filter: None,
         excluded: &[],
         cold_rate: 0.0,
-        instances: 3,
-        own_index: 0,
+        share: &NO_SHARE,
         is_large_deployment: false,
     }
 }
--- a/crates/apricotlug-policy/tests/steer_homes.rs
+++ b/crates/apricotlug-policy/tests/steer_homes.rs
@@ -3,12 +3,14 @@
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap},
+    sync::LazyLock,
     time::Duration,
 };
 
 use apricotlug_model::{Backend, BackendState, MonoTime};
 use apricotlug_policy::steer::{
-    BackendKey, Choice, ChoiceRequest, Fleet, RegionLoad, RegionSplit, RequestOutcome, object_hash,
+    BackendKey, Choice, ChoiceRequest, Fleet, LimitShare, RegionLoad, RegionSplit, RequestOutcome,
+    object_hash,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
@@ -16,6 +18,8 @@
 const SERVICE: &str = "stock";
 const SLOTS: u32 = 6;
 
+static NO_SHARE: LazyLock<LimitShare> = LazyLock::new(LimitShare::default);
+
 /// Maximum permitted change of a region's share in two seconds.
 const MAX_SHIFT: f64 = 0.15;
 
@@ -66,8 +70,7 @@
         version_filter: None,
         excluded: &[],
         cold_rate: 0.0,
-        instances: 12,
-        own_index: 0,
+        share: &NO_SHARE,
         is_large_deployment: true,
     }
 }
--- a/crates/apricotlug-policy/tests/steer_limits.rs
+++ b/crates/apricotlug-policy/tests/steer_limits.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use apricotlug_model::MonoTime;
-use apricotlug_policy::steer::{ColdGate, Quotas, ReportDelay, ReportInterval, ServiceRetryBudget};
+use apricotlug_policy::steer::{
+    ColdGate, KnownInstance, LimitShare, Quotas, ReportDelay, ReportInterval, ServiceRetryBudget,
+    usable_cold_rate,
+};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 const WINDOW: Duration = Duration::from_secs(5);
@@ -213,18 +216,37 @@
     assert!(budget.try_take(at(20_000), 9), "an old window is forgotten");
 }
 
+/// Shares of instances of one region that all know each other.
+fn shares(instances: usize, now: MonoTime) -> Vec<LimitShare> {
+    let names: Vec<_> = (0..instances).map(|i| format!("p-{i}")).collect();
+    let known = names
+        .iter()
+        .map(|name| KnownInstance::new(name, "west", true));
+    let known: Vec<_> = known.collect();
+    let shares = names.iter().map(|own| {
+        let mut share = LimitShare::default();
+        share.on_others_known(now.before(Duration::from_secs(1)));
+        share.update(own, known.clone(), ["west"].into_iter(), now);
+        share
+    });
+    shares.collect()
+}
+
 #[test]
 fn a_cold_backend_server_gets_no_more_than_its_permitted_rate_from_all_instances() {
     for (instances, rate) in [(1, 13.0), (9, 13.0), (90, 13.0), (8, 5.2), (64, 2.0)] {
+        let shares = shares(instances, at(0));
+        let usable = usable_cold_rate(rate, 1.5, 5.0);
         let mut gates = vec![ColdGate::default(); instances];
-        gates
-            .iter_mut()
-            .for_each(|gate| gate.set_cold_until(at(10_000)));
+        for (gate, share) in gates.iter_mut().zip(&shares) {
+            gate.set_cold_until(at(10_000));
+            gate.update(at(0), 77, "west", share);
+        }
         let mut sent = Vec::new();
         for ms in 0..5_000 {
-            for (index, gate) in gates.iter_mut().enumerate() {
-                if gate.may_send(at(ms), rate, instances, index) {
-                    gate.on_send(at(ms), rate, instances);
+            for (gate, share) in gates.iter_mut().zip(&shares) {
+                if gate.may_send(at(ms), usable, "west", share) {
+                    gate.on_send(at(ms), usable, "west", share);
                     sent.push(ms);
                 }
             }
@@ -239,14 +261,29 @@
             max as f64 <= rate * 1.5 + 5.0,
             "{instances} instances: {max}"
         );
-        assert!(!sent.is_empty());
+        let used = sent.len() as f64 / 5.0;
+        assert!(
+            used >= usable * 0.9,
+            "{instances} instances: {used} a second"
+        );
+    }
+}
+
+#[test]
+fn the_rate_at_cold_backend_servers_leaves_room_for_two_groups() {
+    for (rate, overage, slack) in [(13.0, 1.5, 5.0), (4.7, 1.5, 8.0), (2.6, 1.5, 10.0)] {
+        let usable = usable_cold_rate(rate, overage, slack);
+        assert!(usable <= rate);
+        assert!(2.0 * usable * 1.5 <= rate * overage + slack, "{usable}");
+        assert!(usable >= rate * 0.5, "{usable} of {rate}");
     }
+    assert_eq!(usable_cold_rate(0.0, 1.5, 5.0), 0.0, "no limit");
 }
 
 #[test]
 fn a_warm_backend_server_has_no_rate_limit() {
     let gate = ColdGate::default();
-    assert!(gate.may_send(at(0), 13.0, 9, 8));
+    assert!(gate.may_send(at(0), 13.0, "west", &LimitShare::default()));
 }
 
 #[test]
--- a/crates/apricotlug-steer/src/dispatch.rs
+++ b/crates/apricotlug-steer/src/dispatch.rs
@@ -6,11 +6,11 @@
 use apricotlug_model::{MonoTime, PlanService};
 use apricotlug_policy::steer::{
     AdmissionDecision, BackendKey, ChoiceRequest, NoBackend, RequestLimits, RequestOutcome,
-    decide_admission, retry_after_ms,
+    decide_admission, retry_after_ms, usable_cold_rate,
 };
 use async_std::task;
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
-use rand::RngExt;
+use rand::{RngExt, rngs::SmallRng};
 
 use crate::{
     admission::{AdmittedRequest, Refusal},
@@ -344,6 +344,10 @@
         target_left_ms: request.target_latency_at.since(now).as_secs_f64() * 1_000.0,
         target_ms: route.target_ms.into(),
     };
+    let bounds = settings.bounds;
+    let cold_rate = service.map_or(0.0, |service| {
+        usable_cold_rate(service.cold_rate, bounds.cold_overage, bounds.cold_slack)
+    });
     loop {
         let choice_request = ChoiceRequest {
             service: &request.service,
@@ -356,9 +360,8 @@
             evacuated: &request.evacuated,
             version_filter: target.map(|target| (target, is_target)),
             excluded: &history.keys,
-            cold_rate: service.map_or(0.0, |service| service.cold_rate),
-            instances: steering.listed_instances().count,
-            own_index: steering.listed_instances().own_index,
+            cold_rate,
+            share: &steering.limit_share,
             is_large_deployment: steering.relays().is_needed,
         };
         let chosen = steering.fleet.choose(&choice_request, route.target_ms, now);
@@ -366,7 +369,7 @@
             is_target = !is_target;
             continue;
         }
-        let choice = chosen.map_err(|reason| refuse_unplaced(steering, reason, limits))?;
+        let choice = chosen.map_err(|reason| refuse_unplaced(&mut steering.rng, reason, limits))?;
         let code =
             match decide_admission(limits, choice.expected_ms, choice.wait_ms, choice.is_known) {
                 AdmissionDecision::Admit => None,
@@ -399,9 +402,9 @@
                 backend = entry.backend.id,
                 cold_ms = entry.cold.remaining(now).as_millis() as u64,
                 rate = choice_request.cold_rate,
+                share = steering.limit_share.in_region(&entry.region),
                 is_listed = steering.listed_instances().includes_self,
-                index = choice_request.own_index,
-                instances = choice_request.instances,
+                listed_instances = steering.listed_instances().count,
                 known_instances = steering.peers.count(),
                 news_ms = shared.freshness.age_ms()
             );
@@ -430,16 +433,12 @@
     }
 }
 
-fn refuse_unplaced(
-    steering: &mut crate::steering::SteeringState,
-    reason: NoBackend,
-    limits: RequestLimits,
-) -> Refusal {
+fn refuse_unplaced(rng: &mut SmallRng, reason: NoBackend, limits: RequestLimits) -> Refusal {
     match reason {
         NoBackend::None => Refusal::new(503, "Service Unavailable", "none_there")
             .with_retry_ms(NO_BACKEND_RETRY_MS),
         NoBackend::Full => {
-            let draw = steering.rng.random::<f64>();
+            let draw = rng.random::<f64>();
             let ms = retry_after_ms(limits, limits.left_ms / 2.0, draw);
             Refusal::new(503, "Service Unavailable", "all_full").with_retry_ms(ms)
         }
--- a/crates/apricotlug-steer/src/steering.rs
+++ b/crates/apricotlug-steer/src/steering.rs
@@ -134,6 +134,7 @@
         let instances = self.peers.known_instances(settings);
         self.limit_share
             .update(&settings.instance, instances, regions, now);
+        self.fleet.update_cold(now, &self.limit_share);
         let known = self.peers.count();
         let ListedInstances {
             count: spenders,
--- a/crates/apricotlug-steer/tests/support/cold_limit/instance.rs
+++ b/crates/apricotlug-steer/tests/support/cold_limit/instance.rs
@@ -163,6 +163,7 @@
         if let Some(process) = &mut self.process {
             process.listed_at = Some(now);
             process.reads_records = true;
+            process.state.limit_share.on_others_known(mono(now));
         }
     }
 
@@ -244,8 +245,7 @@
             version_filter: None,
             excluded: &[],
             cold_rate,
-            instances: state.listed_instances().count,
-            own_index: state.listed_instances().own_index,
+            share: &state.limit_share,
             is_large_deployment: state.relays().is_needed,
         };
         let now = mono(now);
--- a/crates/apricotlug-steer/tests/support/cold_limit/mod.rs
+++ b/crates/apricotlug-steer/tests/support/cold_limit/mod.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use apricotlug_model::Backend;
+use apricotlug_policy::steer::usable_cold_rate;
 use instance::Instance;
 pub use outcome::Outcome;
 use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::SliceRandom};
@@ -34,6 +35,9 @@
 /// order that is drawn for each round.
 const MAX_TRIES_PER_MS: usize = 8;
 
+/// Factor by which requests in a second may exceed the rate that it is made for, beside the slack.
+const OVERAGE: f64 = 1.5;
+
 /// Number of instances, and what a cold backend server of theirs may get.
 #[derive(Clone, Copy, Debug)]
 pub struct Sheet {
@@ -59,7 +63,12 @@
 
     /// Returns the number of requests that it may get in a second.
     fn bound(&self) -> f64 {
-        self.rate * 1.5 + self.slack
+        self.rate * OVERAGE + self.slack
+    }
+
+    /// Returns the rate at which all instances together send to it.
+    fn usable_rate(&self) -> f64 {
+        usable_cold_rate(self.rate, OVERAGE, self.slack)
     }
 }
 
@@ -208,7 +217,7 @@
                 self.round.shuffle(&mut self.rng);
             }
             let Some(i) = self.round.pop() else { return };
-            if self.instances[i].try_send(self.sheet.rate, self.now) {
+            if self.instances[i].try_send(self.sheet.usable_rate(), self.now) {
                 self.sent.push_back((self.now, i));
                 self.sent_since_cool += 1;
                 self.outcome.sent += 1;
