Keep a cold period that the end of an evacuation or an answer would shorten

The end of an evacuation set the time until which a backend server counts as cold to the plan's cold period from then on, also where its record said more: a plan with a shorter period, or one that no longer names the service (0 ms), made it warm at once. An answer with the cold header did the same, though it may have been sent before the server became cold again.

Only records may shorten the period now: they come in the order of revisions. The next record, 0.06 to 1.5 s after the end, still overrides the plan's estimate.

--- a/crates/apricotlug-policy/src/steer/cold.rs
+++ b/crates/apricotlug-policy/src/steer/cold.rs
@@ -59,11 +59,18 @@
 }
 
 impl ColdGate {
-    /// Marks the backend server as cold until the given time.
-    pub fn set_cold_until(&mut self, until: MonoTime) {
+    /// Marks the backend server as cold until the given time, by its newest record. Records are read
+    /// in the order in which they were written, so a later one may shorten the period.
+    pub fn on_record(&mut self, until: MonoTime) {
         self.until = until;
     }
 
+    /// Marks the backend server as cold until the given time, by another source than its records.
+    /// That does not shorten the period, because the source may be older than the last record.
+    pub fn set_cold_until(&mut self, until: MonoTime) {
+        self.until = self.until.max(until);
+    }
+
     /// Returns whether the backend server counts as cold at `now`.
     #[must_use]
     pub fn is_cold(&self, now: MonoTime) -> bool {
--- a/crates/apricotlug-policy/src/steer/entry.rs
+++ b/crates/apricotlug-policy/src/steer/entry.rs
@@ -62,7 +62,7 @@
     /// Creates an entry with no observations beside the registered description.
     pub(super) fn new(backend: Backend, region: &str, cold_until: MonoTime) -> Self {
         let mut cold = ColdGate::default();
-        cold.set_cold_until(cold_until);
+        cold.on_record(cold_until);
         Self {
             hash: object_hash(&backend.service, &backend.id),
             backend,
--- a/crates/apricotlug-policy/src/steer/fleet.rs
+++ b/crates/apricotlug-policy/src/steer/fleet.rs
@@ -97,7 +97,7 @@
                     && entry.backend.version == backend.version;
                 entry.is_registered = true;
                 entry.backend = backend;
-                entry.cold.set_cold_until(cold_until);
+                entry.cold.on_record(cold_until);
                 if !is_ranked_alike {
                     let service = entry.backend.service.clone();
                     self.rankings.remove(&service);
@@ -155,8 +155,8 @@
         is_new
     }
 
-    /// Marks the backend servers of a data centre as cold after its evacuation, for the
-    /// milliseconds that `cold_ms` returns for their service. Their own later reports override
+    /// Marks the backend servers of a data centre as cold after its evacuation, for at least the
+    /// milliseconds that `cold_ms` returns for their service. Their own later records override
     /// this.
     pub fn on_evacuation_over(
         &mut self,
