Give a backend server that comes back its former entry

A backend server whose record lapsed, or could not be read once, and came back got a new entry: its limit while cold began anew, with two requests at once from each instance that may send, and the requests in progress there were forgotten. A new start of the same id still gets a new entry, as does another service or address, or a return in another data centre. Health starts anew as before: its failures are those of the time in which it was away.

--- a/crates/apricotlug-policy/src/steer/fleet.rs
+++ b/crates/apricotlug-policy/src/steer/fleet.rs
@@ -11,7 +11,7 @@
     choose::{Choice, ChoiceRequest},
     entry::{BackendKey, Entry, RequestOutcome},
     limit_share::LimitShare,
-    measurements::{ServiceTime, TIME_GAIN},
+    measurements::{Health, ServiceTime, TIME_GAIN},
     ranking::RankingCache,
     regions::RegionSplit,
 };
@@ -25,6 +25,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     pub(super) entries: Vec<Entry>,
+    /// Last key of each id, of removed backend servers too.
     ids: HashMap<String, BackendKey>,
     /// Ids of backend servers that said that they are leaving, with the start time of the process
     /// that said so. They outlast the entry, which may lapse in the store and come back.
@@ -65,7 +66,8 @@
     /// Returns the key of the registered backend server with an id, or `None`.
     #[must_use]
     pub fn find(&self, id: &str) -> Option<BackendKey> {
-        self.ids.get(id).copied()
+        let key = self.ids.get(id).copied();
+        key.filter(|key| self.entry(*key).is_registered)
     }
 
     /// Iterates over all entries, those of removed backend servers included.
@@ -82,8 +84,9 @@
         keys.iter().map(|key| (*key, self.entry(*key)))
     }
 
-    /// Adds or updates the registration of a backend server. A restart, another service or another
-    /// address under the same id removes the former entry and starts a new one.
+    /// Adds or updates the registration of a backend server. One that was removed and comes back gets
+    /// its former entry. A restart, another service or another address under the same id, and a
+    /// return in another data centre, remove the former entry and start a new one.
     pub fn register(&mut self, backend: Backend, region: &str, now: MonoTime) -> BackendKey {
         let cold_until = now.after(Duration::from_millis(backend.cold_ms.into()));
         if let Some(key) = self.ids.get(&backend.id).copied() {
@@ -91,17 +94,23 @@
             let is_same = entry.backend.born_ms == backend.born_ms
                 && entry.backend.service == backend.service
                 && entry.backend.addr == backend.addr;
-            if is_same {
-                let is_ranked_alike = entry.is_registered
-                    && entry.backend.data_centre == backend.data_centre
-                    && entry.backend.version == backend.version;
+            let was_registered = entry.is_registered;
+            let is_same_place = entry.backend.data_centre == backend.data_centre;
+            if is_same && (was_registered || is_same_place) {
+                let is_ranked_alike =
+                    was_registered && is_same_place && entry.backend.version == backend.version;
                 entry.is_registered = true;
                 entry.backend = backend;
                 entry.cold.on_record(cold_until);
+                let service = entry.backend.service.clone();
                 if !is_ranked_alike {
-                    let service = entry.backend.service.clone();
                     self.rankings.remove(&service);
                 }
+                if !was_registered {
+                    // Its failures are those of the time in which it was away.
+                    self.entry_mut(key).health = Health::default();
+                    self.services.entry(service).or_default().push(key);
+                }
                 return key;
             }
             self.remove_key(key);
@@ -126,7 +135,7 @@
 
     /// Removes the registration with an id; does nothing if there is none.
     pub fn remove(&mut self, id: &str) {
-        if let Some(key) = self.ids.get(id).copied() {
+        if let Some(key) = self.find(id) {
             self.remove_key(key);
         }
     }
@@ -135,10 +144,7 @@
         let entry = self.entry_mut(key);
         entry.is_registered = false;
         entry.last_sent = HashMap::default();
-        let (id, service) = (entry.backend.id.clone(), entry.backend.service.clone());
-        if self.ids.get(&id) == Some(&key) {
-            self.ids.remove(&id);
-        }
+        let service = entry.backend.service.clone();
         self.rankings.remove(&service);
         if let Some(keys) = self.services.get_mut(&service) {
             keys.retain(|other| *other != key);
--- a/crates/apricotlug-policy/tests/steer_cold_state.rs
+++ b/crates/apricotlug-policy/tests/steer_cold_state.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use apricotlug_model::{Backend, BackendState, MonoTime};
-use apricotlug_policy::steer::Fleet;
+use apricotlug_policy::steer::{Fleet, KnownInstance, LimitShare};
 
 const COLD_MS: u32 = 3_000;
 
@@ -129,3 +129,33 @@
         assert_eq!(warm_from(&events), 3_100, "{event:?}");
     }
 }
+
+/// Guards against a cold backend server whose limit started anew, with credit for a request, each
+/// time its record lapsed or could not be read, and came back.
+#[test]
+fn a_cold_backend_server_whose_record_comes_back_has_no_new_credit() {
+    const RATE: f64 = 4.7;
+    let mut share = LimitShare::default();
+    share.on_others_known(at(0).before(Duration::from_secs(2)));
+    let alone = KnownInstance::new("p-1", "west", true);
+    share.update("p-1", vec![alone], ["west"].into_iter(), at(0));
+    let mut fleet = Fleet::default();
+    apply(&mut fleet, Record(1, COLD_MS), at(0));
+    let mut sent = 0;
+    for ms in 0..1_000 {
+        if ms % 100 == 50 {
+            apply(&mut fleet, Lapse, at(ms));
+            assert!(fleet.find("x").is_none());
+            apply(&mut fleet, Record(1, COLD_MS - ms as u32), at(ms));
+            assert_eq!(fleet.of_service("stock").count(), 1);
+        }
+        let key = fleet.find("x").unwrap();
+        fleet.update_cold(at(ms), &share);
+        let gate = &mut fleet.entry_mut(key).cold;
+        if gate.may_send(at(ms), RATE, "west", &share) {
+            gate.on_send(at(ms), RATE, "west", &share);
+            sent += 1;
+        }
+    }
+    assert!(f64::from(sent) <= RATE + 1.0, "{sent}");
+}
