Divide the slack of the retry budget by a share that all instances keep

Cause: each instance divided the slack by the number of listed instances it knew. Unlisted instances retry too, those that know nobody yet took the whole slack, halves that do not know of each other divided it by half of the number, and a run that starts anew in the window took its part again.

Change: the slack is divided by LimitShare, of which half is used. Without a share an instance still retries by the ratio. Half of the slack covers one restart of all instances in the window, or two equal groups that do not know of each other; both at once were not tried.

Cost, computed: with eight listed instances and a slack of 58 one has 3 retries in a window beyond the ratio, before 5. 1,500 instances were not run.

--- a/crates/apricotlug-policy/src/steer/retry_budget.rs
+++ b/crates/apricotlug-policy/src/steer/retry_budget.rs
@@ -11,8 +11,9 @@
 /// ratio applies to the requests received by this instance, so the sum over all instances keeps it.
 const USED_RATIO: f64 = 0.9;
 
-/// Share of the permitted slack that is used. The rest covers instances that join.
-const USED_SLACK: f64 = 0.75;
+/// Share of the permitted slack that is used. The rest covers instances that restart within the window,
+/// and two groups that do not know of each other.
+const USED_SLACK: f64 = 0.5;
 
 /// Limit on the retries of one service by one instance.
 #[derive(Clone, Debug)]
@@ -41,14 +42,14 @@
         self.bucket(now).1 += 1;
     }
 
-    /// Takes one retry out of the budget. Returns `false` if the budget is used up. `instances` is
-    /// the number of instances that share the slack.
-    pub fn try_take(&mut self, now: MonoTime, instances: usize) -> bool {
+    /// Takes one retry out of the budget. Returns `false` if the budget is used up. `share` is the
+    /// part of the slack that this instance may use, 0 to 1.
+    pub fn try_take(&mut self, now: MonoTime, share: f64) -> bool {
         self.bucket(now);
         let requests: u32 = self.buckets.iter().map(|(_, requests, _)| requests).sum();
         let retries: u32 = self.buckets.iter().map(|(_, _, retries)| retries).sum();
-        let slack = self.slack / instances.max(1) as f64;
-        let allowed = f64::from(requests) * self.ratio * USED_RATIO + slack * USED_SLACK;
+        let slack = self.slack * share * USED_SLACK;
+        let allowed = f64::from(requests) * self.ratio * USED_RATIO + slack;
         if f64::from(retries) + 1.0 > allowed {
             return false;
         }
--- a/crates/apricotlug-policy/tests/steer_limits.rs
+++ b/crates/apricotlug-policy/tests/steer_limits.rs
@@ -200,7 +200,7 @@
         let budget = &mut budgets[ms as usize % instances];
         budget.on_request(at(ms));
         requests += 1;
-        retries += u32::from(budget.try_take(at(ms), instances));
+        retries += u32::from(budget.try_take(at(ms), 1.0 / instances as f64));
     }
     assert!(f64::from(retries) <= f64::from(requests) * 0.2 + 58.0);
     assert!(f64::from(retries) >= f64::from(requests) * 0.1);
@@ -210,10 +210,15 @@
 fn a_service_with_few_requests_may_retry_within_the_slack() {
     let mut budget = ServiceRetryBudget::new(Duration::from_secs(10), 0.2, 58.0);
     budget.on_request(at(0));
-    assert!(budget.try_take(at(0), 9));
-    let taken = (0..100).filter(|_| budget.try_take(at(1), 9)).count();
+    assert!(budget.try_take(at(0), 1.0 / 9.0));
+    let taken = (0..100)
+        .filter(|_| budget.try_take(at(1), 1.0 / 9.0))
+        .count();
     assert!((1..7).contains(&taken), "{taken}");
-    assert!(budget.try_take(at(20_000), 9), "an old window is forgotten");
+    assert!(
+        budget.try_take(at(20_000), 1.0 / 9.0),
+        "an old window is forgotten"
+    );
 }
 
 /// Shares of instances of one region that all know each other.
--- a/crates/apricotlug-steer/src/steering.rs
+++ b/crates/apricotlug-steer/src/steering.rs
@@ -117,8 +117,8 @@
 
     /// Takes one retry from a service's budget. Returns whether one was available.
     pub fn take_retry(&mut self, service: &str, now: MonoTime) -> bool {
-        let instances = self.listed_instances.count;
-        self.retry_budget(service).try_take(now, instances)
+        let share = self.limit_share.get();
+        self.retry_budget(service).try_take(now, share)
     }
 
     /// Starts a new interval between two datagrams: selects the relays, removes stale instances and
