--- a/crates/apricotlug-steer/tests/support/cold_limit/mod.rs
+++ b/crates/apricotlug-steer/tests/support/cold_limit/mod.rs
@@ -31,9 +31,10 @@
 /// Time from the start of an instance to its entry in the store.
 const ENTRY_MS: u64 = 400;
 
-/// Instances that try to send in one millisecond. All of a larger deployment do so in turn, in an
-/// order that is drawn for each round.
-const MAX_TRIES_PER_MS: usize = 8;
+/// Instances that try to send in one millisecond at least. All of a larger deployment do so in turn,
+/// in an order that is drawn for each round of `MAX_ROUND_MS` at most.
+const TRIES_PER_MS: usize = 8;
+const MAX_ROUND_MS: usize = 32;
 
 /// Factor by which requests in a second may exceed the rate that it is made for, beside the slack.
 const OVERAGE: f64 = 1.5;
@@ -222,9 +223,11 @@
     }
 
     fn send(&mut self) {
-        for _ in 0..MAX_TRIES_PER_MS.min(self.instances.len()) {
+        let played = self.played();
+        let tries = played.len().div_ceil(MAX_ROUND_MS).max(TRIES_PER_MS);
+        for _ in 0..tries.min(played.len()) {
             if self.round.is_empty() {
-                self.round = self.played();
+                self.round = played.clone();
                 self.round.shuffle(&mut self.rng);
             }
             let Some(i) = self.round.pop() else { return };
