Count all instances where an unlisted one admits requests beyond its credit

Cause: every instance divided the requests beyond the credit, and the smallest credit that it keeps, by the number of listed instances, and an unlisted one took its turn by the index after the last listed one, the same for all of them. While requests come to unlisted instances, after a region's return, each of them spends a listed one's part, all at the same time.

Change: an unlisted instance divides by all known instances and takes its turn by its index among the live ones. Listed instances are as before.

--- a/crates/apricotlug-policy/src/steer/quota.rs
+++ b/crates/apricotlug-policy/src/steer/quota.rs
@@ -61,9 +61,10 @@
 pub struct ReportInterval {
     /// Number of live instances, this one included.
     pub instances: usize,
-    /// Number of instances that look-ups list, to which nearly all requests come.
+    /// Number of instances that share the requests beyond the credit with this one: those that look-ups
+    /// list, to which nearly all requests come, or all if this one is not listed.
     pub spenders: usize,
-    /// Index of this instance among the listed ones, from 0.
+    /// Index of this instance among them, from 0.
     pub own_index: usize,
     /// Number of instances that may admit requests although no reports arrive from them.
     pub unreported: usize,
--- a/crates/apricotlug-steer/src/steering.rs
+++ b/crates/apricotlug-steer/src/steering.rs
@@ -136,17 +136,19 @@
             .update(&settings.instance, instances, regions, now);
         self.fleet.update_cold(now, &self.limit_share);
         let known = self.peers.count();
-        let ListedInstances {
-            count: spenders,
-            own_index,
-            includes_self,
-        } = self.listed_instances;
+        let listed = self.listed_instances;
         // Nearly all requests come to the listed instances, so these share the rates among them.
-        let instances = if self.relays.is_needed && includes_self {
-            spenders
+        let instances = if self.relays.is_needed && listed.includes_self {
+            listed.count
         } else {
             known
         };
+        // Where requests come to the others, they come to all of them.
+        let (spenders, own_index) = if listed.includes_self {
+            (listed.count, listed.own_index)
+        } else {
+            (known, self.peers.rank_of(&settings.instance, now))
+        };
         let has_full_reports = self
             .relay
             .is_some_and(|(_, at)| now.since(at) < RELAY_TIMEOUT);
