Spread the turns beyond the credit when the others become known

Cause: instances that cannot all admit a request beyond their credit at once take turns, each from a wait by its index. The wait was set at the first tick of an account only. An instance that knew few others then waits for nothing once it knows them: all of them admit one in the same tick, and all again after the same interval.

Change: the wait is set when the instance begins to take turns.

--- a/crates/apricotlug-policy/src/steer/quota.rs
+++ b/crates/apricotlug-policy/src/steer/quota.rs
@@ -86,6 +86,8 @@
     credit_per_s: f64,
     /// Whether one request beyond the credit may pass in this interval.
     may_borrow: bool,
+    /// Whether there are too many instances for all of them to let such a request pass at once.
+    takes_turns: bool,
     /// Ticks until a request beyond the credit may pass again.
     borrow_wait: u32,
     /// Value of `borrow_wait` after such a request.
@@ -371,9 +373,11 @@
         let lendable = self.reserve + self.burst * BORROW_MIN_LEVEL;
         let borrows = (lendable / interval.spenders.max(1) as f64).min(MAX_BORROWS);
         self.borrow_interval = (delay_ticks as f64 / borrows) as u32;
-        if self.samples == 1 && borrows < 1.0 {
+        let took_turns = std::mem::replace(&mut self.takes_turns, borrows < 1.0);
+        if self.takes_turns && !took_turns {
             // Instances that cannot all borrow at once take turns.
-            self.borrow_wait = interval.own_index as u32 % (self.borrow_interval + 1);
+            let turn = interval.own_index as u32 % (self.borrow_interval + 1);
+            self.borrow_wait = self.borrow_wait.max(turn);
         }
         self.borrow_wait = self.borrow_wait.saturating_sub(1);
         self.may_borrow = self.borrow_wait == 0 && self.level >= self.burst * BORROW_MIN_LEVEL;
