List regions that do not hear of each other as a known failure of the rates

Cause, traced in code: with relays, ReportInterval counts no instance as unreported, neither at a relay, whatever it has heard, nor at its clients. Each region then shares the whole rate among its own instances. Without relays, instances that have not reported keep their part.

More regions were not run.

Not fixed: a part kept for a region that is not heard is also kept while that region is down and its entries have not lapsed, and clients learn of it only by a new field of the relays' responses.

--- a/crates/apricotlug-steer/tests/account_limits.rs
+++ b/crates/apricotlug-steer/tests/account_limits.rs
@@ -31,6 +31,8 @@
     /// Times of admissions, ascending.
     admitted: Vec<u64>,
     requests: usize,
+    /// Whether the relays of one region hear nothing of those of the other.
+    is_cut: bool,
     rng: SmallRng,
 }
 
@@ -75,6 +77,7 @@
             relay_of: (0..all).map(|i| i % 4).collect(),
             admitted: Vec::new(),
             requests: 0,
+            is_cut: false,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -92,7 +95,9 @@
             if is_relay && is_due(DATAGRAM_MS) {
                 let name = &self.settings[i].instance;
                 let datagram = self.instances[i].datagram(name, run, ms + 100, false);
-                for to in (0..4).filter(|to| *to != i) {
+                let is_cut = self.is_cut;
+                let hears = |to: &usize| !is_cut || data_centre(*to) == data_centre(i);
+                for to in (0..4).filter(|to| *to != i).filter(hears) {
                     self.instances[to].on_datagram(datagram.clone(), now);
                 }
             }
@@ -180,3 +185,18 @@
         );
     }
 }
+
+/// Guards against relays that take what they have heard for the reports of all instances: each region
+/// then admits the whole rate.
+#[test]
+fn regions_that_do_not_hear_of_each_other_share_the_rate_of_an_account() {
+    let (listed, all, rate) = (12, 64, 60.0);
+    let mut fleet = Fleet::new(listed, all, rate, 1);
+    fleet.run(0, 3_000, rate * 0.6, all);
+    fleet.is_cut = true;
+    fleet.run(3_000, 4_000, rate * 0.6, all);
+    fleet.run(4_000, 14_000, rate * 8.0, all);
+    let max = fleet.max_admitted_in_a_window();
+    let allowed = rate * 6.0 * 1.1 + 20.0;
+    assert!(max as f64 <= allowed, "{max} of {allowed}");
+}
