Let an instance retry before it has known the others for a while

The division of the retries' slack by LimitShare left an instance that has just started without any slack for 0.6 s: a request that its backend server refused got 503 where another one was free.

Retries go by what is known so far; an instance that has read nothing has no slack, and no plan to serve by.

--- a/crates/apricotlug-policy/src/steer/limit_share.rs
+++ b/crates/apricotlug-policy/src/steer/limit_share.rs
@@ -103,6 +103,8 @@
     /// Largest sizes in the current span of [`MEMORY`] and in the one before.
     largest: [GroupSizes; 2],
     share: f64,
+    /// The same, also before the others have been known for a while.
+    unsettled_share: f64,
     /// Integral of the share over time up to the last update, in seconds.
     accrued_s: f64,
 }
@@ -160,9 +162,10 @@
                 sizes.0[Group::of(*other, region) as usize] += 1;
             }
             scope.largest[0] = scope.largest[0].max(sizes);
+            let largest = scope.largest[0].max(scope.largest[1]);
+            scope.unsettled_share = largest.share(Group::of(instance, region));
             scope.share = if is_usable {
-                let largest = scope.largest[0].max(scope.largest[1]);
-                largest.share(Group::of(instance, region))
+                scope.unsettled_share
             } else {
                 0.0
             };
@@ -184,6 +187,19 @@
         self.overall.share
     }
 
+    /// Returns the same by what is known so far, also before the others have been known for a while: 1
+    /// for an instance that has read the entries and found no other one, 0 for one that has read
+    /// nothing. The parts of instances that start together may add up to more than the limit.
+    #[must_use]
+    pub fn unsettled(&self) -> f64 {
+        match self.usable_from {
+            None => 0.0,
+            // The first update comes later.
+            Some(_) if self.known.is_empty() => 1.0,
+            Some(_) => self.overall.unsettled_share,
+        }
+    }
+
     /// Returns the part, 0 to 1, of a limit on requests to a backend server in a region. Instances of
     /// that region have the larger part.
     #[must_use]
--- a/crates/apricotlug-steer/src/steering.rs
+++ b/crates/apricotlug-steer/src/steering.rs
@@ -117,7 +117,9 @@
 
     /// Takes one retry from a service's budget. Returns whether one was available.
     pub fn take_retry(&mut self, service: &str, now: MonoTime) -> bool {
-        let share = self.limit_share.get();
+        // A request that is not retried is lost to its caller, so that this does not wait until the
+        // others have been known for a while.
+        let share = self.limit_share.unsettled();
         self.retry_budget(service).try_take(now, share)
     }
 
