Use a share of a limit only after a further read and with the own entry written

An instance used its share 0.6 s after its first listing, whatever it had read since. Where the store falls silent just then, the instances of a region that is back count those they saw in the listing for as long as that lasts; one that has not read of a wider link in its region takes itself for listed.

The share is used once a read succeeds 0.6 s after the first one and after the own entry was written, so that what is read by then holds those that started together, and they can count this one.

The model also checks that settled instances use seven tenths of the rate.

--- a/crates/apricotlug-policy/src/steer/cold.rs
+++ b/crates/apricotlug-policy/src/steer/cold.rs
@@ -12,10 +12,15 @@
 
 use super::limit_share::LimitShare;
 
-/// Time within which a turn can be used.
+/// Time within which a turn can be used. Requests for one backend server come to an instance only now
+/// and then, so that a shorter one would often pass without any.
 const TURN: Duration = Duration::from_millis(500);
 
-/// Largest share of the rate that backend servers bear which all instances together use.
+/// Groups of instances that do not know of each other for which the stated bound has room.
+const GROUPS: f64 = 2.0;
+
+/// Largest share of the rate that backend servers bear which all instances together use, whatever the
+/// bound allows beyond.
 const MAX_USED_SHARE: f64 = 0.9;
 
 /// Returns the requests per second that all instances together send to a cold backend server.
@@ -27,7 +32,7 @@
 pub fn usable_cold_rate(rate: f64, overage: f64, slack: f64) -> f64 {
     let allowed = rate * overage + slack;
     let counted_s = 1.0 + TURN.as_secs_f64();
-    (allowed / (2.0 * counted_s)).min(rate * MAX_USED_SHARE)
+    (allowed / (GROUPS * counted_s)).min(rate * MAX_USED_SHARE)
 }
 
 /// Turns of this instance at one backend server while that one is cold.
--- a/crates/apricotlug-policy/src/steer/limit_share.rs
+++ b/crates/apricotlug-policy/src/steer/limit_share.rs
@@ -2,12 +2,15 @@
 //!
 //! Each instance divides such a limit by what it knows of the others, and no two know the same at any
 //! time: instances start together and learn of each other one by one, entries lapse while the store is
-//! away, groups lose sight of each other. The parts of all instances should add up to no more than the
-//! limit all the same:
-//! - An instance uses nothing until it has known the others for a while.
+//! away, groups lose sight of each other. The parts of all instances should add up to little more than
+//! the limit all the same:
+//! - An instance uses nothing until its own entry has been written for a while, so that others count it,
+//!   and until it has read the entries once more after that time.
 //! - It counts the largest number of instances that it has known lately.
 //! - Each group of instances that gets a different number of requests has a part of its own, so that the
 //!   limit also holds for those that few callers come to.
+//!
+//! What remains is entries that others read later than that, and groups that never knew of each other.
 
 use std::time::Duration;
 
@@ -15,8 +18,8 @@
 
 use super::affinity::{object_hash, rank_weight};
 
-/// Time from the first listing of the others after which an instance uses its share. Instances that
-/// started together learn of each other meanwhile.
+/// Time after the first read of the others' entries, and after the own entry was written, from which a
+/// read lets an instance use its share. Instances that started together learn of each other meanwhile.
 const SETTLING_TIME: Duration = Duration::from_millis(600);
 
 /// Time for which a number of known instances counts at least. It outlasts entries that lapse while
@@ -37,10 +40,23 @@
 }
 
 impl Group {
-    const COUNT: usize = 4;
+    const ALL: [Self; 4] = [
+        Self::Listed,
+        Self::Unlisted,
+        Self::RemoteListed,
+        Self::RemoteUnlisted,
+    ];
 
-    /// Parts of a limit for all instances of each group, in the order of the variants.
-    const PARTS: [f64; Self::COUNT] = [0.8, 0.08, 0.1, 0.02];
+    /// Returns the part of a limit for all instances of the group together. Most requests for the
+    /// backend servers of a region come to its listed instances, and a part that nobody uses is lost.
+    fn part(self) -> f64 {
+        match self {
+            Self::Listed => 0.8,
+            Self::Unlisted => 0.08,
+            Self::RemoteListed => 0.1,
+            Self::RemoteUnlisted => 0.02,
+        }
+    }
 
     /// Returns the group of an instance with regard to a region, or to all regions for `None`.
     fn of(instance: KnownInstance, region: Option<u64>) -> Self {
@@ -80,20 +96,23 @@
 
 /// Number of instances in each group.
 #[derive(Clone, Copy, Debug, Default)]
-struct GroupSizes([usize; Group::COUNT]);
+struct GroupSizes([usize; Group::ALL.len()]);
 
 impl GroupSizes {
     fn max(self, other: Self) -> Self {
         Self(std::array::from_fn(|i| self.0[i].max(other.0[i])))
     }
 
+    fn of(self, group: Group) -> usize {
+        self.0[group as usize]
+    }
+
     /// Returns the share of one instance of a group. Parts of groups without any instance go to the
     /// others.
     fn share(self, group: Group) -> f64 {
-        let is_present = |i: &usize| self.0[*i] > 0;
-        let parts = (0..Group::COUNT).filter(is_present);
-        let sum: f64 = parts.map(|i| Group::PARTS[i]).sum();
-        Group::PARTS[group as usize] / sum / self.0[group as usize].max(1) as f64
+        let present = Group::ALL.into_iter().filter(|group| self.of(*group) > 0);
+        let sum: f64 = present.map(Group::part).sum();
+        group.part() / sum / self.of(group).max(1) as f64
     }
 }
 
@@ -114,7 +133,9 @@
 pub struct LimitShare {
     own: u64,
     known: Vec<KnownInstance>,
-    usable_from: Option<MonoTime>,
+    first_read_at: Option<MonoTime>,
+    entered_at: Option<MonoTime>,
+    is_settled: bool,
     memory_ends_at: MonoTime,
     updated_at: MonoTime,
     overall: Scope,
@@ -123,9 +144,18 @@
 }
 
 impl LimitShare {
-    /// Records that the entries of all instances have been read. Only the first call counts.
-    pub fn on_others_known(&mut self, now: MonoTime) {
-        self.usable_from.get_or_insert(now.after(SETTLING_TIME));
+    /// Records that this instance's entry has been written. Only the first call counts.
+    pub fn on_entered(&mut self, now: MonoTime) {
+        self.entered_at.get_or_insert(now);
+    }
+
+    /// Records that the entries of all instances have been read, or changes of them.
+    pub fn on_read(&mut self, now: MonoTime) {
+        let first_read_at = *self.first_read_at.get_or_insert(now);
+        self.is_settled |= self.entered_at.is_some_and(|entered_at| {
+            let from = entered_at.max(first_read_at).after(SETTLING_TIME);
+            from.is_past(now)
+        });
     }
 
     /// Updates the share by the instances known at `now`, among them this one, `own`. `regions` are all
@@ -148,7 +178,6 @@
         if is_new_span {
             self.memory_ends_at = now.after(MEMORY);
         }
-        let is_usable = self.usable_from.is_some_and(|from| from.is_past(now));
         let elapsed_s = now.since(self.updated_at).as_secs_f64();
         let scopes = self.regions.iter_mut();
         let scopes = scopes.map(|(region, scope)| (Some(*region), scope));
@@ -164,7 +193,7 @@
             scope.largest[0] = scope.largest[0].max(sizes);
             let largest = scope.largest[0].max(scope.largest[1]);
             scope.unsettled_share = largest.share(Group::of(instance, region));
-            scope.share = if is_usable {
+            scope.share = if self.is_settled {
                 scope.unsettled_share
             } else {
                 0.0
@@ -192,7 +221,7 @@
     /// nothing. The parts of instances that start together may add up to more than the limit.
     #[must_use]
     pub fn unsettled(&self) -> f64 {
-        match self.usable_from {
+        match self.first_read_at {
             None => 0.0,
             // The first update comes later.
             Some(_) if self.known.is_empty() => 1.0,
--- a/crates/apricotlug-policy/tests/steer_cold_state.rs
+++ b/crates/apricotlug-policy/tests/steer_cold_state.rs
@@ -136,7 +136,9 @@
 fn a_cold_backend_server_whose_record_comes_back_has_no_new_credit() {
     const RATE: f64 = 4.7;
     let mut share = LimitShare::default();
-    share.on_others_known(at(0).before(Duration::from_secs(2)));
+    share.on_entered(at(0).before(Duration::from_secs(2)));
+    share.on_read(at(0).before(Duration::from_secs(2)));
+    share.on_read(at(0));
     let alone = KnownInstance::new("p-1", "west", true);
     share.update("p-1", vec![alone], ["west"].into_iter(), at(0));
     let mut fleet = Fleet::default();
--- a/crates/apricotlug-policy/tests/steer_limit_share.rs
+++ b/crates/apricotlug-policy/tests/steer_limit_share.rs
@@ -28,7 +28,10 @@
 /// Share of an instance that has known the others for long.
 fn settled(own: usize, known: &[KnownInstance]) -> LimitShare {
     let mut share = LimitShare::default();
-    share.on_others_known(at(0));
+    for ms in [0, 5_000] {
+        share.on_entered(at(ms));
+        share.on_read(at(ms));
+    }
     update(&mut share, own, known, at(5_000));
     share
 }
@@ -56,20 +59,40 @@
     assert!(listed.in_region("east") > listed.in_region("west") * 3.0);
 }
 
+/// Guards against instances that start together and use their share before they know of each other, or
+/// while no read tells them.
 #[test]
-fn an_instance_uses_nothing_until_it_has_known_the_others_for_a_while() {
+fn an_instance_uses_nothing_until_it_and_the_others_have_been_known_for_a_while() {
+    #[derive(Debug)]
+    enum Event {
+        Entered(u64),
+        Read(u64),
+    }
+    use Event::{Entered, Read};
     let known = known(9, 9);
-    let mut share = LimitShare::default();
-    update(&mut share, 0, &known, at(10_000));
-    assert_eq!(share.get(), 0.0, "nothing has been read");
-    share.on_others_known(at(10_000));
-    for ms in [10_100, 10_400] {
-        update(&mut share, 0, &known, at(ms));
-        assert_eq!(share.in_region("east"), 0.0, "{ms}");
+    for (events, is_usable) in [
+        (vec![], false),
+        (vec![Read(0), Read(5_000)], false),
+        (vec![Entered(0)], false),
+        (vec![Entered(0), Read(0)], false),
+        (vec![Entered(0), Read(0), Read(500)], false),
+        (vec![Read(0), Entered(4_800), Read(5_000)], false),
+        (vec![Entered(0), Read(4_900), Read(5_000)], false),
+        (vec![Entered(0), Read(0), Read(700)], true),
+        (vec![Read(0), Entered(100), Read(300), Read(800)], true),
+    ] {
+        let mut share = LimitShare::default();
+        for event in &events {
+            match event {
+                Entered(ms) => share.on_entered(at(*ms)),
+                Read(ms) => share.on_read(at(*ms)),
+            }
+        }
+        update(&mut share, 0, &known, at(6_000));
+        assert_eq!(share.get() > 0.0, is_usable, "{events:?}");
+        assert_eq!(share.in_region("east") > 0.0, is_usable, "{events:?}");
+        assert_eq!(share.accrued_s("east", at(6_000)), 0.0);
     }
-    update(&mut share, 0, &known, at(11_000));
-    assert!(share.in_region("east") > 0.0);
-    assert_eq!(share.accrued_s("east", at(11_000)), 0.0);
 }
 
 /// Guards against instances that each take the whole of a limit while the others' entries are gone,
--- a/crates/apricotlug-policy/tests/steer_limits.rs
+++ b/crates/apricotlug-policy/tests/steer_limits.rs
@@ -230,7 +230,9 @@
     let known: Vec<_> = known.collect();
     let shares = names.iter().map(|own| {
         let mut share = LimitShare::default();
-        share.on_others_known(now.before(Duration::from_secs(1)));
+        share.on_entered(now.before(Duration::from_secs(1)));
+        share.on_read(now.before(Duration::from_secs(1)));
+        share.on_read(now);
         share.update(own, known.clone(), ["west"].into_iter(), now);
         share
     });
--- a/crates/apricotlug-steer/src/registration.rs
+++ b/crates/apricotlug-steer/src/registration.rs
@@ -88,6 +88,8 @@
     match store.write_conditional(write, CALL_TIMEOUT).await? {
         ConditionalWriteOutcome::Done(revision) => {
             tracing::info!(kind = "member_entry", lease, revision);
+            let now = shared.clock.now();
+            shared.steering().limit_share.on_entered(now);
             Ok(lease)
         }
         ConditionalWriteOutcome::Conflict => Err(StoreError::Refused(412)),
--- a/crates/apricotlug-steer/src/store_sync.rs
+++ b/crates/apricotlug-steer/src/store_sync.rs
@@ -73,7 +73,7 @@
                 let is_started = startup_ends_at.is_past(now);
                 let is_relay = {
                     let mut steering = shared.steering();
-                    steering.limit_share.on_others_known(now);
+                    steering.limit_share.on_read(now);
                     steering.relays().includes_self
                 };
                 task::sleep(match (is_started, is_relay) {
--- a/crates/apricotlug-steer/tests/cold_limit_model.rs
+++ b/crates/apricotlug-steer/tests/cold_limit_model.rs
@@ -52,7 +52,7 @@
     println!("{place}: {:.2} of its rate", share / seeds as f64);
     plays.sort_by_key(|(_, play)| Reverse(play.most));
     let wrong = plays.iter().filter_map(|(seed, play)| {
-        let finding = play.finding(&sheet)?;
+        let finding = play.finding(&sheet, row)?;
         Some(format!("seed {seed}: {finding}"))
     });
     let wrong: Vec<_> = wrong.collect();
@@ -83,6 +83,13 @@
     assert_holds(Row::RegionReturns, &BOTH);
 }
 
+/// Guards against instances that divide the limit by those of their first listing for as long as no
+/// further read succeeds.
+#[test]
+fn a_region_that_returns_to_a_lost_store_keeps_a_cold_servers_limit() {
+    assert_holds(Row::RegionReturnsToLostStore, &BOTH);
+}
+
 /// Guards against a fresh credit for each new run and against places that each restart moves.
 #[test]
 fn restarts_in_series_keep_a_cold_servers_limit() {
--- a/crates/apricotlug-steer/tests/retry_slack.rs
+++ b/crates/apricotlug-steer/tests/retry_slack.rs
@@ -91,8 +91,9 @@
     fn learn(&mut self, ms: u64, rng: &mut SmallRng) {
         let now = at(ms);
         let is_start = ms == 0;
-        if is_start && !matches!(self.view, View::Nobody) {
-            self.steering.limit_share.on_others_known(now);
+        if !matches!(self.view, View::Nobody) {
+            self.steering.limit_share.on_entered(now);
+            self.steering.limit_share.on_read(now);
         }
         match self.view {
             View::All | View::Restarted => {
@@ -236,7 +237,7 @@
         slack: 58.0,
     };
     let mut retrier = Retrier::new(site, 0, View::All);
-    retrier.steering.limit_share.on_others_known(at(0));
+    retrier.steering.limit_share.on_read(at(0));
     let mut taken = || (0..10).all(|_| retrier.steering.take_retry("stock", at(0)));
     assert!(taken(), "before the first tick");
     retrier.steering.tick(&retrier.settings, at(100));
--- a/crates/apricotlug-steer/tests/support/cold_limit/instance.rs
+++ b/crates/apricotlug-steer/tests/support/cold_limit/instance.rs
@@ -143,12 +143,15 @@
     }
 
     /// Starts a new interval. Returns whether the run is still there.
-    pub fn tick(&mut self, run: u64, now: u64) -> bool {
+    pub fn tick(&mut self, run: u64, now: u64, reads_store: bool) -> bool {
         if !self.is_running(run) {
             return false;
         }
         if let Some(process) = &mut self.process {
             process.idle_ticks += 1;
+            if reads_store && process.listed_at.is_some() {
+                process.state.limit_share.on_read(mono(now));
+            }
             let is_small = process.state.peers.count() <= SMALL_DEPLOYMENT;
             if is_small || process.idle_ticks >= IDLE_TICKS {
                 process.state.tick(&self.settings, mono(now));
@@ -158,12 +161,19 @@
         true
     }
 
+    /// Records that the entry of its run has been written.
+    pub fn on_entered(&mut self, now: u64) {
+        if let Some(process) = &mut self.process {
+            process.state.limit_share.on_entered(mono(now));
+        }
+    }
+
     /// Records that it has read the store for the first time, and registered the entries found.
     pub fn on_listed(&mut self, now: u64) {
         if let Some(process) = &mut self.process {
             process.listed_at = Some(now);
             process.reads_records = true;
-            process.state.limit_share.on_others_known(mono(now));
+            process.state.limit_share.on_read(mono(now));
         }
     }
 
@@ -175,6 +185,7 @@
             process.state.peers.sweep(mono(now));
             process.idle_ticks = IDLE_TICKS;
         }
+        self.on_entered(now);
         self.on_listed(now);
     }
 
--- a/crates/apricotlug-steer/tests/support/cold_limit/members.rs
+++ b/crates/apricotlug-steer/tests/support/cold_limit/members.rs
@@ -16,9 +16,10 @@
     }
 
     pub(super) fn enter(&mut self, i: usize, run: u64) {
-        if self.instances[i].run() != run {
+        if self.instances[i].run() != run || self.is_store_lost() {
             return;
         }
+        self.instances[i].on_entered(self.now);
         let written_at = self.now;
         self.entries[i] = Some(StoreEntry { run, written_at });
         for viewer in 0..self.instances.len() {
@@ -30,7 +31,7 @@
 
     /// Reads the store for the first time, which may lag behind the latest entries.
     pub(super) fn list(&mut self, i: usize, run: u64) {
-        if !self.instances[i].is_running(run) {
+        if !self.instances[i].is_running(run) || self.is_store_lost() {
             return;
         }
         for subject in (0..self.instances.len()).filter(|subject| *subject != i) {
@@ -58,7 +59,7 @@
         (viewer, run): (usize, u64),
         (subject, subject_run): (usize, u64),
     ) {
-        if self.instances[viewer].is_running(run) {
+        if self.instances[viewer].is_running(run) && !self.is_store_lost() {
             let (name, info) = self.instances[subject].entry(subject_run);
             self.instances[viewer].on_entry(&name, info, self.now);
         }
--- a/crates/apricotlug-steer/tests/support/cold_limit/mod.rs
+++ b/crates/apricotlug-steer/tests/support/cold_limit/mod.rs
@@ -121,6 +121,8 @@
     instances: Vec<Instance>,
     entries: Vec<Option<StoreEntry>>,
     agenda: BTreeMap<u64, Vec<Event>>,
+    /// From when on the store answers nobody.
+    store_lost_at: u64,
     /// Record of the backend server, as last written.
     record: Option<Backend>,
     cold_until: u64,
@@ -163,6 +165,7 @@
             instances,
             entries: vec![None; sheet.instances],
             agenda: BTreeMap::new(),
+            store_lost_at: u64::MAX,
             record: None,
             cold_until: 0,
             last_cooled_at: None,
@@ -182,6 +185,10 @@
         self.agenda.entry(ms).or_default().push(event);
     }
 
+    fn is_store_lost(&self) -> bool {
+        self.now >= self.store_lost_at
+    }
+
     fn played(&self) -> Vec<usize> {
         let all = 0..self.instances.len();
         all.filter(|i| self.instances[*i].is_played()).collect()
@@ -259,7 +266,8 @@
             Event::Enter(i, run) => self.enter(i, run),
             Event::List(i, run) => self.list(i, run),
             Event::Tick(i, run) => {
-                if self.instances[i].tick(run, now) {
+                let reads_store = !self.is_store_lost();
+                if self.instances[i].tick(run, now, reads_store) {
                     self.after(TICK_MS, event);
                 }
             }
--- a/crates/apricotlug-steer/tests/support/cold_limit/outcome.rs
+++ b/crates/apricotlug-steer/tests/support/cold_limit/outcome.rs
@@ -1,6 +1,10 @@
 //! What a play has shown, and what is wrong with it.
 
-use super::{COLD_MS, Sheet};
+use super::{COLD_MS, Row, Sheet};
+
+/// Share of the usable rate that instances use at least where all know each other, and all have
+/// requests without end.
+const MIN_USED: f64 = 0.7;
 
 /// What a play has shown.
 #[derive(Clone, Debug, Default)]
@@ -20,7 +24,7 @@
 
 impl Outcome {
     /// Returns what is wrong with it, or `None`.
-    pub fn finding(&self, sheet: &Sheet) -> Option<String> {
+    pub fn finding(&self, sheet: &Sheet, row: Row) -> Option<String> {
         let Self {
             most, senders, at, ..
         } = self;
@@ -30,6 +34,10 @@
                 "{most} requests of {senders} instances in the second to {at} ms, {bound:.1} allowed"
             ));
         }
+        let used = self.used_share(sheet) * sheet.rate / sheet.usable_rate();
+        if row == Row::Settled && sheet.played_one_in == 1 && used < MIN_USED {
+            return Some(format!("{used:.2} of the usable rate is used"));
+        }
         self.unused_from
             .map(|from| format!("no request in {COLD_MS} ms from {from} ms"))
     }
--- a/crates/apricotlug-steer/tests/support/cold_limit/rows.rs
+++ b/crates/apricotlug-steer/tests/support/cold_limit/rows.rs
@@ -47,6 +47,8 @@
     Settled,
     /// A third of them start at about the time at which the backend server is back.
     RegionReturns,
+    /// The same, and the store falls silent once most of them have listed the entries.
+    RegionReturnsToLostStore,
     /// They restart one after the other.
     RestartsInSeries,
     /// Each of two halves has never known of the other.
@@ -70,11 +72,14 @@
         let mut cool_at = COOL_MS;
         match row {
             Row::Settled => self.settle(&all),
-            Row::RegionReturns => {
+            Row::RegionReturns | Row::RegionReturnsToLostStore => {
                 let running: Vec<_> = all.iter().copied().filter(|i| region(*i) != 0).collect();
                 self.settle(&running);
                 let first = cool_at - self.rng.random_range(100..500);
                 self.start_within(first, 700, all.iter().copied().filter(|i| region(*i) == 0));
+                if row == Row::RegionReturnsToLostStore {
+                    self.store_lost_at = first + self.rng.random_range(500..1_000);
+                }
             }
             Row::RestartsInSeries => {
                 self.settle(&all);
