--- /dev/null
+++ b/crates/apricotlug-policy/src/steer/admission/mod.rs
@@ -0,0 +1,9 @@
+//! Whether a request is accepted, or refused at once because it could not be answered in time.
+
+mod admit;
+mod caller_waits;
+mod leave;
+
+pub use admit::{AdmissionDecision, RequestLimits, decide_admission, retry_after_ms};
+pub use caller_waits::CallerWaits;
+pub use leave::Leave;
--- a/crates/apricotlug-policy/src/steer/limit_share.rs
+++ b/crates/apricotlug-policy/src/steer/limits/limit_share.rs
@@ -16,7 +16,7 @@
 
 use apricotlug_model::{HashMap, MonoTime};
 
-use super::affinity::{object_hash, rank_weight};
+use crate::steer::placement::{object_hash, rank_weight};
 
 /// Time after the first read of the others' entries, and after the own entry was written, from which a
 /// read lets an instance use its share. Instances that started together learn of each other meanwhile.
--- a/crates/apricotlug-policy/src/steer/choose.rs
+++ b/crates/apricotlug-policy/src/steer/placement/choose.rs
@@ -8,9 +8,9 @@
     affinity::rank_weight,
     entry::{BackendKey, Entry, MAX_LOAD_FACTOR},
     fleet::Fleet,
-    limit_share::LimitShare,
     measurements::ServiceTime,
 };
+use crate::steer::limits::LimitShare;
 
 /// Time for which an object counts as warm at the backend server that this instance sent it to.
 const WARM_RETENTION: Duration = Duration::from_secs(30);
--- a/crates/apricotlug-policy/src/steer/entry.rs
+++ b/crates/apricotlug-policy/src/steer/placement/entry.rs
@@ -4,7 +4,8 @@
 
 use apricotlug_model::{Backend, BackendState, HashMap, MonoTime};
 
-use super::{affinity::object_hash, cold::ColdGate, measurements::Health};
+use super::{affinity::object_hash, measurements::Health};
+use crate::steer::limits::ColdGate;
 
 /// Time for which a load reported by the backend server itself is used.
 const LOAD_REPORT_TTL: Duration = Duration::from_millis(400);
--- a/crates/apricotlug-policy/src/steer/fleet.rs
+++ b/crates/apricotlug-policy/src/steer/placement/fleet.rs
@@ -10,11 +10,11 @@
 use super::{
     choose::{Choice, ChoiceRequest},
     entry::{BackendKey, Entry, RequestOutcome},
-    limit_share::LimitShare,
     measurements::{Health, ServiceTime, TIME_GAIN},
     ranking::RankingCache,
     regions::RegionSplit,
 };
+use crate::steer::limits::LimitShare;
 
 /// Weight of a new observation in the moving average of the share of recently sent objects that
 /// were found warm.
