--- a/crates/apricotlug-steer/schema/pulse.capnp
+++ b/crates/apricotlug-steer/schema/pulse.capnp
@@ -13,6 +13,27 @@
   # Requests that the sender has in flight at a backend server.
   backend @0 :UInt64;
   requests @1 :UInt16;
+  workMs @2 :Float32;
+  # Work that is left of them, in milliseconds of one slot.
+}
+
+struct Demand {
+  # Requests of one rank for a service that arrived at the sender, per tick interval.
+  service @0 :UInt64;
+  rank @1 :UInt32;
+  requests @2 :Float32;
+}
+
+struct Counted {
+  # Requests of a client account that backend servers began to run.
+  account @0 :Text;
+  requests @1 :UInt64;
+}
+
+struct Window {
+  # Requests that began to run in one window of the wall clock, by account.
+  number @0 :UInt64;
+  counts @1 :List(Counted);
 }
 
 struct Proof {
@@ -32,6 +53,9 @@
   spent @4 :List(Spent);
   busy @5 :List(Busy);
   proofs @6 :List(Proof);
+  covered @7 :List(UInt64);
+  # Hashes of the names of the instances whose figures the sums include.
+  demands @8 :List(Demand);
 }
 
 struct Change {
@@ -51,6 +75,11 @@
   spent @3 :List(Spent);
   proofs @4 :List(Proof);
   busy @5 :List(Busy);
+  era @6 :UInt64;
+  # Era of the store to which the revision belongs.
+  windows @7 :List(Window);
+  # Closed windows that the holder of the usage duty has not confirmed yet.
+  demands @8 :List(Demand);
 }
 
 struct Told {
@@ -65,4 +94,9 @@
   busy @7 :List(Busy);
   heldMs @8 :UInt32;
   isBehind @9 :Bool;
+  covered @10 :List(UInt64);
+  era @11 :UInt64;
+  confirmed @12 :List(UInt64);
+  # Numbers of the windows whose counts the sender holds now.
+  demands @13 :List(Demand);
 }
--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -45,7 +45,7 @@
 pub use relay::{ChangeLog, Delta, OlderListing, Snapshot};
 pub use steering::SteeringState;
 pub use wire::{
-    AccountUsage, BackendLoad, MoveEvidence, RelayRequest, RelayResponse, StatusDatagram,
-    WireError, decode_datagram, decode_relay_request, decode_relay_response, encode_datagram,
-    encode_relay_request, encode_relay_response,
+    AccountUsage, BackendLoad, MoveEvidence, RankDemand, RelayRequest, RelayResponse,
+    StatusDatagram, WindowUsage, WireError, decode_datagram, decode_relay_request,
+    decode_relay_response, encode_datagram, encode_relay_request, encode_relay_response,
 };
--- a/crates/apricotlug-steer/src/steering.rs
+++ b/crates/apricotlug-steer/src/steering.rs
@@ -299,8 +299,12 @@
             }
         }
         let sums = sums.into_iter();
-        sums.map(|(backend, requests)| BackendLoad { backend, requests })
-            .collect()
+        sums.map(|(backend, requests)| BackendLoad {
+            backend,
+            requests,
+            work_ms: 0.0,
+        })
+        .collect()
     }
 
     /// Records a relay's response, which reports for all other instances.
@@ -350,6 +354,7 @@
                 .moves
                 .evidence(|run| run == DEPARTED_REPORTED || self.relay_clients.contains_key(&run))
                 .collect(),
+            ..StatusDatagram::default()
         }
     }
 
--- a/crates/apricotlug-steer/tests/odd_messages.rs
+++ b/crates/apricotlug-steer/tests/odd_messages.rs
@@ -42,6 +42,7 @@
         BackendLoad {
             backend: 5,
             requests: 3,
+            work_ms: 4.0,
         };
         40
     ];
--- a/crates/apricotlug-steer/tests/peers.rs
+++ b/crates/apricotlug-steer/tests/peers.rs
@@ -6,9 +6,10 @@
 use apricotlug_config::{SiteSettings, parse_site};
 use apricotlug_model::{BootTime, MonoTime};
 use apricotlug_steer::{
-    AccountUsage, BackendLoad, ListedInstances, MemberInfo, MoveEvidence, Peers, RelayRequest,
-    RelayResponse, Relays, StatusDatagram, decode_datagram, decode_relay_request,
-    decode_relay_response, encode_datagram, encode_relay_request, encode_relay_response,
+    AccountUsage, BackendLoad, ListedInstances, MemberInfo, MoveEvidence, Peers, RankDemand,
+    RelayRequest, RelayResponse, Relays, StatusDatagram, WindowUsage, decode_datagram,
+    decode_relay_request, decode_relay_response, encode_datagram, encode_relay_request,
+    encode_relay_response,
 };
 
 const SETTINGS: &str = include_str!("../../../examples/steer.toml");
@@ -61,6 +62,22 @@
     vec![BackendLoad {
         backend: 9,
         requests: u16::MAX,
+        work_ms: 120.5,
+    }]
+}
+
+fn demands() -> Vec<RankDemand> {
+    vec![RankDemand {
+        service: 4,
+        rank: 2,
+        requests: 0.5,
+    }]
+}
+
+fn windows() -> Vec<WindowUsage> {
+    vec![WindowUsage {
+        number: 353_445_120,
+        counts: [("yefi830".to_owned(), u64::MAX)].into_iter().collect(),
     }]
 }
 
@@ -74,6 +91,8 @@
         usage: usage(),
         loads: loads(),
         evidence: evidence(),
+        covered: vec![u64::MAX, 1],
+        demands: demands(),
     };
     assert_eq!(
         decode_datagram(&encode_datagram(&datagram)).unwrap(),
@@ -86,6 +105,9 @@
         usage: usage(),
         evidence: evidence(),
         loads: loads(),
+        era: 3,
+        windows: windows(),
+        demands: demands(),
     };
     assert_eq!(
         decode_relay_request(&encode_relay_request(&request)).unwrap(),
@@ -107,6 +129,10 @@
         usage: usage(),
         evidence: evidence(),
         loads: loads(),
+        covered: vec![7],
+        era: u64::MAX,
+        confirmed: vec![353_445_120],
+        demands: demands(),
     };
     assert_eq!(
         decode_relay_response(&encode_relay_response(&response)).unwrap(),
