Let reports say whose figures they cover

Cause: behind relays an instance took the sums that it heard for the figures of all. Ruled out: shares of different times; the demand of the account had been hot for a second before. Change: datagrams and responses list the instances that they cover. Others that are known keep an even share and their part of the bucket.

--- a/crates/apricotlug-policy/src/steer/limits/quota.rs
+++ b/crates/apricotlug-policy/src/steer/limits/quota.rs
@@ -80,7 +80,15 @@
     burst: f64,
     /// Permitted excess that is not part of the bucket; it covers requests beyond the credit.
     reserve: f64,
+    /// Whether the reports have covered all instances at some time since the start of this one.
+    was_complete: bool,
+    /// Ticks for which the reports have not covered all instances.
+    partial_ticks: usize,
+    /// Part of all instances that report, 0 to 1; 1 until the reports have covered all.
+    reporting_part: f64,
     level: f64,
+    /// Tokens left to the others while these have not reported for a short time.
+    set_aside: f64,
     credit: f64,
     /// Credit that the last interval added, per second.
     credit_per_s: f64,
@@ -166,11 +174,12 @@
             // Admissions before this start are unknown: only the excess is certain to be available.
             bucket.level = if self.starts_full { burst } else { excess };
             bucket.may_borrow = true;
+            bucket.reporting_part = 1.0;
         }
         bucket.rate = rate;
         bucket.reserve = all_excess - excess;
         bucket.burst = burst;
-        bucket.level = bucket.level.min(burst);
+        bucket.level = bucket.level.min(bucket.capacity());
     }
 
     /// Admits a request of an account. Accounts that were never set have no limit.
@@ -206,7 +215,7 @@
     /// Returns the token of an admitted request that no backend server ran.
     pub fn refund(&mut self, account: &str) {
         if let Some(bucket) = self.buckets.get_mut(account) {
-            bucket.level = (bucket.level + 1.0).min(bucket.burst);
+            bucket.level = (bucket.level + 1.0).min(bucket.capacity());
             bucket.credit += 1.0;
             bucket.admitted = bucket.admitted.saturating_sub(1);
         }
@@ -294,7 +303,40 @@
     fn fill(&mut self, now: MonoTime) {
         let span = now.since(self.filled_at).as_secs_f64();
         self.filled_at = now;
-        self.level = (self.level + self.rate * span).min(self.burst);
+        let tokens = self.rate * self.reporting_part * span;
+        self.level = (self.level + tokens).min(self.capacity());
+    }
+
+    /// Returns the most tokens that the bucket holds for the instances that report.
+    fn capacity(&self) -> f64 {
+        (self.burst * self.reporting_part).max(1.0)
+    }
+
+    /// Leaves a part of the bucket to the instances that no longer report: the level does not show what
+    /// they use. If their reports were only late, as when relays change, the tokens are used again.
+    fn divide(&mut self, interval: ReportInterval) {
+        let unreported = interval
+            .unreported
+            .min(interval.instances.saturating_sub(1));
+        self.was_complete |= unreported == 0 && !self.run_reports.is_empty();
+        if !self.was_complete {
+            return;
+        }
+        self.reporting_part = 1.0 - unreported as f64 / interval.instances.max(1) as f64;
+        if unreported == 0 {
+            self.level = (self.level + self.set_aside).min(self.burst);
+        }
+        self.partial_ticks = match unreported {
+            0 => 0,
+            _ => self.partial_ticks + 1,
+        };
+        let excess = (self.level - self.capacity()).max(0.0);
+        self.level -= excess;
+        self.set_aside = match self.partial_ticks {
+            0 => 0.0,
+            ticks if ticks > interval.delay.ticks() => 0.0,
+            _ => self.set_aside + excess,
+        };
     }
 
     /// Returns the demand here at the time from which the other instances' demand is known, or
@@ -333,6 +375,7 @@
 
     fn tick(&mut self, interval: ReportInterval, now: MonoTime) {
         self.fill(now);
+        self.divide(interval);
         let span_s = now.since(self.ticked_at).as_secs_f64();
         self.ticked_at = now;
         self.samples = self.samples.saturating_add(1);
@@ -380,6 +423,6 @@
             self.borrow_wait = self.borrow_wait.max(turn);
         }
         self.borrow_wait = self.borrow_wait.saturating_sub(1);
-        self.may_borrow = self.borrow_wait == 0 && self.level >= self.burst * BORROW_MIN_LEVEL;
+        self.may_borrow = self.borrow_wait == 0 && self.level >= self.capacity() * BORROW_MIN_LEVEL;
     }
 }
--- a/crates/apricotlug-steer/src/listed.rs
+++ b/crates/apricotlug-steer/src/listed.rs
@@ -1,11 +1,16 @@
 //! Which instances look-ups list: in each region those whose link is not much slower than the fastest
 //! one. All known instances that may be running are considered.
 
+use std::collections::HashSet;
+
 use apricotlug_config::SiteSettings;
 use apricotlug_model::HashMap;
 use apricotlug_policy::steer::KnownInstance;
 
-use crate::peers::{MAX_LINK_RATIO, Peers};
+use crate::{
+    peers::{MAX_LINK_RATIO, Peers},
+    steering::name_hash,
+};
 
 /// Instances that look-ups list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -39,6 +44,21 @@
         listed
     }
 
+    /// Returns the number of known instances, or of listed ones only, whose names are not among the
+    /// `covered` hashes.
+    #[must_use]
+    pub fn count_uncovered(
+        &self,
+        settings: &SiteSettings,
+        listed_only: bool,
+        covered: &HashSet<u64>,
+    ) -> usize {
+        let sharing = self.with_listing(settings);
+        let sharing = sharing.filter(|(_, _, is_listed)| *is_listed || !listed_only);
+        let uncovered = sharing.filter(|(name, ..)| !covered.contains(&name_hash(name)));
+        uncovered.count()
+    }
+
     /// Returns all known instances and this one.
     #[must_use]
     pub fn known_instances(&self, settings: &SiteSettings) -> Vec<KnownInstance> {
--- a/crates/apricotlug-steer/src/steering.rs
+++ b/crates/apricotlug-steer/src/steering.rs
@@ -1,6 +1,6 @@
 //! State on which an instance bases its steering decisions.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use apricotlug_config::SiteSettings;
 use apricotlug_model::{HashMap, MonoTime, Plan};
@@ -20,6 +20,11 @@
 /// Time without a report after which a relay no longer stands for all other instances.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1_800);
 
+/// Time without a datagram of another relay, and without a request of a relay client, after which their
+/// figures no longer cover the instances that they reported for.
+const RELAY_DATAGRAM_TIMEOUT: Duration = Duration::from_millis(1_000);
+const CLIENT_REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Fewest requests in flight at a backend server that a relay includes in its responses.
 const MIN_REPORTED_REQUESTS: u16 = 2;
 
@@ -29,6 +34,28 @@
 /// Time without a request after which an instance no longer counts as a relay client.
 const RELAY_CLIENT_TIMEOUT: Duration = Duration::from_millis(3_000);
 
+/// When a relay reported last, and for which instances.
+#[derive(Clone, Debug)]
+struct RelayReport {
+    run: u64,
+    at: MonoTime,
+    /// Hashes of the names of the instances whose figures the report included.
+    covered: Vec<u64>,
+}
+
+/// Hashes of the names of the instances whose figures this one has, itself included, as of the last tick.
+/// A relay that hears nothing of some instances must not take what it hears for the figures of all.
+#[derive(Clone, Debug, Default)]
+struct Coverage {
+    /// This instance and those that poll it as a relay.
+    own: Vec<u64>,
+    /// These, and those that other relays report for.
+    all: HashSet<u64>,
+    /// Whether a report did not tell whom it covers, as those of an earlier version. It then counts for
+    /// all instances.
+    is_untold: bool,
+}
+
 /// State on which an instance bases its steering decisions.
 #[derive(Debug)]
 pub struct SteeringState {
@@ -51,8 +78,11 @@
     /// Runs that poll this instance as a relay, each with the time of its last request. This
     /// instance reports their figures to others.
     relay_clients: HashMap<u64, MonoTime>,
-    /// Run of the relay that reports for all other instances, and the time of its last report.
-    relay: Option<(u64, MonoTime)>,
+    /// Last report of the relay that reports for all other instances.
+    relay: Option<RelayReport>,
+    /// Last report of each other relay, by run.
+    relay_reports: HashMap<u64, RelayReport>,
+    coverage: Coverage,
     relays: Relays,
     listed_instances: ListedInstances,
     accounts_by_hash: HashMap<u64, String>,
@@ -84,6 +114,8 @@
             retry_bounds: (retry_window, bounds.retry_ratio, bounds.retry_slack),
             relay_clients: HashMap::default(),
             relay: None,
+            relay_reports: HashMap::default(),
+            coverage: Coverage::default(),
             relays: Relays::default(),
             listed_instances: ListedInstances::default(),
             accounts_by_hash: HashMap::default(),
@@ -151,40 +183,49 @@
         } else {
             (known, self.peers.rank_of(&settings.instance, now))
         };
-        let has_full_reports = self
-            .relay
-            .is_some_and(|(_, at)| now.since(at) < RELAY_TIMEOUT);
-        let interval = match (self.relays.is_needed, self.relays.includes_self) {
-            (false, _) => ReportInterval {
-                instances,
-                spenders,
-                own_index,
-                unreported: self.peers.count_unreported(now),
-                has_full_reports: false,
-                delay: ReportDelay::Direct,
-            },
-            (true, true) => ReportInterval {
-                instances,
-                spenders,
-                own_index,
-                unreported: 0,
-                has_full_reports: true,
-                delay: ReportDelay::Relayed,
-            },
-            (true, false) => ReportInterval {
-                instances,
-                spenders,
-                own_index,
-                unreported: if has_full_reports { 0 } else { instances - 1 },
-                has_full_reports,
-                delay: ReportDelay::Relayed,
-            },
+        let (unreported, has_full_reports, delay) = if self.relays.is_needed {
+            self.update_coverage(settings, now);
+            let Coverage { all, is_untold, .. } = &self.coverage;
+            let unreported = match is_untold {
+                true => 0,
+                false => self
+                    .peers
+                    .count_uncovered(settings, listed.includes_self, all),
+            };
+            // The figures of those that are covered arrive in few sums.
+            (unreported, true, ReportDelay::Relayed)
+        } else {
+            let unreported = self.peers.count_unreported(now);
+            (unreported, false, ReportDelay::Direct)
+        };
+        let interval = ReportInterval {
+            instances,
+            spenders,
+            own_index,
+            unreported,
+            has_full_reports,
+            delay,
         };
         self.quotas.tick(interval, now);
     }
 
+    fn update_coverage(&mut self, settings: &SiteSettings, now: MonoTime) {
+        let clients = self.peers.iter().filter(|(_, member)| {
+            let last_request = self.relay_clients.get(&member.info.run);
+            last_request.is_some_and(|at| now.since(*at) < CLIENT_REPORT_TIMEOUT)
+        });
+        let names = clients.map(|(name, _)| name).chain([&*settings.instance]);
+        self.coverage.own = names.map(name_hash).collect();
+        let relay = self.relay.iter();
+        let relay = relay.filter(|report| now.since(report.at) < RELAY_TIMEOUT);
+        let reports = relay.chain(self.relay_reports.values());
+        self.coverage.is_untold = reports.clone().any(|report| report.covered.is_empty());
+        let reported = reports.flat_map(|report| &report.covered);
+        self.coverage.all = self.coverage.own.iter().chain(reported).copied().collect();
+    }
+
     fn remove_stale(&mut self, now: MonoTime) {
-        let relay = self.relay.map(|(run, _)| run);
+        let relay = self.relay.as_ref().map(|report| report.run);
         for run in self.peers.stale_runs(now) {
             if !self.relay_clients.contains_key(&run) && Some(run) != relay {
                 self.set_reported_loads(run, Vec::new());
@@ -199,7 +240,10 @@
         for run in expired {
             self.remove_run(run);
         }
-        if self.relays.is_needed && !self.relays.includes_self {
+        let is_fresh = |report: &RelayReport| now.since(report.at) < RELAY_DATAGRAM_TIMEOUT;
+        self.relay_reports.retain(|_, report| is_fresh(report));
+        if self.polls_a_relay() {
+            self.relay_reports.clear();
             self.quotas.retain(|run| Some(run) == relay);
         }
     }
@@ -232,7 +276,7 @@
     /// Forgets the figures of the relay that reported for all others. Its datagrams and its
     /// responses are sums over different instances: the difference of two is no usage.
     fn forget_relay(&mut self) {
-        if let Some((run, _)) = self.relay.take() {
+        if let Some(RelayReport { run, .. }) = self.relay.take() {
             self.quotas.forget(run, false);
             self.moves.discard_run(run);
             self.set_reported_loads(run, Vec::new());
@@ -261,6 +305,7 @@
 
     /// Fills a response to a run with the figures of all instances except that one.
     pub fn fill_response(&self, run: u64, response: &mut RelayResponse) {
+        response.covered = self.coverage.all.iter().copied().collect();
         response.usage = account_usage(&self.quotas, |other| other != run);
         response.evidence = self.moves.evidence(|other| other != run).collect();
         response.loads = self.loads(|other| other != run);
@@ -309,13 +354,18 @@
 
     /// Records a relay's response, which reports for all other instances.
     pub fn on_relay_response(&mut self, response: &RelayResponse, now: MonoTime) {
-        let is_first = self.relay.is_none_or(|(run, _)| run != response.run);
+        let previous = self.relay.as_ref().map(|report| report.run);
+        let is_first = previous != Some(response.run);
         if is_first {
             self.forget_relay();
             // It may have sent datagrams while this instance was a relay.
             self.quotas.forget(response.run, false);
         }
-        self.relay = Some((response.run, now));
+        self.relay = Some(RelayReport {
+            run: response.run,
+            at: now,
+            covered: response.covered.clone(),
+        });
         self.record_usage(response.run, &response.usage, is_first);
         for evidence in &response.evidence {
             self.moves
@@ -354,6 +404,7 @@
                 .moves
                 .evidence(|run| run == DEPARTED_REPORTED || self.relay_clients.contains_key(&run))
                 .collect(),
+            covered: self.coverage.own.clone(),
             ..StatusDatagram::default()
         }
     }
@@ -381,6 +432,12 @@
         // its first datagram arrived here may be old and is not charged to the account.
         let is_long_running = datagram.sequence > RECENT_START_DATAGRAMS;
         self.record_usage(run, &datagram.usage, is_long_running || was_client);
+        let report = RelayReport {
+            run,
+            at: now,
+            covered: datagram.covered,
+        };
+        self.relay_reports.insert(run, report);
         for MoveEvidence { order, counts } in datagram.evidence {
             self.moves.on_evidence(run, order, counts);
         }
