--- a/crates/apricotlug-edge/src/metrics.rs
+++ b/crates/apricotlug-edge/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::{fmt::Write, sync::Arc, time::Duration};
 
+use apricotlug_model::StoreVersion;
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram, MeterProvider},
@@ -56,6 +57,8 @@
     answer_buffer_bytes: Gauge<u64>,
     plan_version: Gauge<u64>,
     store_revision: Gauge<u64>,
+    store_era: Gauge<u64>,
+    store_era_changes: Counter<u64>,
     store_read_age_ms: Gauge<u64>,
     store_reads: Counter<u64>,
     latency: Histogram<f64>,
@@ -84,6 +87,8 @@
             answer_buffer_bytes: meter.u64_gauge("apricotlug_answer_buffer_bytes").build(),
             plan_version: meter.u64_gauge("apricotlug_plan_version").build(),
             store_revision: meter.u64_gauge("apricotlug_store_revision").build(),
+            store_era: meter.u64_gauge("apricotlug_store_era").build(),
+            store_era_changes: meter.u64_counter("apricotlug_store_era_changes").build(),
             store_read_age_ms: meter.u64_gauge("apricotlug_store_read_age_ms").build(),
             store_reads: meter.u64_counter("apricotlug_store_reads").build(),
             latency: meter
@@ -137,12 +142,21 @@
         self.answer_buffer_bytes.record(bytes as u64, &[]);
     }
 
-    /// Records the version of the plan in force, the store's revision up to which changes are known,
+    /// Records the version of the plan in force, the store's version up to which changes are known,
     /// and the age of the last read in milliseconds; each `None` before the first.
-    pub fn set_read_state(&self, plan: Option<u64>, revision: Option<u64>, age_ms: Option<u64>) {
+    pub fn set_read_state(
+        &self,
+        plan: Option<u64>,
+        version: Option<StoreVersion>,
+        age_ms: Option<u64>,
+    ) {
         let gauges = [
             (&self.plan_version, plan),
-            (&self.store_revision, revision),
+            (
+                &self.store_revision,
+                version.map(|version| version.revision),
+            ),
+            (&self.store_era, version.map(|version| version.era)),
             (&self.store_read_age_ms, age_ms),
         ];
         for (gauge, value) in gauges {
@@ -152,6 +166,11 @@
         }
     }
 
+    /// Counts a change of the store's era, after which its state may be an older one.
+    pub fn on_store_era(&self) {
+        self.store_era_changes.add(1, &[]);
+    }
+
     /// Counts a read of the store's items, by what was read from and by result.
     pub fn on_store_read(&self, from: &'static str, result: &'static str) {
         let attributes = [KeyValue::new("from", from), KeyValue::new("result", result)];
--- a/crates/apricotlug-model/src/lib.rs
+++ b/crates/apricotlug-model/src/lib.rs
@@ -8,6 +8,7 @@
 mod finding;
 mod key;
 mod plan;
+mod store_version;
 mod time;
 
 pub use arena::Arena;
@@ -26,6 +27,7 @@
     Backend, BackendState, CallerLimits, Exchange, MoveOrder, MoveState, MoveStatus, Part, Plan,
     PlanAccount, PlanRoute, PlanService, PlanVersion,
 };
+pub use store_version::StoreVersion;
 pub use time::{BootTime, MonoTime, UnixTime};
 
 /// Hash map with a fast hasher, for keys that no outsider chooses.
--- a/crates/apricotlug-policy/src/steer/read_schedule.rs
+++ b/crates/apricotlug-policy/src/steer/read_schedule.rs
@@ -16,7 +16,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use apricotlug_model::MonoTime;
+use apricotlug_model::{MonoTime, StoreVersion};
 
 /// Longest time that a watch of the store waits for changes.
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(1_000);
@@ -102,19 +102,19 @@
     ListMembers,
     /// List all items of the store.
     List,
-    /// Watch the store for changes after a revision.
+    /// Watch the store for changes after a version.
     Watch {
-        /// Revision up to which the items are known.
-        after: u64,
+        /// Version up to which the items are known.
+        after: StoreVersion,
         /// Time to wait for a change.
         wait: Duration,
     },
-    /// Poll another instance for changes after a revision.
+    /// Poll another instance for changes after a version.
     Poll {
         /// Address of the instance.
         instance: SocketAddr,
-        /// Revision up to which the items are known; 0 requests all items.
-        after: u64,
+        /// Version up to which the items are known; revision 0 requests all items.
+        after: StoreVersion,
         /// Time to wait for a change.
         wait: Duration,
         /// Time after which the poll counts as failed.
@@ -126,10 +126,12 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ReadSchedule {
     limits: ReadLimits,
-    /// Revision up to which the items are known; `None` before the first read.
-    revision: Option<u64>,
-    /// Whether the store has dropped changes after that revision, so that it must be listed.
+    /// Version up to which the items are known; `None` before the first read.
+    version: Option<StoreVersion>,
+    /// Whether the store has dropped changes after that version, so that it must be listed.
     is_history_gone: bool,
+    /// Newest era of the store that was seen in any response.
+    newest_era: u64,
     /// Whether the last successful read was one of the store itself, and none has failed since.
     is_first_hand: bool,
     /// Whether the instances' entries have been listed.
@@ -151,8 +153,9 @@
     pub fn new(limits: ReadLimits) -> Self {
         Self {
             limits,
-            revision: None,
+            version: None,
             is_history_gone: false,
+            newest_era: 0,
             is_first_hand: false,
             knows_members: false,
             relay_backoff_until: MonoTime::default(),
@@ -179,12 +182,12 @@
     pub fn next(&self, sources: &ReadSources, now: MonoTime) -> Read {
         let may_poll_relay = self.relay_backoff_until.is_past(now);
         let fallback = self.fallback(sources, now);
-        let Some(after) = self.revision else {
+        let Some(after) = self.version else {
             let relay = sources.listing_relay.filter(|_| may_poll_relay);
             return match (relay, fallback) {
                 _ if !self.knows_members => Read::ListMembers,
-                (Some(relay), _) => self.poll(relay, 0, FULL_POLL_WAIT),
-                (None, Some(instance)) => self.poll(instance, 0, POLL_WAIT),
+                (Some(relay), _) => self.poll(relay, StoreVersion::default(), FULL_POLL_WAIT),
+                (None, Some(instance)) => self.poll(instance, StoreVersion::default(), POLL_WAIT),
                 (None, None) => Read::List,
             };
         };
@@ -197,7 +200,7 @@
             };
             return self.poll(instance, after, wait.min(self.limits.poll_wait));
         }
-        if self.is_history_gone {
+        if self.is_history_gone || after.era < self.newest_era {
             return Read::List;
         }
         let wait = if self.is_store_lost || !self.is_first_hand {
@@ -208,7 +211,7 @@
         Read::Watch { after, wait }
     }
 
-    fn poll(&self, instance: SocketAddr, after: u64, wait: Duration) -> Read {
+    fn poll(&self, instance: SocketAddr, after: StoreVersion, wait: Duration) -> Read {
         Read::Poll {
             instance,
             after,
@@ -241,10 +244,11 @@
         self.knows_members = true;
     }
 
-    /// Records that the store's items are known up to a revision. Returns whether the store had
+    /// Records that the store's items are known up to a version. Returns whether the store had
     /// failed before.
-    pub fn on_store_read(&mut self, revision: u64) -> bool {
-        self.revision = Some(revision);
+    pub fn on_store_read(&mut self, version: StoreVersion) -> bool {
+        self.version = Some(version);
+        self.on_era(version.era);
         self.is_history_gone = false;
         self.is_first_hand = true;
         self.on_store_response()
@@ -257,11 +261,18 @@
         std::mem::take(&mut self.is_store_lost)
     }
 
-    /// Records the revision that another instance reported to know.
-    pub fn on_poll(&mut self, revision: u64) {
+    /// Records an era that was seen in a response of the store, or that another instance knows.
+    /// While what is known is of an older one, the store is listed, not watched.
+    pub fn on_era(&mut self, era: u64) {
+        self.newest_era = self.newest_era.max(era);
+    }
+
+    /// Records the version that another instance reported to know.
+    pub fn on_poll(&mut self, version: StoreVersion) {
         self.is_first_hand = false;
-        if self.revision.is_none_or(|known| known < revision) {
-            self.revision = Some(revision);
+        self.on_era(version.era);
+        if self.version.is_none_or(|known| known < version) {
+            self.version = Some(version);
             // The store may still have what comes after.
             self.is_history_gone = false;
         }
@@ -278,7 +289,7 @@
         !std::mem::replace(&mut self.is_store_lost, true)
     }
 
-    /// Records that the store has dropped changes after the known revision. What is known stays
+    /// Records that the store has dropped changes after the known version. What is known stays
     /// known: other instances can pass on what came after it.
     pub fn on_history_dropped(&mut self) {
         self.is_history_gone = true;
--- a/crates/apricotlug-policy/tests/steer_reads.rs
+++ b/crates/apricotlug-policy/tests/steer_reads.rs
@@ -2,13 +2,18 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use apricotlug_model::MonoTime;
+use apricotlug_model::{MonoTime, StoreVersion};
 use apricotlug_policy::steer::{Read, ReadLimits, ReadSchedule, ReadSources};
 
 fn at(ms: u64) -> MonoTime {
     MonoTime::default().after(Duration::from_millis(ms))
 }
 
+/// Returns a version of a store that names no era.
+const fn first_era(revision: u64) -> StoreVersion {
+    StoreVersion::new(0, revision)
+}
+
 fn addr(port: u16) -> SocketAddr {
     ([10, 0, 0, 1], port).into()
 }
@@ -36,7 +41,7 @@
 fn listed() -> ReadSchedule {
     let mut schedule = ReadSchedule::new(limits());
     schedule.on_members_listed();
-    schedule.on_store_read(5);
+    schedule.on_store_read(first_era(5));
     schedule
 }
 
@@ -53,11 +58,14 @@
     assert_eq!(schedule.next(&others(), at(0)), Read::ListMembers);
     schedule.on_members_listed();
     assert_eq!(schedule.next(&others(), at(0)), Read::List);
-    schedule.on_store_read(5);
+    schedule.on_store_read(first_era(5));
     let wait = schedule.limits().watch_wait;
     assert_eq!(
         schedule.next(&others(), at(0)),
-        Read::Watch { after: 5, wait }
+        Read::Watch {
+            after: first_era(5),
+            wait
+        }
     );
 }
 
@@ -71,7 +79,7 @@
     schedule.on_members_listed();
     assert!(matches!(
         schedule.next(&sources, at(0)),
-        Read::Poll { after: 0, .. }
+        Read::Poll { after, .. } if after == first_era(0)
     ));
     schedule.on_poll_failure(at(0));
     assert_eq!(schedule.next(&sources, at(1)), Read::List);
@@ -86,7 +94,7 @@
         matches!(read, Read::Watch { wait, .. } if wait < Duration::from_millis(10)),
         "one failure is retried at the store: {read:?}"
     );
-    assert!(schedule.on_store_read(6), "the store is back");
+    assert!(schedule.on_store_read(first_era(6)), "the store is back");
     assert!(schedule.on_store_failure(at(2_000)));
     assert_eq!(polled(schedule.next(&others(), at(2_001))), None);
     assert!(!schedule.on_store_failure(at(2_100)));
@@ -122,9 +130,12 @@
 #[test]
 fn a_revision_never_goes_back_to_that_of_an_instance_that_is_behind() {
     let mut schedule = listed();
-    schedule.on_poll(3);
+    schedule.on_poll(first_era(3));
     let read = schedule.next(&relays(), at(0));
-    assert!(matches!(read, Read::Poll { after: 5, .. }), "{read:?}");
+    assert!(
+        matches!(read, Read::Poll { after, .. } if after == first_era(5)),
+        "{read:?}"
+    );
 }
 
 /// Guards against time limits that add up beyond the bound: a source that stops being current, or a
@@ -135,7 +146,7 @@
         let apply = Duration::from_millis(apply_ms);
         let mut schedule = ReadSchedule::new(ReadLimits::new(apply));
         schedule.on_members_listed();
-        schedule.on_store_read(5);
+        schedule.on_store_read(first_era(5));
         let watch = schedule.next(&others(), at(0));
         let unlisted = ReadSources {
             is_listed: false,
@@ -165,14 +176,14 @@
     assert_eq!(schedule.passes_on_for(watch), overdue);
     let poll = schedule.next(&relays(), at(0));
     assert_eq!(schedule.passes_on_for(poll), Duration::ZERO);
-    schedule.on_poll(6);
+    schedule.on_poll(first_era(6));
     let watch = schedule.next(&others(), at(0));
     assert_eq!(
         schedule.passes_on_for(watch),
         Duration::ZERO,
         "second hand until the store is read"
     );
-    schedule.on_store_read(6);
+    schedule.on_store_read(first_era(6));
     let watch = schedule.next(&others(), at(0));
     assert_eq!(schedule.passes_on_for(watch), overdue);
     schedule.on_store_failure(at(10));
@@ -194,16 +205,22 @@
     schedule.on_store_failure(at(100));
     schedule.on_store_failure(at(200));
     let read = schedule.next(&others(), at(201));
-    assert!(matches!(read, Read::Poll { after: 5, .. }), "{read:?}");
-    schedule.on_poll(5);
+    assert!(
+        matches!(read, Read::Poll { after, .. } if after == first_era(5)),
+        "{read:?}"
+    );
+    schedule.on_poll(first_era(5));
     assert_eq!(
         schedule.next(&others(), at(4_000)),
         Read::List,
         "nothing came after what is known"
     );
-    schedule.on_poll(8);
+    schedule.on_poll(first_era(8));
     let read = schedule.next(&others(), at(4_000));
-    assert!(matches!(read, Read::Watch { after: 8, .. }), "{read:?}");
+    assert!(
+        matches!(read, Read::Watch { after, .. } if after == first_era(8)),
+        "{read:?}"
+    );
 }
 
 #[test]
@@ -213,7 +230,10 @@
     schedule.on_store_failure(at(100));
     schedule.on_store_failure(at(200));
     let read = schedule.next(&others(), at(201));
-    assert!(matches!(read, Read::Poll { after: 0, .. }), "{read:?}");
+    assert!(
+        matches!(read, Read::Poll { after, .. } if after == first_era(0)),
+        "{read:?}"
+    );
 }
 
 /// Guards against waits that add up where an instance stops reading from another one: that one's last
@@ -221,14 +241,21 @@
 #[test]
 fn the_first_watch_after_another_instance_was_read_from_returns_at_once() {
     let mut schedule = listed();
-    schedule.on_poll(6);
+    schedule.on_poll(first_era(6));
     let read = schedule.next(&others(), at(0));
     assert!(
-        matches!(read, Read::Watch { after: 6, wait } if wait < Duration::from_millis(10)),
+        matches!(read, Read::Watch { after, wait }
+            if after == first_era(6) && wait < Duration::from_millis(10)),
         "{read:?}"
     );
-    schedule.on_store_read(6);
+    schedule.on_store_read(first_era(6));
     let wait = schedule.limits().watch_wait;
     let read = schedule.next(&others(), at(0));
-    assert_eq!(read, Read::Watch { after: 6, wait });
+    assert_eq!(
+        read,
+        Read::Watch {
+            after: first_era(6),
+            wait
+        }
+    );
 }
--- a/crates/apricotlug-steer/src/caller.rs
+++ b/crates/apricotlug-steer/src/caller.rs
@@ -199,7 +199,7 @@
         ms = latency.as_millis() as u64,
         plan = operator_state.plan.as_ref().map(|plan| plan.version),
         news_ms = shared.freshness.age_ms(),
-        revision = last_read.map(|read| read.revision),
+        revision = last_read.map(|read| read.version.revision),
         read_from = last_read.map(|read| tracing::field::display(read.origin))
     );
     let is_closing = is_closing || shared.drain.is_leaving();
--- a/crates/apricotlug-steer/src/http_api.rs
+++ b/crates/apricotlug-steer/src/http_api.rs
@@ -62,7 +62,7 @@
         let plan = shared.operator_state().plan.clone();
         shared.metrics.set_read_state(
             plan.map(|plan| plan.version),
-            shared.last_read().map(|read| read.revision),
+            shared.last_read().map(|read| read.version),
             shared.freshness.age_ms(),
         );
         res.set_body(shared.metrics.page());
--- a/crates/apricotlug-steer/src/instance.rs
+++ b/crates/apricotlug-steer/src/instance.rs
@@ -14,8 +14,12 @@
 use thiserror::Error;
 
 use crate::{
-    caller, datagrams, http_api, moves::DueStatus, registration, relay, shared::Shared,
-    store_changes::ExpiryGrace, store_sync::sync_store,
+    caller, datagrams, http_api,
+    moves::DueStatus,
+    registration, relay,
+    shared::Shared,
+    store_changes::{ExpiryGrace, apply_changes},
+    store_sync::sync_store,
 };
 
 /// Interval at which the number of dropped log lines is read.
@@ -170,6 +174,8 @@
             tracing::info!(kind = "backend_lapsed", backend = id);
             shared.steering().fleet.remove(&id);
         }
+        let due = shared.era_grace.take_due(now);
+        apply_changes(&shared, &expiry_grace, due, shared.change_log.era());
         shared
             .pool
             .sweep(now, |key| shared.steering().fleet.entry(key).is_registered);
@@ -206,17 +212,19 @@
     tracing::info!(kind = "move_decision", service = due.service, state = ?due.status.state, evidence = ?due.evidence);
     let write = ConditionalWrite {
         key: move_status_key(&due.service),
-        expected: Some(due.replaced_revision),
+        expected: Some(due.replaced.revision),
         value: Some(encode_move_status(&due.status)),
         lease: 0,
+        era: due.replaced.era,
     };
     let outcome = store.write_conditional(write, WRITE_TIMEOUT).await;
     match &outcome {
-        Ok(ConditionalWriteOutcome::Done(revision)) => {
+        Ok(ConditionalWriteOutcome::Done(version)) => {
+            let now = shared.clock.now();
             let mut steering = shared.steering();
             steering
                 .moves
-                .on_status(&due.service, due.status, *revision);
+                .on_status(&due.service, due.status, *version, now);
         }
         // Another instance wrote first; the watch delivers its status.
         Ok(ConditionalWriteOutcome::Conflict) => {
--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -29,6 +29,7 @@
 mod slot;
 mod steering;
 mod store_changes;
+mod store_era;
 mod store_sync;
 mod wire;
 
@@ -42,7 +43,7 @@
 pub use instance::{Instance, StartError};
 pub use listed::ListedInstances;
 pub use peers::{Member, MemberInfo, Peers, Relays};
-pub use relay::{ChangeLog, Delta, OlderListing, Snapshot};
+pub use relay::{ChangeLog, Delta, ListedChanges, OlderRead, Snapshot};
 pub use steering::SteeringState;
 pub use wire::{
     AccountUsage, BackendLoad, MoveEvidence, RankDemand, RelayRequest, RelayResponse,
--- a/crates/apricotlug-steer/src/moves.rs
+++ b/crates/apricotlug-steer/src/moves.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use apricotlug_model::{HashMap, MonoTime, MoveOrder, MoveState, MoveStatus};
+use apricotlug_model::{HashMap, MonoTime, MoveOrder, MoveState, MoveStatus, StoreVersion};
 use apricotlug_policy::steer::{Evidence, MoveDecision, Rollout, Stage};
 use rand::RngExt;
 
@@ -14,13 +14,20 @@
 /// Pseudo-run that collects the evidence of departed runs for which this instance does not report.
 const DEPARTED_UNREPORTED: u64 = 1;
 
+/// Odd factor by which the era of an order enters its number, which a wrong match of two eras' orders
+/// needs to be unlikely.
+const ERA_FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
+
 /// Move of one service.
 #[derive(Clone, Debug)]
 struct ServiceMove {
     order: MoveOrder,
-    order_revision: u64,
+    order_version: StoreVersion,
     rollout: Rollout,
-    status: Option<(MoveStatus, u64)>,
+    /// State that was decided; `None` before the first.
+    state: Option<MoveState>,
+    /// Whether the store holds that state for this order. A copy to which it went back may not.
+    is_stored: bool,
     own_evidence: Evidence,
     reported_evidence: HashMap<u64, Evidence>,
 }
@@ -43,8 +50,8 @@
     pub service: String,
     /// New status of the move.
     pub status: MoveStatus,
-    /// Revision in the store of the status that this one replaces; 0 if there is none.
-    pub replaced_revision: u64,
+    /// Version in the store of the status that this one replaces; revision 0 if there is none.
+    pub replaced: StoreVersion,
     /// Responses on which the decision is based.
     pub evidence: Evidence,
 }
@@ -53,47 +60,126 @@
 #[derive(Clone, Debug, Default)]
 pub struct Moves {
     moves: HashMap<String, ServiceMove>,
-    statuses: HashMap<String, (MoveStatus, u64)>,
+    /// Statuses that the store holds.
+    statuses: HashMap<String, (MoveStatus, StoreVersion)>,
+    /// Last finished move of each service whose order was removed: a copy may have the order still.
+    finished: HashMap<String, ServiceMove>,
+    era: u64,
+    /// Time until which an order that is read may be one that is known, of an earlier era, and until
+    /// which nothing new is decided.
+    settles_at: MonoTime,
 }
 
 impl Moves {
-    /// Records an order. `revision` is its revision in the store, which distinguishes two orders
-    /// for the same version.
-    pub fn on_order(&mut self, order: MoveOrder, revision: u64, now: MonoTime) {
-        let known = self.moves.get(&order.service);
-        if known.is_some_and(|service_move| service_move.order_revision == revision) {
+    /// Records the first read of an era, before its orders and statuses: the store may have gone
+    /// back to a copy, and gives revisions out again. Until `settles_at`, an order that says the same
+    /// as one that is known is taken for that one, and a finished move stays finished.
+    pub fn on_era(&mut self, era: u64, settles_at: MonoTime) {
+        self.era = era;
+        self.settles_at = settles_at;
+        let moves = self.moves.values_mut();
+        moves.for_each(|service_move| service_move.order_version.era = era);
+        let statuses = self.statuses.values_mut();
+        statuses.for_each(|(_, version)| version.era = era);
+    }
+
+    /// Returns the order of a service that moves.
+    #[must_use]
+    pub fn order(&self, service: &str) -> Option<&MoveOrder> {
+        self.moves
+            .get(service)
+            .map(|service_move| &service_move.order)
+    }
+
+    /// Records an order. `version` is its version in the store, which distinguishes two orders
+    /// for the same version of the service.
+    pub fn on_order(&mut self, order: MoveOrder, version: StoreVersion, now: MonoTime) {
+        let service = order.service.clone();
+        let known = self.moves.get(&service);
+        if known.is_some_and(|service_move| service_move.order_version == version) {
             return;
         }
-        let service = order.service.clone();
         let status = self.statuses.get(&service);
         // A status written before this order belongs to an earlier move.
-        let status = status.filter(|(status, at)| status.target == order.target && *at > revision);
+        let status = status.filter(|(status, at)| status.target == order.target && *at > version);
+        let state = status.map(|(status, _)| status.state);
+        if self.is_settling(now)
+            && let Some(mut same) = self.take_same(&order)
+        {
+            same.order_version = version;
+            same.is_stored = state == same.state;
+            self.moves.insert(service, same);
+            return;
+        }
         let within = Duration::from_millis(order.within_ms.into());
         let service_move = ServiceMove {
-            status: status.cloned(),
+            state,
+            is_stored: state.is_some(),
             rollout: Rollout::new(now, within),
             order,
-            order_revision: revision,
+            order_version: version,
             own_evidence: Evidence::default(),
             reported_evidence: HashMap::default(),
         };
         self.moves.insert(service, service_move);
     }
 
+    /// Takes the move in progress, or the finished one, that an order says again.
+    fn take_same(&mut self, order: &MoveOrder) -> Option<ServiceMove> {
+        let is_same = |known: &mut ServiceMove| known.order == *order;
+        let in_force = self.moves.get_mut(&order.service);
+        if in_force.is_some_and(is_same) {
+            return self.moves.remove(&order.service);
+        }
+        let finished = self.finished.get_mut(&order.service);
+        if finished.is_some_and(is_same) {
+            return self.finished.remove(&order.service);
+        }
+        None
+    }
+
+    fn is_settling(&self, now: MonoTime) -> bool {
+        !self.settles_at.is_past(now)
+    }
+
     /// Ends the move whose order was removed from the store.
     pub fn on_order_removed(&mut self, service: &str) {
-        self.moves.remove(service);
+        let removed = self.moves.remove(service);
+        if let Some(finished) = removed.filter(ServiceMove::is_final) {
+            self.finished.insert(service.to_owned(), finished);
+        }
     }
 
     /// Records the status that the store holds for a service.
-    pub fn on_status(&mut self, service: &str, status: MoveStatus, revision: u64) {
-        if let Some(service_move) = self.moves.get_mut(service)
-            && service_move.order.target == status.target
-            && revision > service_move.order_revision
-        {
-            service_move.status = Some((status.clone(), revision));
+    pub fn on_status(
+        &mut self,
+        service: &str,
+        status: MoveStatus,
+        version: StoreVersion,
+        now: MonoTime,
+    ) {
+        let is_settling = self.is_settling(now);
+        if let Some(service_move) = self.moves.get_mut(service) {
+            let is_of_order =
+                service_move.order.target == status.target && version > service_move.order_version;
+            let takes_back = is_settling && service_move.is_final() && !is_final(status.state);
+            if is_of_order && !takes_back {
+                service_move.state = Some(status.state);
+                service_move.is_stored = true;
+            } else if is_settling {
+                service_move.is_stored = false;
+            }
+        }
+        self.statuses.insert(service.to_owned(), (status, version));
+    }
+
+    /// Records that the store holds no status for a service any more.
+    pub fn on_status_removed(&mut self, service: &str, now: MonoTime) {
+        self.statuses.remove(service);
+        let is_settling = self.is_settling(now);
+        if let Some(service_move) = self.moves.get_mut(service).filter(|_| is_settling) {
+            service_move.is_stored = false;
         }
-        self.statuses.insert(service.to_owned(), (status, revision));
     }
 
     /// Returns which versions may serve a request, or `None` if the service does not move. While
@@ -106,9 +192,8 @@
         now: MonoTime,
     ) -> Option<VersionChoice> {
         let service_move = self.moves.get_mut(service)?;
-        let state = service_move.status.as_ref().map(|(status, _)| status.state);
         let evidence = service_move.evidence();
-        let (is_target, may_fall_back) = match state {
+        let (is_target, may_fall_back) = match service_move.state {
             Some(MoveState::Completed) => (true, false),
             Some(MoveState::RolledBack) => (false, false),
             None | Some(MoveState::Running) => match service_move.rollout.advance(&evidence, now) {
@@ -211,16 +296,17 @@
 
     /// Returns the statuses that are due to be written.
     pub fn due_statuses(&mut self, now: MonoTime) -> Vec<DueStatus> {
+        let is_settling = self.is_settling(now);
         let due = self.moves.iter_mut().filter_map(|(service, service_move)| {
-            let (state, replaced_revision) = service_move.due_state(now)?;
+            let state = service_move.due_state(is_settling, now)?;
+            let held = self.statuses.get(service);
             Some(DueStatus {
                 service: service.clone(),
                 status: MoveStatus {
                     target: service_move.order.target.clone(),
                     state,
                 },
-                replaced_revision: replaced_revision
-                    .unwrap_or_else(|| self.statuses.get(service).map_or(0, |(_, at)| *at)),
+                replaced: held.map_or(StoreVersion::new(self.era, 0), |(_, version)| *version),
                 evidence: service_move.evidence(),
             })
         });
@@ -228,10 +314,15 @@
     }
 }
 
+fn is_final(state: MoveState) -> bool {
+    matches!(state, MoveState::Completed | MoveState::RolledBack)
+}
+
 impl ServiceMove {
     /// Returns the number that identifies this order on all instances.
     fn id(&self, service: &str) -> u64 {
-        name_hash(service) ^ self.order_revision.rotate_left(32)
+        let StoreVersion { era, revision } = self.order_version;
+        name_hash(service) ^ revision.rotate_left(32) ^ era.wrapping_mul(ERA_FACTOR)
     }
 
     fn evidence(&self) -> Evidence {
@@ -241,21 +332,24 @@
     }
 
     fn is_final(&self) -> bool {
-        let state = self.status.as_ref().map(|(status, _)| status.state);
-        matches!(state, Some(MoveState::Completed | MoveState::RolledBack))
+        self.state.is_some_and(is_final)
     }
 
-    fn due_state(&mut self, now: MonoTime) -> Option<(MoveState, Option<u64>)> {
+    /// Returns the state that is due to be written. While a new era settles, that is only one that
+    /// was decided before: others may know of a decision that this instance has not read.
+    fn due_state(&mut self, is_settling: bool, now: MonoTime) -> Option<MoveState> {
         if self.is_final() {
+            return self.state.filter(|_| !self.is_stored);
+        }
+        if is_settling {
             return None;
         }
         let evidence = self.evidence();
         self.rollout.advance(&evidence, now);
-        let replaced_revision = self.status.as_ref().map(|(_, at)| *at);
         match self.rollout.decide(now) {
-            MoveDecision::Complete => Some((MoveState::Completed, replaced_revision)),
-            MoveDecision::TakeBack => Some((MoveState::RolledBack, replaced_revision)),
-            MoveDecision::Continue if self.status.is_none() => Some((MoveState::Running, None)),
+            MoveDecision::Complete => Some(MoveState::Completed),
+            MoveDecision::TakeBack => Some(MoveState::RolledBack),
+            MoveDecision::Continue if !self.is_stored => Some(MoveState::Running),
             MoveDecision::Continue => None,
         }
     }
--- a/crates/apricotlug-steer/src/peers.rs
+++ b/crates/apricotlug-steer/src/peers.rs
@@ -117,6 +117,13 @@
             .map(|known| known.info.run)
     }
 
+    /// Returns whether an instance is registered with another run.
+    #[must_use]
+    pub fn has_other_run(&self, name: &str, run: u64) -> bool {
+        let known = self.0.get(name);
+        known.is_some_and(|member| member.is_registered && member.info.run != run)
+    }
+
     /// Marks an instance's entry as removed. An instance that still sends datagrams stays until
     /// they cease.
     pub fn deregister(&mut self, name: &str) {
--- a/crates/apricotlug-steer/src/registration.rs
+++ b/crates/apricotlug-steer/src/registration.rs
@@ -3,8 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use apricotlug_adapter::{
-    ConditionalWrite, ConditionalWriteOutcome, StoreClient, StoreError, member_key,
+    ConditionalWrite, ConditionalWriteOutcome, Lease, StoreClient, StoreError, member_key,
 };
+use apricotlug_model::MonoTime;
 use async_std::task;
 
 use crate::{peers::MemberInfo, shared::Shared};
@@ -28,24 +29,34 @@
 /// Maintains the entry until the instance leaves, then ends its lease.
 pub async fn maintain_entry(shared: Arc<Shared>, mut store: StoreClient) {
     let mut lease = None;
+    let mut granted_in = 0;
     while !shared.drain.is_leaving() {
+        // The copy to which the store went back may have neither the lease nor the entry, or
+        // another's lease by the same id.
+        lease = lease.filter(|_| known_era(&shared, &store) <= granted_in);
         let result = match lease {
-            None => register(&shared, &mut store)
-                .await
-                .map(|id| lease = Some(id)),
-            Some(id) => store.renew_lease(id, CALL_TIMEOUT).await,
+            None => register(&shared, &mut store).await.map(|granted| {
+                granted_in = granted.era.max(known_era(&shared, &store));
+                lease = Some(granted);
+            }),
+            Some(held) => store.renew_lease(held, CALL_TIMEOUT).await,
         };
         match result {
-            Ok(()) => sleep_unless_leaving(&shared, renew_interval(&shared)).await,
-            Err(StoreError::NotFound) => lease = None,
+            Ok(()) => {
+                let until = shared.clock.now().after(renew_interval(&shared));
+                let is_new_era = || known_era(&shared, &store) > granted_in;
+                sleep_unless_leaving(&shared, until, is_new_era).await;
+            }
+            Err(StoreError::NotFound | StoreError::OtherEra(_)) => lease = None,
             Err(e) => {
                 tracing::debug!(kind = "member_entry", error = %e);
-                sleep_unless_leaving(&shared, RETRY_DELAY).await;
+                let until = shared.clock.now().after(RETRY_DELAY);
+                sleep_unless_leaving(&shared, until, || false).await;
             }
         }
     }
-    if let Some(id) = lease
-        && let Err(e) = store.end_lease(id, CALL_TIMEOUT).await
+    if let Some(held) = lease
+        && let Err(e) = store.end_lease(held, CALL_TIMEOUT).await
     {
         tracing::warn!(kind = "member_entry_left", error = %e);
     }
@@ -60,17 +71,22 @@
     }
 }
 
-async fn sleep_unless_leaving(shared: &Shared, duration: Duration) {
-    let until = shared.clock.now().after(duration);
-    while !shared.drain.is_leaving() && !until.is_past(shared.clock.now()) {
+/// Returns the newest era of the store that this instance has seen.
+fn known_era(shared: &Shared, store: &StoreClient) -> u64 {
+    store.newest_era().max(shared.change_log.era())
+}
+
+/// Sleeps until a time, or until the instance leaves or something else ends the wait.
+async fn sleep_unless_leaving(shared: &Shared, until: MonoTime, is_ended: impl Fn() -> bool) {
+    while !shared.drain.is_leaving() && !is_ended() && !until.is_past(shared.clock.now()) {
         task::sleep(Duration::from_millis(100).min(shared.clock.remaining(until))).await;
     }
 }
 
-async fn register(shared: &Shared, store: &mut StoreClient) -> Result<u64, StoreError> {
+async fn register(shared: &Shared, store: &mut StoreClient) -> Result<Lease, StoreError> {
     let settings = shared.settings();
     let ttl = LEASE_TTL.max(Duration::from_millis(settings.min_lease_ms.into()));
-    let (lease, _) = store.grant_lease(ttl, CALL_TIMEOUT).await?;
+    let lease = store.grant_lease(ttl, CALL_TIMEOUT).await?;
     let info = MemberInfo {
         run: shared.run,
         caller: settings.listen.caller,
@@ -83,11 +99,17 @@
         key: member_key(&settings.instance),
         expected: None,
         value: Some(value),
-        lease,
+        lease: lease.id,
+        era: lease.era,
     };
     match store.write_conditional(write, CALL_TIMEOUT).await? {
-        ConditionalWriteOutcome::Done(revision) => {
-            tracing::info!(kind = "member_entry", lease, revision);
+        ConditionalWriteOutcome::Done(version) => {
+            tracing::info!(
+                kind = "member_entry",
+                lease = lease.id,
+                revision = version.revision,
+                era = version.era
+            );
             let now = shared.clock.now();
             shared.steering().limit_share.on_entered(now);
             Ok(lease)
--- a/crates/apricotlug-steer/src/relay/change_log.rs
+++ b/crates/apricotlug-steer/src/relay/change_log.rs
@@ -10,7 +10,7 @@
 };
 
 use apricotlug_adapter::{Change, Item, Listing};
-use apricotlug_model::{BootTime, HashMap};
+use apricotlug_model::{BootTime, HashMap, StoreVersion};
 use async_channel::{Receiver, Sender};
 use thiserror::Error;
 
@@ -34,7 +34,7 @@
 #[derive(Debug)]
 struct ChangedKey {
     key: String,
-    /// Revision of the store's response that contained the change.
+    /// Revision of the store's response that contained the change, in the era of the log.
     revision: u64,
 }
 
@@ -61,7 +61,8 @@
     next_position: Position,
     /// Revision after which the last changes of all keys are kept.
     complete_after: u64,
-    revision: u64,
+    /// Version up to which changes are recorded. Nothing is kept of an earlier era.
+    version: StoreVersion,
     /// Time as of which all changes are recorded; `None` before the first read.
     read_at: Option<BootTime>,
     /// Channel that closes at the next change. Everyone who waits holds a receiver of it, so that
@@ -73,7 +74,7 @@
 
 impl Inner {
     fn record(&mut self, changes: &[Change], revision: u64, read_at: BootTime) {
-        self.revision = self.revision.max(revision);
+        self.version.revision = self.version.revision.max(revision);
         self.read_at = self.read_at.max(Some(read_at));
         if changes.is_empty() {
             return;
@@ -87,10 +88,34 @@
         while self.removed.len() > MAX_REMOVED_KEYS || self.removed_bytes > MAX_REMOVED_BYTES {
             self.drop_oldest_removal();
         }
+        self.wake();
+    }
+
+    /// Ends the waits for a change.
+    fn wake(&mut self) {
         self.next_change.0.close();
         self.next_change = NextChange::default();
     }
 
+    /// Replaces everything by the listing of a newer era, whose revisions say nothing about those
+    /// that were recorded.
+    fn restart(&mut self, listing: &Listing, read_at: BootTime) {
+        let (next_position, known_at) = (self.next_position, self.read_at);
+        let next_change = std::mem::take(&mut self.next_change);
+        *self = Self {
+            next_position,
+            next_change,
+            version: listing.version,
+            complete_after: listing.version.revision,
+            read_at: known_at.max(Some(read_at)),
+            ..Self::default()
+        };
+        for item in &listing.items {
+            self.replace(&item.key, Some(item.clone()));
+        }
+        self.wake();
+    }
+
     /// Records the last change of a key in place of the previous one.
     fn replace(&mut self, key: &str, item: Option<Item>) {
         let position = self.next_position;
@@ -110,7 +135,7 @@
         }
         let changed = ChangedKey {
             key: key.to_owned(),
-            revision: self.revision,
+            revision: self.version.revision,
         };
         self.order.insert(position, changed);
     }
@@ -145,13 +170,40 @@
         changes
     }
 
-    fn delta_after(&self, revision: u64) -> Delta {
-        let is_empty = self.revision == 0;
-        if !is_empty && (revision < self.complete_after || revision == 0) {
+    /// Returns the changes that lead from the items that exist to those of a listing. A value counts
+    /// as well as a revision, which another era may have given to another value.
+    fn changes_to(&self, listing: &Listing) -> Vec<Change> {
+        let listed: HashMap<&str, &Item> = listing
+            .items
+            .iter()
+            .map(|item| (item.key.as_str(), item))
+            .collect();
+        let removed = self.items().map(|item| &item.key);
+        let removed = removed.filter(|key| !listed.contains_key(key.as_str()));
+        let removed = removed.map(|key| Change::Removed(key.clone()));
+        let updated = listing.items.iter().filter(|item| {
+            let last = self.keys.get(&item.key);
+            let held = last.and_then(|last| last.item.as_ref());
+            held.is_none_or(|held| held.revision != item.revision || held.value != item.value)
+        });
+        let updated = updated.map(|item| Change::Put(item.clone()));
+        let mut changes: Vec<_> = removed.chain(updated).collect();
+        changes.sort_by(|one, other| one.key().cmp(other.key()));
+        changes
+    }
+
+    fn delta_after(&self, known: StoreVersion) -> Delta {
+        let is_empty = self.version.revision == 0;
+        let is_older_era = known.era < self.version.era;
+        let is_incomplete = known.revision < self.complete_after || known.revision == 0;
+        if !is_empty && (is_older_era || known.era == self.version.era && is_incomplete) {
             let all = self.items().cloned().map(Change::Put);
             return Delta::Full(all.collect());
         }
-        let changes = self.changes_after(revision);
+        if known.era > self.version.era {
+            return Delta::Unchanged(self.next_change.1.clone());
+        }
+        let changes = self.changes_after(known.revision);
         if changes.is_empty() {
             return Delta::Unchanged(self.next_change.1.clone());
         }
@@ -159,48 +211,59 @@
     }
 }
 
-/// Error of a listing that would take the items back.
+/// Error of a read that would take the items back, or that does not follow from what is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("the listing is of revision {listed}, and revision {known} is known")]
-pub struct OlderListing {
-    /// Revision of the listing.
-    pub listed: u64,
-    /// Revision up to which changes are recorded.
-    pub known: u64,
+#[error("the read is of version {read}, and version {known} is known")]
+pub struct OlderRead {
+    /// Version of the read.
+    pub read: StoreVersion,
+    /// Version up to which changes are recorded.
+    pub known: StoreVersion,
+}
+
+/// What a listing changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedChanges {
+    /// Changes from the previous state, in order of keys.
+    pub changes: Vec<Change>,
+    /// Version before the listing, if that was of an earlier era: the listing may be of an older
+    /// state.
+    pub replaced_era: Option<StoreVersion>,
 }
 
 /// Items of the store and their recent changes.
 #[derive(Debug, Default)]
 pub struct ChangeLog(Mutex<Inner>);
 
-/// What changed after a given revision, and as of when.
+/// What changed after a given version, and as of when.
 ///
 /// The three are taken at once: a change that is recorded in between would count as passed on.
 #[derive(Debug)]
 pub struct Snapshot {
-    /// Changes after the given revision.
+    /// Changes after the given version.
     pub delta: Delta,
-    /// Revision up to which the changes go.
-    pub revision: u64,
+    /// Version up to which the changes go.
+    pub version: StoreVersion,
     /// Time as of which they are all changes; `None` before the first read.
     pub read_at: Option<BootTime>,
 }
 
-/// Changes after a given revision.
+/// Changes after a given version.
 #[derive(Debug)]
 pub enum Delta {
     /// Nothing yet; the channel closes at the next change.
     Unchanged(Receiver<()>),
     /// Last change of each key, in the order in which they were recorded.
     Changes(Vec<Change>),
-    /// All items, because not all changes since the revision are kept.
+    /// All items, because not all changes since the version are kept, or it is of an
+    /// earlier era.
     Full(Vec<Change>),
 }
 
 impl ChangeLog {
-    /// Records a full listing, requested at `read_at`, as the changes from the previous state, so that a store that drops
-    /// its history does not make every instance fetch all items again. Returns these changes in
-    /// order of keys.
+    /// Records a full listing, requested at `read_at`, as the changes from the previous state, so
+    /// that a store that drops its history does not make every instance fetch all items again. The
+    /// listing of a newer era is taken whatever its revision.
     ///
     /// # Errors
     /// Returns an error if the listing is older than what is known, and then changes nothing.
@@ -208,40 +271,62 @@
         &self,
         listing: &Listing,
         read_at: BootTime,
-    ) -> Result<Vec<Change>, OlderListing> {
+    ) -> Result<ListedChanges, OlderRead> {
         let mut inner = self.lock();
-        if listing.revision < inner.revision {
-            return Err(OlderListing {
-                listed: listing.revision,
-                known: inner.revision,
+        if listing.version < inner.version {
+            return Err(OlderRead {
+                read: listing.version,
+                known: inner.version,
             });
         }
-        if inner.revision == 0 {
-            inner.complete_after = listing.revision;
+        let changes = inner.changes_to(listing);
+        let replaced_era = Some(inner.version).filter(|known| listing.version.era > known.era);
+        if replaced_era.is_some() {
+            inner.restart(listing, read_at);
+        } else {
+            if inner.version.revision == 0 {
+                inner.complete_after = listing.version.revision;
+            }
+            inner.record(&changes, listing.version.revision, read_at);
         }
-        let listed: HashMap<&str, &Item> = listing
-            .items
-            .iter()
-            .map(|item| (item.key.as_str(), item))
-            .collect();
-        let removed = inner.items().map(|item| &item.key);
-        let removed = removed.filter(|key| !listed.contains_key(key.as_str()));
-        let removed = removed.map(|key| Change::Removed(key.clone()));
-        let updated = listing.items.iter().filter(|item| {
-            let last = inner.keys.get(&item.key);
-            let held = last.and_then(|last| last.item.as_ref());
-            held.is_none_or(|held| held.revision != item.revision)
-        });
-        let updated = updated.map(|item| Change::Put(item.clone()));
-        let mut changes: Vec<_> = removed.chain(updated).collect();
-        changes.sort_by(|one, other| key_of(one).cmp(key_of(other)));
-        inner.record(&changes, listing.revision, read_at);
-        Ok(changes)
+        Ok(ListedChanges {
+            changes,
+            replaced_era,
+        })
     }
 
-    /// Records the changes up to a revision, which were requested at `read_at`.
-    pub fn on_changes(&self, changes: &[Change], revision: u64, read_at: BootTime) {
-        self.lock().record(changes, revision, read_at);
+    /// Records the changes up to a version, which were requested at `read_at`.
+    ///
+    /// # Errors
+    /// Returns an error if the version is of another era than what is known, and then changes
+    /// nothing.
+    pub fn on_changes(
+        &self,
+        changes: &[Change],
+        version: StoreVersion,
+        read_at: BootTime,
+    ) -> Result<(), OlderRead> {
+        let mut inner = self.lock();
+        if version.era != inner.version.era {
+            return Err(OlderRead {
+                read: version,
+                known: inner.version,
+            });
+        }
+        inner.record(changes, version.revision, read_at);
+        Ok(())
+    }
+
+    /// Returns the first item whose key passes a test.
+    pub fn find(&self, is_sought: impl Fn(&str) -> bool) -> Option<Item> {
+        let inner = self.lock();
+        inner.items().find(|item| is_sought(&item.key)).cloned()
+    }
+
+    /// Returns the era of what is known; 0 before the first read.
+    #[must_use]
+    pub fn era(&self) -> u64 {
+        self.lock().version.era
     }
 
     /// Returns how many instances wait for a change.
@@ -258,12 +343,13 @@
         self.lock().held_bytes
     }
 
-    /// Returns what changed after a revision; nothing before the first listing.
-    pub fn snapshot_after(&self, revision: u64) -> Snapshot {
+    /// Returns what changed after a version: all items if it is of an earlier era, and nothing before
+    /// the first listing or if it is of a later era.
+    pub fn snapshot_after(&self, known: StoreVersion) -> Snapshot {
         let inner = self.lock();
         Snapshot {
-            delta: inner.delta_after(revision),
-            revision: inner.revision,
+            delta: inner.delta_after(known),
+            version: inner.version,
             read_at: inner.read_at,
         }
     }
@@ -273,13 +359,6 @@
     }
 }
 
-fn key_of(change: &Change) -> &str {
-    match change {
-        Change::Put(item) => &item.key,
-        Change::Removed(key) => key,
-    }
-}
-
 fn value_len(item: &Option<Item>) -> usize {
     item.as_ref().map_or(0, |item| item.value.len())
 }
--- a/crates/apricotlug-steer/src/relay/client.rs
+++ b/crates/apricotlug-steer/src/relay/client.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
+use apricotlug_model::StoreVersion;
 use async_std::{future::timeout, net::TcpStream};
 
 use super::{read, write};
@@ -24,7 +25,7 @@
     shared: &Shared,
     conn: &mut Option<(SocketAddr, TcpStream)>,
     relay: SocketAddr,
-    after: u64,
+    after: StoreVersion,
     wait: Duration,
 ) -> io::Result<RelayResponse> {
     let reusable = conn.take().filter(|(addr, _)| *addr == relay);
--- a/crates/apricotlug-steer/src/relay/mod.rs
+++ b/crates/apricotlug-steer/src/relay/mod.rs
@@ -9,7 +9,7 @@
 mod client;
 mod server;
 
-pub use change_log::{ChangeLog, Delta, OlderListing, Snapshot};
+pub use change_log::{ChangeLog, Delta, ListedChanges, OlderRead, Snapshot};
 pub use client::poll;
 pub use server::serve;
 
--- a/crates/apricotlug-steer/src/relay/server.rs
+++ b/crates/apricotlug-steer/src/relay/server.rs
@@ -94,7 +94,7 @@
     let now = StoreFreshness::now();
     let mut response = RelayResponse {
         run: shared.run,
-        revision: snapshot.revision,
+        version: snapshot.version,
         is_full,
         held_ms: whole_ms(now.since(received_at)),
         age_ms: snapshot
--- a/crates/apricotlug-steer/src/shared.rs
+++ b/crates/apricotlug-steer/src/shared.rs
@@ -9,7 +9,7 @@
 
 use apricotlug_config::SiteSettings;
 use apricotlug_edge::{Clock, Drain, Metrics};
-use apricotlug_model::Plan;
+use apricotlug_model::{BootTime, Plan, StoreVersion};
 use apricotlug_policy::steer::Leave;
 use async_channel::{Receiver, Sender};
 
@@ -19,6 +19,7 @@
     pool::Pool,
     relay::ChangeLog,
     steering::SteeringState,
+    store_era::EraGrace,
 };
 
 /// Plan and evacuations that operators ordered, as last read from the store.
@@ -64,8 +65,8 @@
 pub struct LastRead {
     /// What it was read from.
     pub origin: ReadOrigin,
-    /// Revision up to which the items are known.
-    pub revision: u64,
+    /// Version up to which the items are known.
+    pub version: StoreVersion,
 }
 
 /// Shared state of one instance.
@@ -86,6 +87,8 @@
     operator_state: RwLock<Arc<OperatorState>>,
     /// Items and recent changes of the store, for instances that poll this one.
     pub change_log: ChangeLog,
+    /// What is kept of the era before the store came back from a copy.
+    pub era_grace: EraGrace,
     /// Idle connections to backend servers.
     pub pool: Pool,
     /// Bytes of response bodies that are buffered.
@@ -112,6 +115,7 @@
             settings: RwLock::new(Arc::new(settings)),
             operator_state: RwLock::default(),
             change_log: ChangeLog::default(),
+            era_grace: EraGrace::default(),
             pool: Pool::default(),
             buffered_bytes: Arc::default(),
             drain: Drain::default(),
@@ -161,12 +165,21 @@
             tracing::info!(
                 kind = "read_from",
                 read_from = %read.origin,
-                revision = read.revision,
+                revision = read.version.revision,
+                era = read.version.era,
                 news_ms = self.freshness.age_ms()
             );
         }
     }
 
+    /// Records that everything written before `read_at` is in force here, unless a plan may be
+    /// missing that was confirmed before the store came back from a copy.
+    pub fn on_items_read(&self, read_at: BootTime) {
+        if !self.era_grace.may_lack_plan(self.clock.now()) {
+            self.freshness.record_read(read_at);
+        }
+    }
+
     /// Returns whether every plan is known that has to be in force by now.
     #[must_use]
     pub fn knows_plan_in_force(&self) -> bool {
--- a/crates/apricotlug-steer/src/store_changes.rs
+++ b/crates/apricotlug-steer/src/store_changes.rs
@@ -12,9 +12,9 @@
     Change, Item, StoreKey, decode_backend, decode_move, decode_move_status, decode_plan,
     is_plan_key, parse_key,
 };
-use apricotlug_model::MonoTime;
+use apricotlug_model::{MonoTime, StoreVersion};
 
-use crate::{peers::MemberInfo, shared::Shared};
+use crate::{peers::MemberInfo, relay::ListedChanges, shared::Shared, store_era::begin_era};
 
 /// Time after the store recovers during which backend servers whose entries expired in the outage
 /// stay registered. A live backend server writes its entry again within two seconds.
@@ -69,8 +69,38 @@
     }
 }
 
+/// Applies the changes of a listing. Where it is the first of an era, what it takes back is held
+/// back at first.
+pub fn apply_listed(
+    shared: &Shared,
+    expiry_grace: &ExpiryGrace,
+    listed: ListedChanges,
+    version: StoreVersion,
+) {
+    if listed.replaced_era.is_some() {
+        expiry_grace.on_store_recovered(shared.clock.now());
+        let changes = begin_era(shared, listed, version);
+        apply_changes(shared, expiry_grace, changes, version.era);
+    } else {
+        apply_later_changes(shared, expiry_grace, listed.changes, version.era);
+    }
+}
+
+/// Applies changes that were made within the era that is known.
+pub fn apply_later_changes(
+    shared: &Shared,
+    expiry_grace: &ExpiryGrace,
+    changes: Vec<Change>,
+    era: u64,
+) {
+    changes
+        .iter()
+        .for_each(|change| shared.era_grace.on_change(change));
+    apply_changes(shared, expiry_grace, changes, era);
+}
+
 /// Applies changes: the newest plan first, then the others in the order in which they were made.
-pub fn apply_changes(shared: &Shared, expiry_grace: &ExpiryGrace, changes: Vec<Change>) {
+pub fn apply_changes(shared: &Shared, expiry_grace: &ExpiryGrace, changes: Vec<Change>, era: u64) {
     let is_plan = |change: &Change| matches!(change, Change::Put(item) if is_plan_key(&item.key));
     let (plans, others): (Vec<_>, Vec<_>) = changes.into_iter().partition(is_plan);
     let newest_first = plans.into_iter().rev().filter_map(Change::into_item);
@@ -81,7 +111,7 @@
     }
     for change in others {
         match change {
-            Change::Put(item) => apply_put(shared, expiry_grace, item),
+            Change::Put(item) => apply_put(shared, expiry_grace, item, era),
             Change::Removed(key) => apply_removal(shared, expiry_grace, parse_key(&key)),
         }
     }
@@ -108,8 +138,9 @@
             .any(|(_, member)| is_peer(&member.info))
 }
 
-fn apply_put(shared: &Shared, expiry_grace: &ExpiryGrace, item: Item) {
+fn apply_put(shared: &Shared, expiry_grace: &ExpiryGrace, item: Item, era: u64) {
     let now = shared.clock.now();
+    let version = StoreVersion::new(era, item.revision);
     match parse_key(&item.key) {
         StoreKey::Backend(id) => match decode_backend(&id, &item.value) {
             Ok(backend) if is_instance_addr(shared, backend.addr) => {
@@ -119,6 +150,7 @@
             }
             Ok(backend) => {
                 expiry_grace.on_entry_written(&id);
+                shared.era_grace.on_backend_written(&id, &item.value);
                 tracing::info!(
                     kind = "backend",
                     backend = id,
@@ -148,7 +180,7 @@
                     target = order.target,
                     within_ms = order.within_ms
                 );
-                shared.steering().moves.on_order(order, item.revision, now);
+                shared.steering().moves.on_order(order, version, now);
             }
             Ok(order) => reject(shared, &item.key, &format!("names {}", order.service)),
             Err(e) => reject(shared, &item.key, &e),
@@ -159,7 +191,7 @@
                 shared
                     .steering()
                     .moves
-                    .on_status(&service, status, item.revision);
+                    .on_status(&service, status, version, now);
             }
             Err(e) => reject(shared, &item.key, &e),
         },
@@ -244,6 +276,7 @@
     match key {
         StoreKey::Backend(id) => {
             let is_kept = expiry_grace.defer_removal(&id, now);
+            shared.era_grace.on_backend_removed(&id);
             tracing::info!(kind = "backend_removed", backend = id, is_kept);
             if !is_kept {
                 shared.steering().fleet.remove(&id);
@@ -275,6 +308,9 @@
             shared.steering().moves.on_order_removed(&service);
         }
         StoreKey::Plan => tracing::warn!(kind = "plan_removed"),
-        StoreKey::MoveStatus(_) | StoreKey::Other => {}
+        StoreKey::MoveStatus(service) => {
+            shared.steering().moves.on_status_removed(&service, now);
+        }
+        StoreKey::Other => {}
     }
 }
--- a/crates/apricotlug-steer/src/store_sync.rs
+++ b/crates/apricotlug-steer/src/store_sync.rs
@@ -4,16 +4,17 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use apricotlug_adapter::{Change, Listing, StoreClient, StoreError, all_keys, member_prefix};
-use apricotlug_model::BootTime;
+use apricotlug_model::{BootTime, StoreVersion};
 use apricotlug_policy::steer::{Read, ReadSchedule};
 use async_std::{future::timeout, net::TcpStream, task};
 
 use crate::{
     freshness::StoreFreshness,
     read_sources::{read_limits, read_sources},
-    relay,
+    relay::{self, ListedChanges, OlderRead},
     shared::{LastRead, ReadOrigin, Shared},
-    store_changes::{ExpiryGrace, apply_changes, register_members},
+    store_changes::{ExpiryGrace, apply_later_changes, apply_listed, register_members},
+    store_era::{keep_newer_plan, without_older_plans},
     wire::RelayResponse,
 };
 
@@ -103,6 +104,8 @@
         loop {
             // Settings may have been reloaded.
             self.schedule.set_limits(read_limits(shared));
+            // Another call to the store may have been answered under a newer era.
+            self.schedule.on_era(self.store.newest_era());
             let read = self
                 .schedule
                 .next(&read_sources(shared), shared.clock.now());
@@ -146,7 +149,7 @@
         shared: &Shared,
         expiry_grace: &ExpiryGrace,
         instance: SocketAddr,
-        after: u64,
+        after: StoreVersion,
         wait: Duration,
     ) -> io::Result<()> {
         let requested_at = StoreFreshness::now();
@@ -162,15 +165,15 @@
             let was_lost = self.schedule.on_store_response();
             on_store_response(shared, expiry_grace, was_lost);
         }
-        let revision = after.max(response.revision);
-        let changes = record_response(shared, response, revision, read_at)?;
+        let version = after.max(response.version);
+        let listed = record_response(shared, response, version, read_at)?;
         shared.on_read(LastRead {
             origin: ReadOrigin::Instance(instance),
-            revision,
+            version,
         });
-        apply_changes(shared, expiry_grace, changes);
-        self.schedule.on_poll(revision);
-        shared.freshness.record_read(read_at);
+        apply_listed(shared, expiry_grace, listed, version);
+        self.schedule.on_poll(version);
+        shared.on_items_read(read_at);
         Ok(())
     }
 
@@ -200,18 +203,20 @@
         expiry_grace: &ExpiryGrace,
     ) -> Result<(), StoreError> {
         let requested_at = StoreFreshness::now();
-        let listing = self.store.list(all_keys(), LIST_TIMEOUT).await?;
+        let mut listing = self.store.list(all_keys(), LIST_TIMEOUT).await?;
         tracing::info!(
             kind = "listed",
             items = listing.items.len(),
-            revision = listing.revision
+            revision = listing.version.revision,
+            era = listing.version.era
         );
         self.before_passing_on(shared);
-        let changes = shared.change_log.on_listing(&listing, requested_at);
-        let changes = changes.map_err(|e| StoreError::Malformed(e.to_string()))?;
-        self.on_store_read(shared, expiry_grace, listing.revision);
-        apply_changes(shared, expiry_grace, changes);
-        shared.freshness.record_read(requested_at);
+        keep_newer_plan(&shared.change_log, &mut listing);
+        let listed = shared.change_log.on_listing(&listing, requested_at);
+        let listed = listed.map_err(|e| StoreError::Malformed(e.to_string()))?;
+        self.on_store_read(shared, expiry_grace, listing.version);
+        apply_listed(shared, expiry_grace, listed, listing.version);
+        shared.on_items_read(requested_at);
         Ok(())
     }
 
@@ -219,17 +224,20 @@
         &mut self,
         shared: &Shared,
         expiry_grace: &ExpiryGrace,
-        after: u64,
+        after: StoreVersion,
         wait: Duration,
     ) -> Result<(), StoreError> {
         let requested_at = StoreFreshness::now();
         let watching = self.store.watch(all_keys(), after, wait, WATCH_SLACK);
         let (changes, next) = watching.await?;
         self.before_passing_on(shared);
-        shared.change_log.on_changes(&changes, next, requested_at);
+        let log = &shared.change_log;
+        let recorded = without_older_plans(log, &changes);
+        let is_recorded = log.on_changes(&recorded, next, requested_at);
+        is_recorded.map_err(|e| StoreError::Malformed(e.to_string()))?;
         self.on_store_read(shared, expiry_grace, next);
-        apply_changes(shared, expiry_grace, changes);
-        shared.freshness.record_read(requested_at);
+        apply_later_changes(shared, expiry_grace, changes, next.era);
+        shared.on_items_read(requested_at);
         Ok(())
     }
 
@@ -240,12 +248,17 @@
         shared.passes_on_until.set_after(slack);
     }
 
-    fn on_store_read(&mut self, shared: &Shared, expiry_grace: &ExpiryGrace, revision: u64) {
-        let was_lost = self.schedule.on_store_read(revision);
+    fn on_store_read(
+        &mut self,
+        shared: &Shared,
+        expiry_grace: &ExpiryGrace,
+        version: StoreVersion,
+    ) {
+        let was_lost = self.schedule.on_store_read(version);
         on_store_response(shared, expiry_grace, was_lost);
         shared.on_read(LastRead {
             origin: ReadOrigin::Store,
-            revision,
+            version,
         });
     }
 
@@ -257,9 +270,13 @@
     }
 
     fn on_store_failure(&mut self, shared: &Shared, error: &StoreError) {
-        if matches!(error, StoreError::HistoryGone) {
-            self.schedule.on_history_dropped();
-            return;
+        match error {
+            StoreError::HistoryGone => return self.schedule.on_history_dropped(),
+            StoreError::OtherEra(era) => {
+                self.schedule.on_era(*era);
+                return self.schedule.on_history_dropped();
+            }
+            _ => {}
         }
         shared.metrics.on_store_read("store", "failed");
         shared.passes_on_until.set_after(Duration::ZERO);
@@ -272,25 +289,37 @@
 /// Records what another instance passed on, and returns the changes to apply.
 ///
 /// # Errors
-/// Returns an error if these are all items of an older revision than what is known.
+/// Returns an error if these are all items of an older version than what is known, or changes of
+/// another era.
 fn record_response(
     shared: &Shared,
     response: RelayResponse,
-    revision: u64,
+    version: StoreVersion,
     read_at: BootTime,
-) -> io::Result<Vec<Change>> {
+) -> io::Result<ListedChanges> {
+    let older = |e: OlderRead| io::Error::new(io::ErrorKind::InvalidData, e);
+    let log = &shared.change_log;
     if response.is_full {
         let items = response.changes.into_iter().filter_map(Change::into_item);
-        let listing = Listing {
+        let mut listing = Listing {
             items: items.collect(),
-            revision: response.revision,
+            version: response.version,
         };
-        let changes = shared.change_log.on_listing(&listing, read_at);
-        return changes.map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e));
+        keep_newer_plan(log, &mut listing);
+        return log.on_listing(&listing, read_at).map_err(older);
     }
-    let log = &shared.change_log;
-    log.on_changes(&response.changes, revision, read_at);
-    Ok(response.changes)
+    if response.version.era != version.era {
+        return Err(older(OlderRead {
+            read: response.version,
+            known: version,
+        }));
+    }
+    let recorded = without_older_plans(log, &response.changes);
+    log.on_changes(&recorded, version, read_at).map_err(older)?;
+    Ok(ListedChanges {
+        changes: response.changes,
+        replaced_era: None,
+    })
 }
 
 fn on_store_response(shared: &Shared, expiry_grace: &ExpiryGrace, was_lost: bool) {
--- a/crates/apricotlug-steer/src/wire/relay.rs
+++ b/crates/apricotlug-steer/src/wire/relay.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use apricotlug_adapter::{Change, Item};
-use apricotlug_model::BootTime;
+use apricotlug_model::{BootTime, StoreVersion};
 use capnp::{message::Builder, serialize_packed};
 
 use super::{
@@ -29,8 +29,8 @@
 pub struct RelayRequest {
     /// Run of the sender.
     pub run: u64,
-    /// Revision up to which the sender knows the store; 0 requests all items.
-    pub after: u64,
+    /// Version up to which the sender knows the store; revision 0 requests all items.
+    pub after: StoreVersion,
     /// Longest time to wait for a change, in milliseconds.
     pub wait_ms: u32,
     /// Requests that the sender admitted.
@@ -39,8 +39,6 @@
     pub evidence: Vec<MoveEvidence>,
     /// Requests in flight from the sender.
     pub loads: Vec<BackendLoad>,
-    /// Era of the store to which `after` belongs.
-    pub era: u64,
     /// Closed windows of usage that the receiver has not confirmed yet.
     pub windows: Vec<WindowUsage>,
     /// Requests by service and rank that arrived at the sender.
@@ -52,8 +50,8 @@
 pub struct RelayResponse {
     /// Run of the responder.
     pub run: u64,
-    /// Revision of the store up to which the changes go.
-    pub revision: u64,
+    /// Version of the store up to which the changes go.
+    pub version: StoreVersion,
     /// Whether the changes are all items of the store.
     pub is_full: bool,
     /// Age of the responder's last store read when it responded, in milliseconds; the maximum if it
@@ -74,8 +72,6 @@
     pub loads: Vec<BackendLoad>,
     /// Hashes of the names of the instances whose figures these are.
     pub covered: Vec<u64>,
-    /// Era of the store to which `revision` belongs.
-    pub era: u64,
     /// Numbers of the windows of usage that the responder holds now.
     pub confirmed: Vec<u64>,
     /// Requests by service and rank that arrived at all instances except the receiver.
@@ -88,7 +84,7 @@
     let mut message = Builder::new_default();
     let mut builder = message.init_root::<ask::Builder<'_>>();
     builder.set_run(source.run);
-    builder.set_after(source.after);
+    builder.set_after(source.after.revision);
     builder.set_wait_ms(source.wait_ms);
     write_usage(
         builder.reborrow().init_spent(source.usage.len() as u32),
@@ -102,7 +98,7 @@
         builder.reborrow().init_busy(source.loads.len() as u32),
         &source.loads,
     );
-    builder.set_era(source.era);
+    builder.set_era(source.after.era);
     write_windows(
         builder.reborrow().init_windows(source.windows.len() as u32),
         &source.windows,
@@ -124,12 +120,11 @@
     let reader = message.get_root::<ask::Reader<'_>>()?;
     Ok(RelayRequest {
         run: reader.get_run(),
-        after: reader.get_after(),
+        after: StoreVersion::new(reader.get_era(), reader.get_after()),
         wait_ms: reader.get_wait_ms(),
         usage: read_usage(reader.get_spent()?),
         evidence: read_evidence(reader.get_proofs()?),
         loads: read_loads(reader.get_busy()?),
-        era: reader.get_era(),
         windows: read_windows(reader.get_windows()?)?,
         demands: read_demands(reader.get_demands()?),
     })
@@ -158,7 +153,7 @@
     let mut message = Builder::new_default();
     let mut builder = message.init_root::<told::Builder<'_>>();
     builder.set_run(source.run);
-    builder.set_revision(source.revision);
+    builder.set_revision(source.version.revision);
     builder.set_is_full(source.is_full);
     builder.set_age_ms(source.age_ms);
     builder.set_held_ms(source.held_ms);
@@ -194,7 +189,7 @@
         builder.reborrow().init_covered(source.covered.len() as u32),
         &source.covered,
     );
-    builder.set_era(source.era);
+    builder.set_era(source.version.era);
     write_numbers(
         builder
             .reborrow()
@@ -232,7 +227,7 @@
     }
     Ok(RelayResponse {
         run: reader.get_run(),
-        revision: reader.get_revision(),
+        version: StoreVersion::new(reader.get_era(), reader.get_revision()),
         is_full: reader.get_is_full(),
         age_ms: reader.get_age_ms(),
         held_ms: reader.get_held_ms(),
@@ -242,7 +237,6 @@
         evidence: read_evidence(reader.get_proofs()?),
         loads: read_loads(reader.get_busy()?),
         covered: reader.get_covered()?.iter().collect(),
-        era: reader.get_era(),
         confirmed: reader.get_confirmed()?.iter().collect(),
         demands: read_demands(reader.get_demands()?),
     })
--- a/crates/apricotlug-steer/tests/change_log.rs
+++ b/crates/apricotlug-steer/tests/change_log.rs
@@ -6,12 +6,17 @@
 };
 
 use apricotlug_adapter::{Change, Item, Listing};
-use apricotlug_model::BootTime;
-use apricotlug_steer::{ChangeLog, Delta, OlderListing};
+use apricotlug_model::{BootTime, StoreVersion};
+use apricotlug_steer::{ChangeLog, Delta, OlderRead};
 
 /// Time of reads where it does not matter.
 const READ_AT: BootTime = BootTime(1);
 
+/// Returns a version of a store that names no era.
+const fn first_era(revision: u64) -> StoreVersion {
+    StoreVersion::new(0, revision)
+}
+
 fn item(key: &str, revision: u64) -> Item {
     Item {
         key: key.to_owned(),
@@ -23,7 +28,10 @@
 #[test]
 fn a_listing_after_the_history_was_dropped_yields_only_what_changed() {
     let change_log = ChangeLog::default();
-    let listing = |items: Vec<Item>, revision| Listing { items, revision };
+    let listing = |items: Vec<Item>, revision| Listing {
+        items,
+        version: first_era(revision),
+    };
     change_log
         .on_listing(
             &listing(vec![item("a", 1), item("b", 2), item("c", 3)], 5),
@@ -36,7 +44,7 @@
             READ_AT,
         )
         .unwrap();
-    let Delta::Changes(changes) = change_log.snapshot_after(5).delta else {
+    let Delta::Changes(changes) = change_log.snapshot_after(first_era(5)).delta else {
         panic!("the changes since the first listing are known");
     };
     let expected = [
@@ -46,25 +54,29 @@
     ];
     assert_eq!(changes, expected);
     assert!(matches!(
-        change_log.snapshot_after(9).delta,
+        change_log.snapshot_after(first_era(9)).delta,
         Delta::Unchanged(_)
     ));
-    assert!(matches!(change_log.snapshot_after(4).delta, Delta::Full(all) if all.len() == 3));
+    assert!(
+        matches!(change_log.snapshot_after(first_era(4)).delta, Delta::Full(all) if all.len() == 3)
+    );
 }
 
 #[test]
 fn a_relay_that_has_listed_nothing_yet_lets_its_clients_wait() {
     let change_log = ChangeLog::default();
-    let Delta::Unchanged(listed) = change_log.snapshot_after(0).delta else {
+    let Delta::Unchanged(listed) = change_log.snapshot_after(first_era(0)).delta else {
         panic!("an empty state is not the store's");
     };
     let listing = Listing {
         items: vec![item("a", 1)],
-        revision: 5,
+        version: first_era(5),
     };
     change_log.on_listing(&listing, READ_AT).unwrap();
     assert!(listed.is_closed(), "the first listing ends the wait");
-    assert!(matches!(change_log.snapshot_after(0).delta, Delta::Full(all) if all.len() == 1));
+    assert!(
+        matches!(change_log.snapshot_after(first_era(0)).delta, Delta::Full(all) if all.len() == 1)
+    );
 }
 
 /// Guards against a log that keeps replaced values: 19 storms of large desired states took every
@@ -78,7 +90,7 @@
         .on_listing(
             &Listing {
                 items: vec![item("a", 1), item("b", 2)],
-                revision: 5,
+                version: first_era(5),
             },
             READ_AT,
         )
@@ -88,7 +100,13 @@
         ..item("large", revision)
     };
     for revision in 6..6 + WRITES {
-        change_log.on_changes(&[Change::Put(large(revision))], revision, READ_AT);
+        change_log
+            .on_changes(
+                &[Change::Put(large(revision))],
+                first_era(revision),
+                READ_AT,
+            )
+            .unwrap();
     }
     assert!(
         change_log.held_bytes() < 2 * LARGE,
@@ -97,13 +115,13 @@
     );
     let last = 5 + WRITES;
     for after in [5, 50, last - 1] {
-        let Delta::Changes(changes) = change_log.snapshot_after(after).delta else {
+        let Delta::Changes(changes) = change_log.snapshot_after(first_era(after)).delta else {
             panic!("the last change of every key is kept");
         };
         assert_eq!(changes, [Change::Put(large(last))], "after {after}");
     }
     assert!(matches!(
-        change_log.snapshot_after(last).delta,
+        change_log.snapshot_after(first_era(last)).delta,
         Delta::Unchanged(_)
     ));
 }
@@ -117,7 +135,7 @@
         .on_listing(
             &Listing {
                 items: vec![item("a", 1)],
-                revision: 5,
+                version: first_era(5),
             },
             READ_AT,
         )
@@ -125,8 +143,16 @@
     let long_key = |i| format!("{}{i}", "x".repeat(1_000));
     for i in 0..KEYS {
         let (key, revision) = (long_key(i), 6 + 2 * i);
-        change_log.on_changes(&[Change::Put(item(&key, revision))], revision, READ_AT);
-        change_log.on_changes(&[Change::Removed(key)], revision + 1, READ_AT);
+        change_log
+            .on_changes(
+                &[Change::Put(item(&key, revision))],
+                first_era(revision),
+                READ_AT,
+            )
+            .unwrap();
+        change_log
+            .on_changes(&[Change::Removed(key)], first_era(revision + 1), READ_AT)
+            .unwrap();
     }
     assert!(
         change_log.held_bytes() < 2 << 20,
@@ -134,12 +160,12 @@
         change_log.held_bytes()
     );
     let last = 5 + 2 * KEYS;
-    let Delta::Changes(changes) = change_log.snapshot_after(last - 1).delta else {
+    let Delta::Changes(changes) = change_log.snapshot_after(first_era(last - 1)).delta else {
         panic!("recent removals are kept");
     };
     assert_eq!(changes, [Change::Removed(long_key(KEYS - 1))]);
     assert!(
-        matches!(change_log.snapshot_after(6).delta, Delta::Full(all) if all == [Change::Put(item("a", 1))]),
+        matches!(change_log.snapshot_after(first_era(6)).delta, Delta::Full(all) if all == [Change::Put(item("a", 1))]),
         "an instance that missed a dropped removal gets all items"
     );
 }
@@ -149,18 +175,22 @@
 #[test]
 fn a_wait_that_timed_out_leaves_nothing_behind() {
     let change_log = ChangeLog::default();
-    change_log.on_changes(&[Change::Put(item("a", 5))], 5, READ_AT);
+    change_log
+        .on_changes(&[Change::Put(item("a", 5))], first_era(5), READ_AT)
+        .unwrap();
     for _ in 0..1_000 {
-        let delta = change_log.snapshot_after(5).delta;
+        let delta = change_log.snapshot_after(first_era(5)).delta;
         assert!(matches!(delta, Delta::Unchanged(_)));
     }
     assert_eq!(change_log.waiting(), 0);
     let waits = [
-        change_log.snapshot_after(5).delta,
-        change_log.snapshot_after(5).delta,
+        change_log.snapshot_after(first_era(5)).delta,
+        change_log.snapshot_after(first_era(5)).delta,
     ];
     assert_eq!(change_log.waiting(), 2);
-    change_log.on_changes(&[Change::Put(item("a", 6))], 6, READ_AT);
+    change_log
+        .on_changes(&[Change::Put(item("a", 6))], first_era(6), READ_AT)
+        .unwrap();
     for wait in waits {
         assert!(matches!(wait, Delta::Unchanged(changed) if changed.is_closed()));
     }
@@ -175,7 +205,9 @@
     let change_log = ChangeLog::default();
     let record = |revision| {
         let change = Change::Put(item("plan", revision));
-        change_log.on_changes(&[change], revision, BootTime(revision));
+        change_log
+            .on_changes(&[change], first_era(revision), BootTime(revision))
+            .unwrap();
     };
     record(1);
     let is_done = AtomicBool::new(false);
@@ -189,7 +221,7 @@
         let mut known = 1;
         let mut wrong = None;
         for _ in 0..ROUNDS {
-            let snapshot = change_log.snapshot_after(known);
+            let snapshot = change_log.snapshot_after(first_era(known));
             let held = match &snapshot.delta {
                 Delta::Unchanged(_) => known,
                 Delta::Changes(changes) | Delta::Full(changes) => match changes.last() {
@@ -197,11 +229,11 @@
                     _ => 0,
                 },
             };
-            let claimed = (snapshot.revision, snapshot.read_at);
+            let claimed = (snapshot.version.revision, snapshot.read_at);
             if claimed != (held, Some(BootTime(held))) {
                 wrong = Some((held, claimed));
             }
-            known = snapshot.revision;
+            known = snapshot.version.revision;
         }
         is_done.store(true, Ordering::Relaxed);
         assert_eq!(
@@ -218,20 +250,22 @@
     let change_log = ChangeLog::default();
     let listing = |revision| Listing {
         items: vec![item("plan", revision)],
-        revision,
+        version: first_era(revision),
     };
     change_log.on_listing(&listing(60), BootTime(1)).unwrap();
     let newer = Change::Put(item("plan", 65));
-    change_log.on_changes(std::slice::from_ref(&newer), 67, BootTime(2));
-    let older = OlderListing {
-        listed: 60,
-        known: 67,
+    change_log
+        .on_changes(std::slice::from_ref(&newer), first_era(67), BootTime(2))
+        .unwrap();
+    let older = OlderRead {
+        read: first_era(60),
+        known: first_era(67),
     };
     assert_eq!(change_log.on_listing(&listing(60), BootTime(3)), Err(older));
-    let snapshot = change_log.snapshot_after(60);
+    let snapshot = change_log.snapshot_after(first_era(60));
     assert_eq!(
-        (snapshot.revision, snapshot.read_at),
-        (67, Some(BootTime(2)))
+        (snapshot.version, snapshot.read_at),
+        (first_era(67), Some(BootTime(2)))
     );
     assert!(matches!(snapshot.delta, Delta::Changes(changes) if changes == [newer]));
 }
--- a/crates/apricotlug-steer/tests/peers.rs
+++ b/crates/apricotlug-steer/tests/peers.rs
@@ -4,7 +4,7 @@
 
 use apricotlug_adapter::{Change, Item};
 use apricotlug_config::{SiteSettings, parse_site};
-use apricotlug_model::{BootTime, MonoTime};
+use apricotlug_model::{BootTime, MonoTime, StoreVersion};
 use apricotlug_steer::{
     AccountUsage, BackendLoad, ListedInstances, MemberInfo, MoveEvidence, Peers, RankDemand,
     RelayRequest, RelayResponse, Relays, StatusDatagram, WindowUsage, decode_datagram,
@@ -100,12 +100,11 @@
     );
     let request = RelayRequest {
         run: 1,
-        after: 2,
+        after: StoreVersion::new(3, 2),
         wait_ms: 400,
         usage: usage(),
         evidence: evidence(),
         loads: loads(),
-        era: 3,
         windows: windows(),
         demands: demands(),
     };
@@ -120,7 +119,7 @@
     };
     let response = RelayResponse {
         run: 1,
-        revision: 9,
+        version: StoreVersion::new(u64::MAX, 9),
         is_full: true,
         age_ms: 17,
         held_ms: 5,
@@ -130,7 +129,6 @@
         evidence: evidence(),
         loads: loads(),
         covered: vec![7],
-        era: u64::MAX,
         confirmed: vec![353_445_120],
         demands: demands(),
     };
--- a/crates/apricotlug-steer/tests/support/world/calls.rs
+++ b/crates/apricotlug-steer/tests/support/world/calls.rs
@@ -1,5 +1,6 @@
 //! What becomes of the reads of an instance of the model, tick by tick.
 
+use apricotlug_model::StoreVersion;
 use apricotlug_policy::steer::Read;
 use apricotlug_steer::Delta;
 
@@ -143,17 +144,25 @@
         match read {
             Read::ListMembers => Some(Answer::Members),
             Read::List => Some(Answer::Listing(store.listing())),
-            Read::Watch { after, .. } if after < store.dropped => Some(Answer::HistoryGone),
+            Read::Watch { after, .. } if after.revision < store.dropped => {
+                Some(Answer::HistoryGone)
+            }
             Read::Watch { after, wait } => {
-                let changes = store.changes_after(after);
+                let changes = store.changes_after(after.revision);
                 let is_due = !changes.is_empty() || self.now >= reached + wait.as_millis() as u64;
-                is_due.then_some(Answer::Changes(changes, store.revision))
+                is_due.then_some(Answer::Changes(changes, store.version()))
             }
             Read::Poll { .. } => None,
         }
     }
 
-    fn polled(&self, i: usize, other: usize, after: u64, wait_until: u64) -> Option<Answer> {
+    fn polled(
+        &self,
+        i: usize,
+        other: usize,
+        after: StoreVersion,
+        wait_until: u64,
+    ) -> Option<Answer> {
         if self.is_isolated(i) || self.is_isolated(other) {
             return None;
         }
@@ -172,7 +181,7 @@
         Some(Answer::Polled {
             is_full,
             changes,
-            revision: snapshot.revision,
+            version: snapshot.version,
             read_at: snapshot.read_at.map(millis),
             is_behind,
         })
@@ -204,20 +213,23 @@
                 if is_failed {
                     instance.schedule.on_store_failure(mono);
                 } else {
-                    instance.schedule.on_store_read(listing.revision);
+                    instance.schedule.on_store_read(listing.version);
                     instance.passes_on_until = now + slack;
                 }
             }
-            Answer::Changes(changes, revision) => {
-                instance.schedule.on_store_read(revision);
+            Answer::Changes(changes, version) => {
+                instance.schedule.on_store_read(version);
                 instance.passes_on_until = now + slack;
-                instance.log.on_changes(&changes, revision, boot(sent));
+                instance
+                    .log
+                    .on_changes(&changes, version, boot(sent))
+                    .unwrap();
                 instance.apply(&changes, sent);
             }
             Answer::Polled {
                 is_full,
                 changes,
-                revision,
+                version,
                 read_at,
                 is_behind,
             } => {
@@ -228,10 +240,10 @@
                     instance.schedule.on_store_response();
                 }
                 let is_taken = read_at.is_some_and(|read_at| {
-                    instance.apply_polled(is_full, changes, revision, read_at)
+                    instance.apply_polled(is_full, changes, version, read_at)
                 });
                 if is_taken {
-                    instance.schedule.on_poll(revision);
+                    instance.schedule.on_poll(version);
                 } else {
                     instance.schedule.on_poll_failure(mono);
                 }
--- a/crates/apricotlug-steer/tests/support/world/checks.rs
+++ b/crates/apricotlug-steer/tests/support/world/checks.rs
@@ -1,5 +1,7 @@
 //! What has to hold in the model at any time.
 
+use apricotlug_model::StoreVersion;
+
 use super::{Sheet, World, store::PLAN};
 
 impl World {
@@ -47,7 +49,7 @@
     pub fn false_claim(&self) -> Option<String> {
         self.instances.iter().enumerate().find_map(|(i, instance)| {
             let held = instance.held.get(PLAN).copied().unwrap_or_default();
-            let claimed = instance.log.snapshot_after(u64::MAX).revision;
+            let claimed = instance.log.snapshot_after(StoreVersion::new(u64::MAX, 0)).version.revision;
             let by_revision = self.last_plan(|(revision, _)| revision <= claimed);
             let by_time = instance.read_at.map_or(0, |read| self.last_plan(|(_, at)| at < read));
             (held < by_revision.max(by_time)).then(|| {
--- a/crates/apricotlug-steer/tests/support/world/mod.rs
+++ b/crates/apricotlug-steer/tests/support/world/mod.rs
@@ -8,7 +8,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use apricotlug_adapter::{Change, Listing};
-use apricotlug_model::{BootTime, MonoTime};
+use apricotlug_model::{BootTime, MonoTime, StoreVersion};
 use apricotlug_policy::steer::{Read, ReadLimits, ReadSchedule, ReadSources};
 use apricotlug_steer::ChangeLog;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -58,11 +58,11 @@
     HistoryGone,
     Members,
     Listing(Listing),
-    Changes(Vec<Change>, u64),
+    Changes(Vec<Change>, StoreVersion),
     Polled {
         is_full: bool,
         changes: Vec<Change>,
-        revision: u64,
+        version: StoreVersion,
         /// Time of the last read of the instance that was polled.
         read_at: Option<u64>,
         /// Whether that instance does not know its state to be current.
@@ -330,7 +330,7 @@
         let is_newer = changes.is_ok();
         changes
             .iter()
-            .for_each(|changes| self.apply(changes, read_at));
+            .for_each(|listed| self.apply(&listed.changes, read_at));
         is_newer
     }
 
@@ -339,16 +339,18 @@
         &mut self,
         is_full: bool,
         changes: Vec<Change>,
-        revision: u64,
+        version: StoreVersion,
         read_at: u64,
     ) -> bool {
         if is_full {
             let items = changes.into_iter().filter_map(Change::into_item).collect();
-            return self.apply_listing(&Listing { items, revision }, read_at);
+            return self.apply_listing(&Listing { items, version }, read_at);
         }
-        self.log.on_changes(&changes, revision, boot(read_at));
-        self.apply(&changes, read_at);
-        true
+        let is_recorded = self.log.on_changes(&changes, version, boot(read_at));
+        if is_recorded.is_ok() {
+            self.apply(&changes, read_at);
+        }
+        is_recorded.is_ok()
     }
 
     fn apply(&mut self, changes: &[Change], read_at: u64) {
--- a/crates/apricotlug-steer/tests/support/world/store.rs
+++ b/crates/apricotlug-steer/tests/support/world/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use apricotlug_adapter::{Change, Item, Listing};
+use apricotlug_model::StoreVersion;
 
 /// Key of the plan.
 pub const PLAN: &str = "plan";
@@ -58,9 +59,13 @@
                 .iter()
                 .map(|(key, revision)| item(key, *revision))
                 .collect(),
-            revision: self.revision,
+            version: self.version(),
         }
     }
+
+    pub fn version(&self) -> StoreVersion {
+        StoreVersion::new(0, self.revision)
+    }
 }
 
 fn item(key: &str, revision: u64) -> Item {
