--- a/crates/apricotlug-policy/tests/steer_reads.rs
+++ b/crates/apricotlug-policy/tests/steer_reads.rs
@@ -259,3 +259,51 @@
         }
     );
 }
+
+/// Guards against a watch from a revision that the store has given out again since it came back from
+/// a copy.
+#[test]
+fn a_newer_era_in_any_response_leads_to_a_listing() {
+    let watches = |schedule: &ReadSchedule| {
+        let read = schedule.next(&others(), at(0));
+        matches!(read, Read::Watch { .. })
+    };
+    let mut schedule = listed();
+    schedule.on_era(0);
+    assert!(watches(&schedule));
+    schedule.on_era(1);
+    assert_eq!(schedule.next(&others(), at(0)), Read::List);
+    schedule.on_store_read(first_era(7));
+    assert_eq!(
+        schedule.next(&others(), at(0)),
+        Read::List,
+        "the listing was made before the era began"
+    );
+    schedule.on_store_read(StoreVersion::new(1, 3));
+    assert!(watches(&schedule));
+    // An instance that is behind passes on an earlier era.
+    schedule.on_poll(first_era(9));
+    let read = schedule.next(&others(), at(0));
+    assert!(
+        matches!(read, Read::Watch { after, .. } if after == StoreVersion::new(1, 3)),
+        "{read:?}"
+    );
+    schedule.on_poll(StoreVersion::new(2, 1));
+    let read = schedule.next(&others(), at(0));
+    assert!(
+        matches!(read, Read::Watch { after, .. } if after == StoreVersion::new(2, 1)),
+        "{read:?}"
+    );
+}
+
+/// Guards against a hundred instances that list all items when a store has just come back.
+#[test]
+fn an_instance_with_a_relay_waits_for_the_items_of_a_new_era_there() {
+    let mut schedule = listed();
+    schedule.on_era(1);
+    let read = schedule.next(&relays(), at(0));
+    assert!(
+        matches!(read, Read::Poll { after, .. } if after == first_era(5)),
+        "{read:?}"
+    );
+}
--- a/crates/apricotlug-steer/tests/change_log.rs
+++ b/crates/apricotlug-steer/tests/change_log.rs
@@ -269,3 +269,100 @@
     );
     assert!(matches!(snapshot.delta, Delta::Changes(changes) if changes == [newer]));
 }
+
+/// Guards against a state that stays for ever: the store came back from a copy, and its listing
+/// looked older than what was known.
+#[test]
+fn a_listing_of_a_newer_era_is_taken_whatever_its_revision() {
+    let change_log = ChangeLog::default();
+    let listing = |items: Vec<Item>, era, revision| Listing {
+        items,
+        version: StoreVersion::new(era, revision),
+    };
+    let changed = |key: &str| Item {
+        value: vec![2],
+        ..item(key, 3)
+    };
+    let first = vec![item("a", 1), item("b", 3), item("c", 9), item("d", 20)];
+    change_log
+        .on_listing(&listing(first, 1, 60), BootTime(1))
+        .unwrap();
+    // The copy has the first item as it was, and the number of the second one for another value.
+    let copy = vec![item("a", 1), changed("b"), item("c", 4)];
+    let listed = change_log
+        .on_listing(&listing(copy.clone(), 2, 10), BootTime(2))
+        .unwrap();
+    let expected = [
+        Change::Put(changed("b")),
+        Change::Put(item("c", 4)),
+        Change::Removed("d".to_owned()),
+    ];
+    assert_eq!(listed.changes, expected);
+    assert_eq!(listed.replaced_era, Some(StoreVersion::new(1, 60)));
+    let older = listing(vec![item("a", 99)], 1, 99);
+    let known = StoreVersion::new(2, 10);
+    assert_eq!(
+        change_log.on_listing(&older, BootTime(3)),
+        Err(OlderRead {
+            read: older.version,
+            known
+        })
+    );
+    for version in [StoreVersion::new(1, 99), StoreVersion::new(3, 11)] {
+        let wrong = change_log.on_changes(&[Change::Put(item("a", 11))], version, BootTime(3));
+        assert_eq!(
+            wrong,
+            Err(OlderRead {
+                read: version,
+                known
+            })
+        );
+    }
+    let again = change_log
+        .on_listing(&listing(copy, 2, 12), BootTime(4))
+        .unwrap();
+    assert_eq!((again.changes, again.replaced_era), (Vec::new(), None));
+}
+
+/// Guards against a wrong delta: a relay client of another era got the changes after a revision that
+/// the relay had given out again, or none.
+#[test]
+fn a_client_of_an_earlier_era_gets_all_items_and_one_of_a_later_era_waits() {
+    let change_log = ChangeLog::default();
+    let items = vec![item("a", 1), item("b", 8)];
+    let listing = |era| Listing {
+        items: items.clone(),
+        version: StoreVersion::new(era, 10),
+    };
+    change_log.on_listing(&listing(1), BootTime(1)).unwrap();
+    let Delta::Unchanged(waits) = change_log.snapshot_after(StoreVersion::new(1, 10)).delta else {
+        panic!("nothing has changed");
+    };
+    change_log.on_listing(&listing(2), BootTime(2)).unwrap();
+    assert!(waits.is_closed(), "a new era ends the waits");
+    let cases = [
+        (1, 10, "all"),
+        (1, 99, "all"),
+        (2, 10, "none"),
+        (2, 9, "all"),
+        (3, 0, "none"),
+        (3, 5, "none"),
+    ];
+    for (era, revision, expected) in cases {
+        let snapshot = change_log.snapshot_after(StoreVersion::new(era, revision));
+        let got = match snapshot.delta {
+            Delta::Full(all) if all.len() == 2 => "all",
+            Delta::Unchanged(_) => "none",
+            _ => "other",
+        };
+        assert_eq!(got, expected, "after {revision} of era {era}");
+        assert_eq!(snapshot.version, StoreVersion::new(2, 10));
+    }
+    let change = Change::Put(item("c", 11));
+    let next = StoreVersion::new(2, 11);
+    change_log
+        .on_changes(std::slice::from_ref(&change), next, BootTime(3))
+        .unwrap();
+    let delta = change_log.snapshot_after(StoreVersion::new(2, 10)).delta;
+    assert!(matches!(delta, Delta::Changes(changes) if changes == [change]));
+}
