--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -42,9 +42,13 @@
 pub use freshness::StoreFreshness;
 pub use instance::{Instance, StartError};
 pub use listed::ListedInstances;
+pub use moves::{DueStatus, Moves, VersionChoice};
 pub use peers::{Member, MemberInfo, Peers, Relays};
 pub use relay::{ChangeLog, Delta, ListedChanges, OlderRead, Snapshot};
+pub use shared::{LastRead, OperatorState, ReadOrigin, Shared};
 pub use steering::SteeringState;
+pub use store_changes::{ExpiryGrace, apply_changes, apply_later_changes, apply_listed};
+pub use store_era::{EraGrace, keep_newer_plan, without_older_plans};
 pub use wire::{
     AccountUsage, BackendLoad, MoveEvidence, RankDemand, RelayRequest, RelayResponse,
     StatusDatagram, WindowUsage, WireError, decode_datagram, decode_relay_request,
--- a/crates/apricotlug-steer/src/store_changes.rs
+++ b/crates/apricotlug-steer/src/store_changes.rs
@@ -77,8 +77,10 @@
     listed: ListedChanges,
     version: StoreVersion,
 ) {
-    if listed.replaced_era.is_some() {
-        expiry_grace.on_store_recovered(shared.clock.now());
+    if let Some(previous) = listed.replaced_era {
+        if previous.revision > 0 {
+            expiry_grace.on_store_recovered(shared.clock.now());
+        }
         let changes = begin_era(shared, listed, version);
         apply_changes(shared, expiry_grace, changes, version.era);
     } else {
--- a/crates/apricotlug-steer/src/store_era.rs
+++ b/crates/apricotlug-steer/src/store_era.rs
@@ -34,6 +34,14 @@
 #[derive(Debug, Default)]
 pub struct EraGrace(Mutex<Inner>);
 
+/// Last write of a backend server's entry that this instance has read.
+#[derive(Clone, Copy, Debug)]
+struct LastWrite {
+    write: BackendWrite,
+    /// Whether the entry was removed after it.
+    is_removed: bool,
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     ends_at: MonoTime,
@@ -41,7 +49,7 @@
     plan_missing_until: MonoTime,
     /// Changes of the copy that take back what was confirmed, by key.
     held_back: BTreeMap<String, Change>,
-    backend_writes: HashMap<String, BackendWrite>,
+    backend_writes: HashMap<String, LastWrite>,
     /// Ids of backend servers whose entries were removed, oldest first.
     removed_backends: VecDeque<String>,
 }
@@ -78,7 +86,11 @@
     /// Records an entry that a backend server wrote.
     pub fn on_backend_written(&self, id: &str, value: &[u8]) {
         if let Some(write) = decode_backend_write(value) {
-            self.lock().backend_writes.insert(id.to_owned(), write);
+            let last = LastWrite {
+                write,
+                is_removed: false,
+            };
+            self.lock().backend_writes.insert(id.to_owned(), last);
         }
     }
 
@@ -86,10 +98,17 @@
     /// copy may have the entry still.
     pub fn on_backend_removed(&self, id: &str) {
         let mut inner = self.lock();
+        let Some(last) = inner.backend_writes.get_mut(id) else {
+            return;
+        };
+        last.is_removed = true;
         inner.removed_backends.push_back(id.to_owned());
         if inner.removed_backends.len() > MAX_REMOVED_BACKENDS
             && let Some(oldest) = inner.removed_backends.pop_front()
-            && !inner.removed_backends.contains(&oldest)
+            && inner
+                .backend_writes
+                .get(&oldest)
+                .is_some_and(|last| last.is_removed)
         {
             inner.backend_writes.remove(&oldest);
         }
@@ -111,12 +130,14 @@
         self.lock().held_back.insert(key, change);
     }
 
+    /// Returns whether an entry is a write before the last one, or the last one of an entry that was
+    /// removed. Where the backend server does not say when it started, it may have started anew.
     fn is_older_write(&self, id: &str, value: &[u8]) -> bool {
         let known = self.lock().backend_writes.get(id).copied();
-        let listed = decode_backend_write(value);
-        known
-            .zip(listed)
-            .is_some_and(|(known, listed)| listed.born_ms > 0 && listed < known)
+        let listed = decode_backend_write(value).filter(|listed| listed.born_ms > 0);
+        known.zip(listed).is_some_and(|(known, listed)| {
+            listed < known.write || known.is_removed && listed == known.write
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
