Model of store and readers: drills

The store of the model goes back to a copy 0.5 to 6 s old and its operator writes the last plan again up to 1.4 s after it is back; two sheets more.

--- a/crates/apricotlug-steer/src/store_era.rs
+++ b/crates/apricotlug-steer/src/store_era.rs
@@ -55,8 +55,8 @@
 }
 
 impl EraGrace {
-    /// Starts the grace period at the first read of an era.
-    fn start(&self, now: MonoTime) -> MonoTime {
+    /// Starts the grace period at the first read of an era, and returns its end.
+    pub fn start(&self, now: MonoTime) -> MonoTime {
         let mut inner = self.lock();
         inner.ends_at = now.after(ERA_GRACE);
         inner.plan_missing_until = inner.ends_at;
--- a/crates/apricotlug-steer/tests/reads_model.rs
+++ b/crates/apricotlug-steer/tests/reads_model.rs
@@ -6,13 +6,16 @@
 
 use world::{Sheet, World};
 
-/// Sheets of installations: the small ones, the grown ones, a large one, and one with tight bounds.
-const SHEETS: [Sheet; 5] = [
+/// Sheets of installations: the small ones, the grown ones, a large one, one with
+/// tight bounds, and two whose store comes back from older copies at times.
+const SHEETS: [Sheet; 7] = [
     Sheet::new(8, 2_500, 3_000),
     Sheet::new(9, 2_500, 4_000),
     Sheet::new(24, 3_000, 4_000),
     Sheet::new(30, 4_000, 5_000),
     Sheet::new(12, 2_000, 2_500),
+    Sheet::new(9, 2_500, 4_000).with_drills(),
+    Sheet::new(24, 3_000, 4_000).with_drills(),
 ];
 
 const SEEDS: u64 = 16;
@@ -32,7 +35,8 @@
                 (0..CHECK_INTERVAL).for_each(|_| world.tick());
                 check(&world)
             });
-            let place = format!("{} instances, seed {seed}", sheet.instances);
+            let drills = if sheet.has_drills { ", drills" } else { "" };
+            let place = format!("{} instances{drills}, seed {seed}", sheet.instances);
             findings.extend(finding.map(|finding| format!("{place}: {finding}")));
         }
     }
--- a/crates/apricotlug-steer/tests/support/world/calls.rs
+++ b/crates/apricotlug-steer/tests/support/world/calls.rs
@@ -144,9 +144,14 @@
         match read {
             Read::ListMembers => Some(Answer::Members),
             Read::List => Some(Answer::Listing(store.listing())),
-            Read::Watch { after, .. } if after.revision < store.dropped => {
+            Read::Watch { after, .. }
+                if after.revision < store.dropped || after.revision > store.revision =>
+            {
                 Some(Answer::HistoryGone)
             }
+            Read::Watch { after, .. } if after.era != store.era => {
+                Some(Answer::OtherEra(store.era))
+            }
             Read::Watch { after, wait } => {
                 let changes = store.changes_after(after.revision);
                 let is_due = !changes.is_empty() || self.now >= reached + wait.as_millis() as u64;
@@ -207,9 +212,14 @@
                 instance.schedule.on_history_dropped();
                 is_failed = true;
             }
+            Answer::OtherEra(era) => {
+                instance.schedule.on_era(era);
+                instance.schedule.on_history_dropped();
+                is_failed = true;
+            }
             Answer::Members => instance.schedule.on_members_listed(),
             Answer::Listing(listing) => {
-                is_failed = !instance.apply_listing(&listing, sent);
+                is_failed = !instance.apply_listing(&listing, sent, mono);
                 if is_failed {
                     instance.schedule.on_store_failure(mono);
                 } else {
@@ -224,7 +234,7 @@
                     .log
                     .on_changes(&changes, version, boot(sent))
                     .unwrap();
-                instance.apply(&changes, sent);
+                instance.apply(&changes, sent, mono);
             }
             Answer::Polled {
                 is_full,
@@ -240,7 +250,7 @@
                     instance.schedule.on_store_response();
                 }
                 let is_taken = read_at.is_some_and(|read_at| {
-                    instance.apply_polled(is_full, changes, version, read_at)
+                    instance.apply_polled(is_full, changes, version, read_at, mono)
                 });
                 if is_taken {
                     instance.schedule.on_poll(version);
--- a/crates/apricotlug-steer/tests/support/world/checks.rs
+++ b/crates/apricotlug-steer/tests/support/world/checks.rs
@@ -2,7 +2,10 @@
 
 use apricotlug_model::StoreVersion;
 
-use super::{Sheet, World, store::PLAN};
+use super::{
+    Sheet, World,
+    store::{PLAN, Plan},
+};
 
 impl World {
     /// Tells of an instance that is in touch and does not hold a plan that was confirmed in time.
@@ -13,7 +16,7 @@
         if !is_calm(self.store.calm_since) {
             return None;
         }
-        let needed = self.last_plan(|(_, at)| at <= confirmed);
+        let needed = self.last_plan(|plan| plan.readable_at <= confirmed);
         let in_touch = self.instances.iter().enumerate();
         let mut in_touch = in_touch.filter(|(_, instance)| is_calm(instance.calm_since));
         in_touch.find_map(|(i, instance)| {
@@ -32,7 +35,7 @@
     /// last read is recent, and it does not hold that plan.
     pub fn wrong_refusal(&self) -> Option<String> {
         let apply = self.sheet.apply;
-        let needed = self.last_plan(|(_, at)| at + apply <= self.now);
+        let needed = self.last_plan(|plan| plan.confirmed_at + apply <= self.now);
         self.instances.iter().enumerate().find_map(|(i, instance)| {
             let is_certain = instance.read_at.is_some_and(|at| self.now - at < apply);
             let held = instance.held.get(PLAN).copied().unwrap_or_default();
@@ -49,9 +52,11 @@
     pub fn false_claim(&self) -> Option<String> {
         self.instances.iter().enumerate().find_map(|(i, instance)| {
             let held = instance.held.get(PLAN).copied().unwrap_or_default();
-            let claimed = instance.log.snapshot_after(StoreVersion::new(u64::MAX, 0)).version.revision;
-            let by_revision = self.last_plan(|(revision, _)| revision <= claimed);
-            let by_time = instance.read_at.map_or(0, |read| self.last_plan(|(_, at)| at < read));
+            let claimed = instance.log.snapshot_after(StoreVersion::new(u64::MAX, 0)).version;
+            let by_revision = self.store.plan_at(claimed);
+            let by_time = instance
+                .read_at
+                .map_or(0, |read| self.last_plan(|plan| plan.confirmed_at < read));
             (held < by_revision.max(by_time)).then(|| {
                 format!(
                     "at {} ms instance {i} holds {held}; claims {claimed}, so {by_revision}, read at {:?}, so {by_time}",
@@ -61,10 +66,10 @@
         })
     }
 
-    /// Returns the revision of the last plan that fits; those before it fit too.
-    fn last_plan(&self, fits: impl Fn((u64, u64)) -> bool) -> u64 {
+    /// Returns the number of the last plan that fits; those before it fit too.
+    fn last_plan(&self, fits: impl Fn(&Plan) -> bool) -> u64 {
         let plans = &self.store.plans;
-        let next = plans.partition_point(|plan| fits(*plan));
-        next.checked_sub(1).map_or(0, |last| plans[last].0)
+        let next = plans.partition_point(fits);
+        next.checked_sub(1).map_or(0, |last| plans[last].number)
     }
 }
--- a/crates/apricotlug-steer/tests/support/world/mod.rs
+++ b/crates/apricotlug-steer/tests/support/world/mod.rs
@@ -10,15 +10,19 @@
 use apricotlug_adapter::{Change, Listing};
 use apricotlug_model::{BootTime, MonoTime, StoreVersion};
 use apricotlug_policy::steer::{Read, ReadLimits, ReadSchedule, ReadSources};
-use apricotlug_steer::ChangeLog;
+use apricotlug_steer::{ChangeLog, EraGrace};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
-use store::{PLAN, Store};
+use store::{PLAN, Store, number_of};
 
 const REGIONS: usize = 3;
 const RELAYS_PER_REGION: usize = 2;
 const MAX_MESHED: usize = 16;
 pub const MIN_BACKOFF: u64 = 50;
 
+/// Time of the first drill, and the longest time after which the operator writes again.
+const FIRST_DRILL: u64 = 8_000;
+const MAX_REWRITE: u64 = 1_400;
+
 /// Bounds of an installation, times in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Sheet {
@@ -27,6 +31,8 @@
     pub apply: u64,
     /// Time without trouble after which an instance has to keep that.
     pub touch: u64,
+    /// Whether the store comes back from older copies at times.
+    pub has_drills: bool,
 }
 
 impl Sheet {
@@ -35,6 +41,14 @@
             instances,
             apply,
             touch,
+            has_drills: false,
+        }
+    }
+
+    pub const fn with_drills(self) -> Self {
+        Self {
+            has_drills: true,
+            ..self
         }
     }
 }
@@ -56,6 +70,8 @@
 enum Answer {
     Failed,
     HistoryGone,
+    /// The store answered a watch under this era, which is not that of the watch.
+    OtherEra(u64),
     Members,
     Listing(Listing),
     Changes(Vec<Change>, StoreVersion),
@@ -101,8 +117,9 @@
     started: u64,
     schedule: ReadSchedule,
     log: ChangeLog,
-    /// Revision of each item that is held.
+    /// Number of the write of each item that is held.
     held: BTreeMap<String, u64>,
+    era_grace: EraGrace,
     read_at: Option<u64>,
     /// Time until which it passes its state on as current.
     passes_on_until: u64,
@@ -123,6 +140,7 @@
     now: u64,
     rng: SmallRng,
     store: Store,
+    next_drill: u64,
     instances: Vec<Instance>,
 }
 
@@ -145,6 +163,7 @@
             schedule: ReadSchedule::new(limits),
             log: ChangeLog::default(),
             held: BTreeMap::new(),
+            era_grace: EraGrace::default(),
             read_at: None,
             passes_on_until: 0,
             backoff: MIN_BACKOFF,
@@ -158,6 +177,7 @@
             now: 0,
             rng,
             store,
+            next_drill: FIRST_DRILL,
             instances,
         }
     }
@@ -165,6 +185,7 @@
     /// Lets one tick pass. The instances act in random order.
     pub fn tick(&mut self) {
         self.now += Self::TICK_MS;
+        self.drill();
         self.write_to_store();
         self.make_trouble();
         let mut order: Vec<_> = (0..self.instances.len()).collect();
@@ -196,6 +217,24 @@
         }
     }
 
+    /// Lets the store go back to a copy some seconds old at times. The operator writes the last plan
+    /// again soon after it is back.
+    fn drill(&mut self) {
+        if self.store.rewrites_at.is_some_and(|at| self.now >= at) {
+            self.store.rewrite_plan(self.now);
+        }
+        if !self.sheet.has_drills || self.now < self.next_drill {
+            return;
+        }
+        let back_at = self.now + self.rng.random_range(100..1_500);
+        let copied_at = self.now.saturating_sub(self.rng.random_range(500..6_000));
+        let rewrites_at = back_at + self.rng.random_range(100..MAX_REWRITE);
+        self.store.go_back(copied_at.max(1), rewrites_at);
+        self.store.trouble_until = back_at;
+        self.store.is_silent = self.rng.random();
+        self.next_drill = rewrites_at + self.rng.random_range(5_000..15_000);
+    }
+
     fn make_trouble(&mut self) {
         if self.now < self.store.trouble_until {
             self.store.calm_since = self.now;
@@ -235,6 +274,7 @@
                     instance.schedule = ReadSchedule::new(instance.schedule.limits());
                     instance.log = ChangeLog::default();
                     instance.held.clear();
+                    instance.era_grace = EraGrace::default();
                     instance.read_at = None;
                     instance.passes_on_until = 0;
                     instance.backoff = MIN_BACKOFF;
@@ -325,12 +365,15 @@
 
 impl Instance {
     /// Applies a listing. Returns whether it was not older than what is known.
-    fn apply_listing(&mut self, listing: &Listing, read_at: u64) -> bool {
+    fn apply_listing(&mut self, listing: &Listing, read_at: u64, now: MonoTime) -> bool {
         let changes = self.log.on_listing(listing, boot(read_at));
         let is_newer = changes.is_ok();
-        changes
-            .iter()
-            .for_each(|listed| self.apply(&listed.changes, read_at));
+        changes.iter().for_each(|listed| {
+            if listed.replaced_era.is_some() {
+                self.era_grace.start(now);
+            }
+            self.apply(&listed.changes, read_at, now);
+        });
         is_newer
     }
 
@@ -341,25 +384,39 @@
         changes: Vec<Change>,
         version: StoreVersion,
         read_at: u64,
+        now: MonoTime,
     ) -> bool {
         if is_full {
             let items = changes.into_iter().filter_map(Change::into_item).collect();
-            return self.apply_listing(&Listing { items, version }, read_at);
+            return self.apply_listing(&Listing { items, version }, read_at, now);
         }
         let is_recorded = self.log.on_changes(&changes, version, boot(read_at));
         if is_recorded.is_ok() {
-            self.apply(&changes, read_at);
+            self.apply(&changes, read_at, now);
         }
         is_recorded.is_ok()
     }
 
-    fn apply(&mut self, changes: &[Change], read_at: u64) {
+    /// Applies changes as an instance does: an older plan is never put in force, and reads are no
+    /// news of plans while one may be missing.
+    fn apply(&mut self, changes: &[Change], read_at: u64, now: MonoTime) {
         for change in changes {
             match change {
-                Change::Put(item) => self.held.insert(item.key.clone(), item.revision),
-                Change::Removed(key) => self.held.remove(key),
-            };
+                Change::Put(item) => {
+                    let held = self.held.entry(item.key.clone()).or_default();
+                    *held = match item.key.as_str() {
+                        PLAN => (*held).max(number_of(item)),
+                        _ => number_of(item),
+                    };
+                }
+                Change::Removed(key) if key == PLAN => {}
+                Change::Removed(key) => {
+                    self.held.remove(key);
+                }
+            }
+        }
+        if !self.era_grace.may_lack_plan(now) {
+            self.read_at = self.read_at.max(Some(read_at));
         }
-        self.read_at = self.read_at.max(Some(read_at));
     }
 }
