At a start, entries of instances tell whether an era may have begun just now

An instance that starts where the store names an era refused keys for 2 s after each restart, also hours after a drill. An entry now holds the era in which it was written; a start waits only where one is of an earlier era, or where there is none.

--- a/crates/apricotlug-steer/src/peers.rs
+++ b/crates/apricotlug-steer/src/peers.rs
@@ -57,6 +57,17 @@
     pub link_mbps: u32,
 }
 
+/// Entry of an instance as it is stored.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredMember {
+    /// What the instance says about itself.
+    #[serde(flatten)]
+    pub info: MemberInfo,
+    /// Era of the store in which the entry was written; 0 where the store names none.
+    #[serde(default)]
+    pub era: u64,
+}
+
 /// Another instance, as known from its entry and its datagrams.
 #[derive(Clone, Debug)]
 pub struct Member {
--- a/crates/apricotlug-steer/src/registration.rs
+++ b/crates/apricotlug-steer/src/registration.rs
@@ -8,7 +8,10 @@
 use apricotlug_model::MonoTime;
 use async_std::task;
 
-use crate::{peers::MemberInfo, shared::Shared};
+use crate::{
+    peers::{MemberInfo, StoredMember},
+    shared::Shared,
+};
 
 /// Time after which the store removes the entry unless its lease is renewed. A longer minimum in
 /// the settings takes precedence.
@@ -94,7 +97,11 @@
         data_centre: settings.data_centre.clone(),
         link_mbps: settings.link_mbps as u32,
     };
-    let value = serde_json::to_vec(&info).map_err(|e| StoreError::Malformed(e.to_string()))?;
+    let entry = StoredMember {
+        info,
+        era: lease.era,
+    };
+    let value = serde_json::to_vec(&entry).map_err(|e| StoreError::Malformed(e.to_string()))?;
     let write = ConditionalWrite {
         key: member_key(&settings.instance),
         expected: None,
--- a/crates/apricotlug-steer/src/store_era.rs
+++ b/crates/apricotlug-steer/src/store_era.rs
@@ -18,7 +18,7 @@
 use apricotlug_model::{HashMap, MonoTime, StoreVersion};
 
 use crate::{
-    peers::MemberInfo,
+    peers::{MemberInfo, StoredMember},
     relay::{ChangeLog, ListedChanges},
     shared::Shared,
 };
@@ -163,8 +163,13 @@
     let Some(previous) = replaced_era else {
         return changes;
     };
+    let is_change = previous.revision > 0;
     let now = shared.clock.now();
-    let ends_at = shared.era_grace.start(now);
+    let ends_at = if is_change || may_have_begun_just_now(&changes, version.era) {
+        shared.era_grace.start(now)
+    } else {
+        now
+    };
     shared.steering().moves.on_era(version.era, ends_at);
     let listed = changes.len();
     let mut held_back = 0;
@@ -182,7 +187,7 @@
             Treatment::Drop => {}
         }
     }
-    if previous.revision > 0 {
+    if is_change {
         shared.metrics.on_store_era();
     }
     tracing::warn!(
@@ -197,6 +202,20 @@
     kept
 }
 
+/// Returns whether an era, of which an instance reads first at its start, may have begun just now: an
+/// instance's entry is of an earlier one, or there is none. Each running instance writes its entry
+/// again as soon as it notices a new era, and entries of others lapse.
+fn may_have_begun_just_now(listed: &[Change], era: u64) -> bool {
+    let entries = listed.iter().filter_map(|change| match change {
+        Change::Put(item) if matches!(parse_key(&item.key), StoreKey::Member(_)) => {
+            serde_json::from_slice::<StoredMember>(&item.value).ok()
+        }
+        _ => None,
+    });
+    let mut eras = entries.map(|entry| entry.era).peekable();
+    eras.peek().is_none() || eras.any(|entered_in| entered_in < era)
+}
+
 fn treatment(shared: &Shared, change: &Change) -> Treatment {
     let item = match change {
         Change::Put(item) => item,
