--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -49,6 +49,7 @@
 pub use steering::SteeringState;
 pub use store_changes::{ExpiryGrace, apply_changes, apply_later_changes, apply_listed};
 pub use store_era::{EraGrace, keep_newer_plan, without_older_plans};
+pub use store_sync::record_response;
 pub use wire::{
     AccountUsage, BackendLoad, MoveEvidence, RankDemand, RelayRequest, RelayResponse,
     StatusDatagram, WindowUsage, WireError, decode_datagram, decode_relay_request,
--- a/crates/apricotlug-steer/src/store_sync.rs
+++ b/crates/apricotlug-steer/src/store_sync.rs
@@ -291,7 +291,7 @@
 /// # Errors
 /// Returns an error if these are all items of an older version than what is known, or changes of
 /// another era.
-fn record_response(
+pub fn record_response(
     shared: &Shared,
     response: RelayResponse,
     version: StoreVersion,
