A response that names no era is no news of it; no registration without a pause

A refusal from something in between may lack the header; it ended leases and writes as of another era. A registration that fails so waits like after any other failure.

--- a/crates/apricotlug-steer/src/registration.rs
+++ b/crates/apricotlug-steer/src/registration.rs
@@ -37,6 +37,7 @@
         // The copy to which the store went back may have neither the lease nor the entry, or
         // another's lease by the same id.
         lease = lease.filter(|_| known_era(&shared, &store) <= granted_in);
+        let is_renewal = lease.is_some();
         let result = match lease {
             None => register(&shared, &mut store).await.map(|granted| {
                 granted_in = granted.era.max(known_era(&shared, &store));
@@ -50,7 +51,7 @@
                 let is_new_era = || known_era(&shared, &store) > granted_in;
                 sleep_unless_leaving(&shared, until, is_new_era).await;
             }
-            Err(StoreError::NotFound | StoreError::OtherEra(_)) => lease = None,
+            Err(StoreError::NotFound | StoreError::OtherEra(_)) if is_renewal => lease = None,
             Err(e) => {
                 tracing::debug!(kind = "member_entry", error = %e);
                 let until = shared.clock.now().after(RETRY_DELAY);
