Take no answer whose status code has no meaning

A head with a status code outside 100 to 599, or with 101, which was never asked for, is malformed. Both request stacks read heads here. The request may have run: an idempotent one is tried elsewhere, others get 502.

--- a/crates/apricotlug-http/src/head.rs
+++ b/crates/apricotlug-http/src/head.rs
@@ -5,6 +5,12 @@
 /// Largest number of header lines in one head.
 const MAX_HEADERS: usize = 100;
 
+/// Status codes that have a meaning.
+const STATUS_CODES: std::ops::RangeInclusive<u16> = 100..=599;
+
+/// Status code of a change to another protocol.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Hop-by-hop headers, which apply to one connection only and are not forwarded.
 const HOP_BY_HOP: [&str; 8] = [
     "connection",
@@ -161,7 +167,7 @@
 /// Head of a response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResponseHead {
-    /// Status code; its range is not checked.
+    /// Status code, from 100 to 599 and not 101 in a head that was parsed.
     pub status: u16,
     /// Reason phrase; may be empty.
     pub reason: String,
@@ -186,7 +192,8 @@
     /// Parses a head. Returns the head and its length in bytes, or `None` if bytes are missing.
     ///
     /// # Errors
-    /// Returns an error if the head is malformed.
+    /// Returns an error if the head is malformed, its status code has no meaning in the protocol, or
+    /// it is 101: nobody asks for another protocol.
     pub fn parse(buf: &[u8]) -> Result<Option<(Self, usize)>> {
         let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut res = httparse::Response::new(&mut lines);
@@ -200,6 +207,9 @@
             minor: res.version.unwrap_or(1),
             headers: to_headers(res.headers),
         };
+        if !STATUS_CODES.contains(&head.status) || head.status == SWITCHING_PROTOCOLS {
+            return Err(HttpError::Malformed("status code without a meaning"));
+        }
         Ok(Some((head, len)))
     }
 
@@ -217,11 +227,10 @@
         is_keep_alive(self.minor, &self.headers)
     }
 
-    /// Returns whether another response head of the same exchange follows: the status is 1xx,
-    /// except 101, which ends the use of HTTP on the connection.
+    /// Returns whether another response head of the same exchange follows: the status is 1xx.
     #[must_use]
     pub fn is_interim(&self) -> bool {
-        (100..200).contains(&self.status) && self.status != 101
+        (100..200).contains(&self.status)
     }
 }
 
