Give request bodies and connections a budget of the machine's

Bodies were read whole into growing vectors before key and account were checked, and copied once more for the backend server; nothing limited all of them together, nor connections.

- One room for bodies and answers, by the machine's memory (`[machine]`, 112 MB where absent).
A body takes its room before it is read: one with a length all of it.
Long bodies cannot take the part of short ones.
A body without progress for a second loses its room to one that fits (408); others are refused (503, `no_room`).
The decision is `steer/admission/room.rs`.
- A long body lies in pieces that never move, and is written piece by piece behind its head, by the one future that knows which byte is next.
- Route, key and account are checked before a body that is still on its way is read, and again when it is in, since the plan may have changed; quota is taken then.
- A gate for callers, look-ups and readiness each: a full one closes the connection that has waited longest for its next request.
In a crowd a waiting connection holds 1 KiB, idle ones to backend servers none.
- A listener whose `accept` fails goes on.

--- a/crates/apricotlug-config/src/site.rs
+++ b/crates/apricotlug-config/src/site.rs
@@ -19,6 +19,9 @@
 /// Time within which a confirmed change is in force where the settings do not say.
 const DEFAULT_APPLY_MS: u32 = 2_500;
 
+/// Memory of the machine where the settings do not say, in MB: that of a small one.
+const DEFAULT_MEMORY_MB: u32 = 112;
+
 /// Settings of an entry instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SiteSettings {
@@ -42,6 +45,17 @@
     pub min_lease_ms: u32,
     /// Bounds that the installation sets.
     pub bounds: SiteBounds,
+    /// Limits of the machine.
+    pub machine: SiteMachine,
+}
+
+/// Limits of the machine on one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SiteMachine {
+    /// Memory, in units of 1024 * 1024 bytes.
+    pub memory_mb: u32,
+    /// File descriptors; `None` where the operating system's limit holds.
+    pub descriptors: Option<u32>,
 }
 
 impl SiteSettings {
@@ -134,6 +148,13 @@
     let store = store.and_then(|store| read_store(doc, store));
     let bounds = fields.table(doc, "bounds", "`bounds`");
     let bounds = bounds.and_then(|bounds| read_bounds(doc, bounds));
+    let machine = match fields.optional_table(doc, "machine", "`machine`") {
+        Some(machine) => read_machine(doc, machine),
+        None => Some(SiteMachine {
+            memory_mb: DEFAULT_MEMORY_MB,
+            descriptors: None,
+        }),
+    };
     fields.finish(doc);
     let (data_centre, regions) = (data_centre?, regions?);
     if !regions.contains_key(data_centre.value) {
@@ -159,6 +180,7 @@
         store,
         min_lease_ms,
         bounds: bounds?,
+        machine: machine?,
     })
 }
 
@@ -193,6 +215,20 @@
     Some((addr?.value, min_lease_ms?))
 }
 
+fn read_machine(doc: &mut Doc<'_>, mut fields: Fields<'_>) -> Option<SiteMachine> {
+    let limit = 1..=i64::from(u32::MAX);
+    let memory_mb = fields.integer_or(doc, "memory_mb", limit.clone(), DEFAULT_MEMORY_MB);
+    let descriptors = match fields.has("descriptors") {
+        true => fields.integer_or(doc, "descriptors", limit, 0).map(Some),
+        false => Some(None),
+    };
+    fields.finish(doc);
+    Some(SiteMachine {
+        memory_mb: memory_mb?,
+        descriptors: descriptors?,
+    })
+}
+
 fn read_bounds(doc: &mut Doc<'_>, mut fields: Fields<'_>) -> Option<SiteBounds> {
     let grace_ms = fields.span_ms(doc, "grace");
     let apply_ms = fields.span_ms_or(doc, "apply", MIN_APPLY_MS, DEFAULT_APPLY_MS);
--- a/crates/apricotlug-edge/src/metrics.rs
+++ b/crates/apricotlug-edge/src/metrics.rs
@@ -54,6 +54,10 @@
     bad_records: Counter<u64>,
     change_log_bytes: Gauge<u64>,
     answer_buffer_bytes: Gauge<u64>,
+    request_body_bytes: Gauge<u64>,
+    caller_connections: Gauge<u64>,
+    caller_connections_closed: Gauge<u64>,
+    caller_connections_refused: Gauge<u64>,
     plan_version: Gauge<u64>,
     store_revision: Gauge<u64>,
     store_read_age_ms: Gauge<u64>,
@@ -82,6 +86,14 @@
             bad_records: meter.u64_counter("apricotlug_bad_records").build(),
             change_log_bytes: meter.u64_gauge("apricotlug_change_log_bytes").build(),
             answer_buffer_bytes: meter.u64_gauge("apricotlug_answer_buffer_bytes").build(),
+            request_body_bytes: meter.u64_gauge("apricotlug_request_body_bytes").build(),
+            caller_connections: meter.u64_gauge("apricotlug_caller_connections").build(),
+            caller_connections_closed: meter
+                .u64_gauge("apricotlug_caller_connections_closed")
+                .build(),
+            caller_connections_refused: meter
+                .u64_gauge("apricotlug_caller_connections_refused")
+                .build(),
             plan_version: meter.u64_gauge("apricotlug_plan_version").build(),
             store_revision: meter.u64_gauge("apricotlug_store_revision").build(),
             store_read_age_ms: meter.u64_gauge("apricotlug_store_read_age_ms").build(),
@@ -137,6 +149,15 @@
         self.answer_buffer_bytes.record(bytes as u64, &[]);
     }
 
+    /// Records the bytes of room that request bodies have, how many connections callers have, and how
+    /// many were closed for others or refused since the start.
+    pub fn set_caller_state(&self, body_bytes: u64, open: usize, closed: u64, refused: u64) {
+        self.request_body_bytes.record(body_bytes, &[]);
+        self.caller_connections.record(open as u64, &[]);
+        self.caller_connections_closed.record(closed, &[]);
+        self.caller_connections_refused.record(refused, &[]);
+    }
+
     /// Records the version of the plan in force, the store's revision up to which changes are known,
     /// and the age of the last read in milliseconds; each `None` before the first.
     pub fn set_read_state(&self, plan: Option<u64>, revision: Option<u64>, age_ms: Option<u64>) {
--- a/crates/apricotlug-http/src/conn.rs
+++ b/crates/apricotlug-http/src/conn.rs
@@ -28,7 +28,7 @@
 const MAX_INTERIM_RESPONSES: u32 = 8;
 
 /// Most bytes that are read ahead of the current exchange, to notice that the peer has closed.
-const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
+const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 
 /// Interval of probes on an idle connection, and how many of them may stay unanswered.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -73,6 +73,8 @@
     /// End of the bytes that were read. Behind it lies space for a read, which may have been
     /// cancelled.
     filled: usize,
+    /// Largest next read, in bytes.
+    read_bytes: usize,
     limits: Limits,
 }
 
@@ -87,6 +89,7 @@
             buf: Vec::new(),
             consumed: 0,
             filled: 0,
+            read_bytes: READ_BYTES,
             limits,
         }
     }
@@ -112,6 +115,21 @@
         self.limits = limits;
     }
 
+    /// Limits the largest read to `bytes`, or to the usual size with `None`. With a small one, a
+    /// connection that waits for a head holds little memory.
+    pub fn set_read_bytes(&mut self, bytes: Option<usize>) {
+        self.read_bytes = bytes.unwrap_or(READ_BYTES);
+    }
+
+    /// Frees the buffer if nothing is left in it.
+    pub fn release_buffer(&mut self) {
+        if self.buffered().is_empty() {
+            self.buf = Vec::new();
+            self.consumed = 0;
+            self.filled = 0;
+        }
+    }
+
     /// Waits until the peer closes or resets the connection. Bytes that arrive meanwhile are kept
     /// for the next exchange. Behind too many of them a close is not detected, and the future never
     /// completes.
@@ -167,7 +185,7 @@
         self.buf.copy_within(self.consumed..self.filled, 0);
         self.filled -= self.consumed;
         self.consumed = 0;
-        self.buf.resize(self.filled + READ_BYTES, 0);
+        self.buf.resize(self.filled + self.read_bytes, 0);
         let read = self.stream.read(&mut self.buf[self.filled..]).await?;
         self.filled += read;
         Ok(read)
--- a/crates/apricotlug-http/src/serve.rs
+++ b/crates/apricotlug-http/src/serve.rs
@@ -1,6 +1,6 @@
 //! Server loop that passes complete, unambiguously framed requests to a `tide` application.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_std::{
     net::{TcpListener, TcpStream},
@@ -13,11 +13,33 @@
     conn::{Conn, Limits},
     error::{HttpError, Result},
     framing::{Framing, request_framing},
+    gate::{ConnGate, ConnPermit},
     head::{RequestHead, ResponseHead},
 };
 
-/// Largest request body that is passed to the application, in bytes.
-const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
+/// Delay after `accept` failed.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Largest read from a caller of an application, in bytes. Most requests are shorter.
+const APP_READ_BYTES: usize = 1024;
+
+/// Limits on the callers of an application.
+#[derive(Clone, Debug)]
+pub struct AppLimits {
+    /// Largest request body that is passed to the application, in bytes.
+    pub body_bytes: u64,
+    /// Connections that may be open.
+    pub gate: Arc<ConnGate>,
+}
+
+impl Default for AppLimits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 16 * 1024 * 1024,
+            gate: Arc::new(ConnGate::new(4_096)),
+        }
+    }
+}
 
 /// What happens to a connection after a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,28 +50,40 @@
     Close,
 }
 
-/// Accepts connections and serves their requests with the application. Returns only on an error.
-///
-/// # Errors
-/// Returns the error of the operating system if accepting a connection fails.
-pub async fn serve_app<S>(listener: TcpListener, app: Arc<tide::Server<S>>) -> Result<()>
+/// Accepts connections and serves their requests with the application, without end: a connection
+/// that cannot be accepted does not keep others out.
+pub async fn serve_app<S>(listener: TcpListener, app: Arc<tide::Server<S>>, limits: AppLimits)
 where
     S: Clone + Send + Sync + 'static,
 {
     loop {
-        let (stream, peer) = listener.accept().await?;
+        let Ok((stream, peer)) = listener.accept().await else {
+            task::sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
+        let Some(permit) = limits.gate.enter(&stream) else {
+            continue;
+        };
         let app = Arc::clone(&app);
-        task::spawn(async move { serve_conn(stream, peer, &app).await });
+        let body_bytes = limits.body_bytes;
+        task::spawn(async move { serve_conn(stream, permit, peer, &app, body_bytes).await });
     }
 }
 
-async fn serve_conn<S>(stream: TcpStream, peer: SocketAddr, app: &tide::Server<S>)
-where
+async fn serve_conn<S>(
+    stream: TcpStream,
+    mut permit: ConnPermit,
+    peer: SocketAddr,
+    app: &tide::Server<S>,
+    body_bytes: u64,
+) where
     S: Clone + Send + Sync + 'static,
 {
     let mut conn = Conn::new(stream, Limits::default());
+    conn.set_read_bytes(Some(APP_READ_BYTES));
     loop {
-        match serve_one(&mut conn, peer, app).await {
+        permit.on_wait();
+        match serve_one(&mut conn, &mut permit, peer, app, body_bytes).await {
             Ok(AfterResponse::KeepAlive) => {}
             Ok(AfterResponse::Close) => return,
             Err(error) => return send_error(&mut conn, &error).await,
@@ -76,14 +110,23 @@
 
 async fn serve_one<S>(
     conn: &mut Conn,
+    permit: &mut ConnPermit,
     peer: SocketAddr,
     app: &tide::Server<S>,
+    body_bytes: u64,
 ) -> Result<AfterResponse>
 where
     S: Clone + Send + Sync + 'static,
 {
     let head = conn.read_request().await?;
-    let mut reader = BodyReader::new(request_framing(&head)?, MAX_BODY_BYTES);
+    if !permit.on_request() {
+        return Ok(AfterResponse::Close);
+    }
+    let framing = request_framing(&head)?;
+    if matches!(framing, Framing::Length(len) if len > body_bytes) {
+        return Err(HttpError::BodyTooLarge(body_bytes));
+    }
+    let mut reader = BodyReader::new(framing, body_bytes);
     if head
         .headers
         .list("expect")
--- a/crates/apricotlug-node/src/node.rs
+++ b/crates/apricotlug-node/src/node.rs
@@ -8,7 +8,7 @@
 
 use apricotlug_config::{Listen, Settings};
 use apricotlug_edge::{Shared, accept};
-use apricotlug_http::serve_app;
+use apricotlug_http::{AppLimits, serve_app};
 use apricotlug_model::InstanceId;
 use apricotlug_peer::{Addresses, PeerConfig, PeerHandle, PeerNode};
 use apricotlug_platform::{BundleStore, Client, ClientConfig, Withdrawals};
@@ -265,8 +265,8 @@
             loader: self.loader.clone(),
         }));
         vec![
-            task::spawn(async move { log_failure(serve_app(lookup, lookup_app).await) }),
-            task::spawn(async move { log_failure(serve_app(admin, admin_app).await) }),
+            task::spawn(serve_app(lookup, lookup_app, AppLimits::default())),
+            task::spawn(serve_app(admin, admin_app, AppLimits::default())),
         ]
     }
 
@@ -308,12 +308,6 @@
     Ok((listener, bound))
 }
 
-fn log_failure(end: Result<(), apricotlug_http::HttpError>) {
-    if let Err(e) = end {
-        tracing::error!(error = %e, "HTTP listener failed");
-    }
-}
-
 fn start_peers(
     settings: &Settings,
     shared: &Arc<Shared>,
--- a/crates/apricotlug-policy/src/steer/mod.rs
+++ b/crates/apricotlug-policy/src/steer/mod.rs
@@ -9,7 +9,8 @@
 mod rollout;
 
 pub use admission::{
-    AdmissionDecision, CallerWaits, Leave, RequestLimits, decide_admission, retry_after_ms,
+    AdmissionDecision, BodyKey, CallerWaits, Leave, RequestLimits, Room, RoomDecision,
+    decide_admission, retry_after_ms,
 };
 pub use limits::{
     ColdGate, KnownInstance, LimitShare, Quotas, ReportDelay, ReportInterval, ServiceRetryBudget,
--- a/crates/apricotlug-steer/src/admission.rs
+++ b/crates/apricotlug-steer/src/admission.rs
@@ -93,16 +93,26 @@
     }
 }
 
-/// Routes, identifies and admits a request by the given plan and evacuations.
+/// Request that a route and an account have, and that may be admitted.
+#[derive(Debug)]
+pub struct CheckedRequest {
+    plan: Arc<Plan>,
+    metadata: RequestMetadata,
+    route: RouteKey,
+    account: Option<AccountKey>,
+    caller_leaves_at: MonoTime,
+}
+
+/// Routes and identifies a request by the given plan, and takes nothing of any limit.
 ///
 /// # Errors
-/// Returns the refusal for the caller if the request is not admitted.
-pub fn admit(
+/// Returns the refusal for the caller if the request is not admitted whatever its body is.
+pub fn check(
     shared: &Shared,
     operator_state: &OperatorState,
     head: &RequestHead,
     arrived_at: MonoTime,
-) -> Result<AdmittedRequest, Refusal> {
+) -> Result<CheckedRequest, Refusal> {
     let not_ready =
         || Refusal::new(503, "Service Unavailable", "no_plan").with_retry_ms(NOT_READY_RETRY_MS);
     let plan = operator_state.plan.clone().ok_or_else(not_ready)?;
@@ -112,16 +122,42 @@
         .route(host, head.path())
         .or_else(|| plan.route(host.split(':').next().unwrap_or_default(), head.path()))
         .ok_or_else(|| definite_refusal(shared, Refusal::new(404, "Not Found", "no_route")))?;
-    let route = &plan.routes[route_key];
-    let account = identify(shared, &plan, route, &metadata)?;
-    let now = shared.clock.now();
+    let account = identify(shared, &plan, &plan.routes[route_key], &metadata)?;
     let time_budget = metadata.time_budget_ms.map(Duration::from_millis);
     let caller_leaves_at = time_budget.map_or(MonoTime::MAX, |span| arrived_at.after(span));
     if let Some(leave) = shared.leave()
-        && !leave.accepts(now, caller_leaves_at)
+        && !leave.accepts(shared.clock.now(), caller_leaves_at)
     {
         return Err(Refusal::leaving());
     }
+    Ok(CheckedRequest {
+        plan,
+        metadata,
+        route: route_key,
+        account,
+        caller_leaves_at,
+    })
+}
+
+/// Routes, identifies and admits a request by the given plan and evacuations.
+///
+/// # Errors
+/// Returns the refusal for the caller if the request is not admitted.
+pub fn admit(
+    shared: &Shared,
+    operator_state: &OperatorState,
+    head: &RequestHead,
+    arrived_at: MonoTime,
+) -> Result<AdmittedRequest, Refusal> {
+    let CheckedRequest {
+        plan,
+        metadata,
+        route: route_key,
+        account,
+        caller_leaves_at,
+    } = check(shared, operator_state, head, arrived_at)?;
+    let route = &plan.routes[route_key];
+    let now = shared.clock.now();
     let mut steering = shared.steering();
     let draw = steering.rng.random::<f64>();
     let service = draw_service(route, draw).to_owned();
--- a/crates/apricotlug-steer/src/attempt.rs
+++ b/crates/apricotlug-steer/src/attempt.rs
@@ -8,10 +8,10 @@
 };
 use apricotlug_model::MonoTime;
 use apricotlug_policy::steer::BackendKey;
-use async_std::future::timeout;
+use async_std::{future::timeout, net::TcpStream};
 use futures_lite::future;
 
-use crate::{body_buffer::BodyBuffer, shared::Shared};
+use crate::{body_buffer::BodyBuffer, request_body::RequestBody, shared::Shared};
 
 /// Limits on the time to connect within the region and to another region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -29,6 +29,9 @@
 /// Largest unexpected response that is skipped, in bytes.
 const MAX_SKIPPED_BYTES: u64 = 64 * 1024;
 
+/// Longest request body that is copied behind its head, in bytes.
+const MAX_JOINED_BYTES: usize = 64 * 1024;
+
 /// Longest wait for the body of a refusal, after which its connection is closed.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -60,7 +63,7 @@
     /// Caller's request head without hop-by-hop headers.
     pub head: &'a RequestHead,
     /// Complete body; empty if the request has none.
-    pub body: &'a [u8],
+    pub body: &'a RequestBody,
     /// Framing of the body.
     pub framing: Framing,
     /// Id of the client account; `None` for anonymous callers.
@@ -239,6 +242,7 @@
     }
 }
 
+/// Encodes the head, with a short body behind it so that one write sends both.
 fn encode(request: OutgoingRequest<'_>, backend: &str, left_ms: u64) -> Vec<u8> {
     let mut head = request.head.clone();
     rewrite_request(&mut head, request.account, backend, left_ms);
@@ -248,10 +252,31 @@
     };
     framing.announce(&mut head.headers);
     let mut bytes = head.encode();
-    bytes.extend_from_slice(request.body);
+    if request.body.len() <= MAX_JOINED_BYTES {
+        request
+            .body
+            .pieces()
+            .for_each(|piece| bytes.extend_from_slice(piece));
+    }
     bytes
 }
 
+/// Writes the encoded head, and a long body piece by piece where it lies.
+async fn write_request(
+    writer: &TcpStream,
+    bytes: &[u8],
+    body: &RequestBody,
+    write_timeout: Duration,
+) -> Result<(), HttpError> {
+    apricotlug_http::write_to(writer, bytes, write_timeout).await?;
+    if body.len() > MAX_JOINED_BYTES {
+        for piece in body.pieces() {
+            apricotlug_http::write_to(writer, piece, write_timeout).await?;
+        }
+    }
+    Ok(())
+}
+
 /// How far a request has been written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Progress {
@@ -278,7 +303,7 @@
     let writer = conn.writer();
     let write_timeout = conn.limits().progress;
     // One future for all responses: it knows which byte is next.
-    let mut writing = pin!(apricotlug_http::write_to(&writer, bytes, write_timeout));
+    let mut writing = pin!(write_request(&writer, bytes, request.body, write_timeout));
     for _ in 0..MAX_UNEXPECTED_RESPONSES {
         let head = if progress == Progress::Writing {
             let mut reading = pin!(conn.read_response());
--- a/crates/apricotlug-steer/src/body_buffer.rs
+++ b/crates/apricotlug-steer/src/body_buffer.rs
@@ -9,15 +9,33 @@
 /// Most bytes that are buffered at one time. Every machine has several times as much memory.
 const MAX_BUFFERED_BYTES: usize = 16 << 20;
 
-/// Bytes that the buffers of an instance hold at present.
-#[derive(Debug, Default)]
-pub struct BufferedBytes(AtomicUsize);
+/// Bytes that the buffers of an instance hold at present, and may hold.
+#[derive(Debug)]
+pub struct BufferedBytes {
+    held: AtomicUsize,
+    max: AtomicUsize,
+}
+
+impl Default for BufferedBytes {
+    fn default() -> Self {
+        Self {
+            held: AtomicUsize::new(0),
+            max: AtomicUsize::new(MAX_BUFFERED_BYTES),
+        }
+    }
+}
 
 impl BufferedBytes {
     /// Returns the number of bytes.
     #[must_use]
     pub fn get(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
+        self.held.load(Ordering::Relaxed)
+    }
+
+    /// Lowers the most bytes that may be buffered while less memory is left than usual.
+    pub fn set_max(&self, bytes: usize) {
+        let max = bytes.min(MAX_BUFFERED_BYTES);
+        self.max.store(max, Ordering::Relaxed);
     }
 }
 
@@ -47,8 +65,8 @@
         self.bytes.extend_from_slice(piece);
         let added = self.bytes.capacity() - self.counted;
         self.counted += added;
-        let before = self.total.0.fetch_add(added, Ordering::Relaxed);
-        before + added < MAX_BUFFERED_BYTES
+        let before = self.total.held.fetch_add(added, Ordering::Relaxed);
+        before + added < self.total.max.load(Ordering::Relaxed)
     }
 
     /// Returns the bytes that were appended.
@@ -60,6 +78,6 @@
 
 impl Drop for BodyBuffer {
     fn drop(&mut self) {
-        self.total.0.fetch_sub(self.counted, Ordering::Relaxed);
+        self.total.held.fetch_sub(self.counted, Ordering::Relaxed);
     }
 }
--- a/crates/apricotlug-steer/src/caller.rs
+++ b/crates/apricotlug-steer/src/caller.rs
@@ -2,9 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use apricotlug_http::{
-    BodyReader, Conn, Framing, HttpError, Limits, Phase, RequestHead, request_framing,
-};
+use apricotlug_http::{Conn, ConnPermit, HttpError, Limits, Phase, RequestHead};
 use apricotlug_model::{CallerLimits, MonoTime};
 use async_std::{
     net::{TcpListener, TcpStream},
@@ -16,6 +14,7 @@
     admission::{AdmittedRequest, Refusal, admit},
     attempt::OutgoingRequest,
     dispatch::{Dispatched, Outcome, buffered_framing, dispatch},
+    receive::{ReceiveError, receive},
     response::{AfterResponse, DeliveryError, deliver, refuse},
     shared::Shared,
 };
@@ -38,8 +37,12 @@
         });
         match accepted.await {
             Some(Ok((stream, _))) => {
+                let Some(permit) = shared.conn_limits.callers.enter(&stream) else {
+                    tracing::warn!(kind = "conn_refused");
+                    continue;
+                };
                 let shared = Arc::clone(&shared);
-                task::spawn(async move { serve(&shared, stream).await });
+                task::spawn(async move { serve(&shared, stream, permit).await });
             }
             Some(Err(e)) => {
                 tracing::warn!(kind = "accept", error = %e);
@@ -59,9 +62,18 @@
     }
 }
 
-async fn serve(shared: &Arc<Shared>, stream: TcpStream) {
+async fn serve(shared: &Arc<Shared>, stream: TcpStream, mut permit: ConnPermit) {
     let mut conn = Conn::new(stream, Limits::default());
-    while await_request(shared, &mut conn).await {
+    loop {
+        permit.on_wait();
+        let read_bytes = shared.conn_limits.waiting_read_bytes();
+        conn.set_read_bytes(read_bytes);
+        if read_bytes.is_some() {
+            conn.release_buffer();
+        }
+        if !await_request(shared, &mut conn).await {
+            return;
+        }
         // The connection may have been idle since long before the plan came into force.
         let caller_limits = caller_limits(shared);
         conn.set_limits(conn_limits(caller_limits));
@@ -69,6 +81,10 @@
             Err(e) if e.caller_status().is_none() => return,
             head => head,
         };
+        if !permit.on_request() {
+            tracing::info!(kind = "conn_closed", result = "longest_silent");
+            return;
+        }
         let in_flight = shared.drain.count_request();
         let after = match head {
             Ok(head) => serve_one(shared, &mut conn, head, caller_limits).await,
@@ -76,6 +92,7 @@
         };
         drop(in_flight);
         if after == AfterResponse::Close {
+            permit.on_wait();
             conn.linger().await;
             return;
         }
@@ -126,6 +143,31 @@
     AfterResponse::Close
 }
 
+/// Refuses a request whose body was not read to its end, and closes the connection.
+async fn refuse_unread(
+    shared: &Shared,
+    conn: &mut Conn,
+    head: &RequestHead,
+    refusal: &Refusal,
+    arrived_at: MonoTime,
+) -> AfterResponse {
+    let id = apricotlug_adapter::decode_request(head).request_id;
+    let latency = shared.clock.now().since(arrived_at);
+    shared.metrics.on_request("-", refusal.code, latency);
+    tracing::info!(
+        kind = "request",
+        request = id,
+        route = "-",
+        status = refusal.status,
+        result = refusal.code,
+        ms = latency.as_millis() as u64,
+        body_bytes = shared.bodies.used()
+    );
+    // The caller may have disconnected; the connection is closed in either case.
+    let _ = refuse(conn, refusal, id.as_deref(), true).await;
+    AfterResponse::Close
+}
+
 async fn serve_one(
     shared: &Arc<Shared>,
     conn: &mut Conn,
@@ -133,10 +175,13 @@
     caller_limits: CallerLimits,
 ) -> AfterResponse {
     let arrived_at = shared.clock.now();
-    let (framing, body) = match read_body(conn, &head, caller_limits).await {
-        Ok(read) => read,
-        Err(e) if e.caller_status().is_none() => return AfterResponse::Close,
-        Err(e) => return refuse_malformed(conn, &e).await,
+    let (framing, body) = match receive(shared, conn, &head, caller_limits, arrived_at).await {
+        Ok(received) => received,
+        Err(ReceiveError::Http(e)) if e.caller_status().is_none() => return AfterResponse::Close,
+        Err(ReceiveError::Http(e)) => return refuse_malformed(conn, &e).await,
+        Err(ReceiveError::Refused(refusal)) => {
+            return refuse_unread(shared, conn, &head, &refusal, arrived_at).await;
+        }
     };
     let is_closing = !head.is_keep_alive();
     let operator_state = shared.operator_state();
@@ -281,24 +326,3 @@
     })
     .await
 }
-
-async fn read_body(
-    conn: &mut Conn,
-    head: &RequestHead,
-    caller_limits: CallerLimits,
-) -> Result<(Framing, Vec<u8>), HttpError> {
-    let framing = request_framing(head)?;
-    if matches!(framing, Framing::Length(len) if len > caller_limits.body_bytes) {
-        return Err(HttpError::BodyTooLarge(caller_limits.body_bytes));
-    }
-    let expects = head.headers.text("expect");
-    if expects.is_some_and(|value| value.eq_ignore_ascii_case("100-continue")) {
-        conn.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
-    }
-    let mut reader = BodyReader::new(framing, caller_limits.body_bytes);
-    let mut body = Vec::new();
-    while let Some(chunk) = reader.next(conn).await? {
-        body.extend_from_slice(&chunk);
-    }
-    Ok((framing, body))
-}
--- a/crates/apricotlug-steer/src/dispatch.rs
+++ b/crates/apricotlug-steer/src/dispatch.rs
@@ -15,6 +15,7 @@
 use crate::{
     admission::{AdmittedRequest, Refusal},
     attempt::{AttemptError, BackendResponse, OutgoingRequest, Target, attempt},
+    request_body::RequestBody,
     shared::Shared,
     slot::{SlotGuard, hedge_delay_ms},
 };
@@ -447,7 +448,7 @@
 
 /// Returns the framing for a body that was read completely.
 #[must_use]
-pub fn buffered_framing(framing: Framing, body: &[u8]) -> Framing {
+pub fn buffered_framing(framing: Framing, body: &RequestBody) -> Framing {
     match framing {
         Framing::Empty => Framing::Empty,
         _ => Framing::Length(body.len() as u64),
--- a/crates/apricotlug-steer/src/http_api.rs
+++ b/crates/apricotlug-steer/src/http_api.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use apricotlug_adapter::{LookupQuery, READINESS_PATH, decode_lookup, encode_lookup_answer};
-use apricotlug_http::serve_app;
+use apricotlug_http::{AppLimits, ConnGate, serve_app};
 use async_std::net::TcpListener;
 use tide::{Body, Response, StatusCode};
 
@@ -19,35 +19,35 @@
 /// with fewer is widened to the region, because callers need another address if one fails.
 const MIN_DATA_CENTRE_ADDRESSES: usize = 1;
 
+/// Longest body of a request here, in bytes. None has a use for one.
+const MAX_BODY_BYTES: u64 = 4 * 1024;
+
 /// HTTP path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
-/// Serves look-ups until the listener fails.
-///
-/// # Errors
-/// Returns an error if the listener cannot accept connections any more.
-pub async fn serve_lookups(
-    shared: Arc<Shared>,
-    listener: TcpListener,
-) -> Result<(), apricotlug_http::HttpError> {
+fn limits(gate: &Arc<ConnGate>) -> AppLimits {
+    AppLimits {
+        body_bytes: MAX_BODY_BYTES,
+        gate: Arc::clone(gate),
+    }
+}
+
+/// Serves look-ups.
+pub async fn serve_lookups(shared: Arc<Shared>, listener: TcpListener) {
+    let limits = limits(&shared.conn_limits.lookups);
     let mut app = tide::with_state(shared);
     app.at("/*")
         .get(|req: tide::Request<Arc<Shared>>| async move { Ok(lookup(&req)) });
-    serve_app(listener, Arc::new(app)).await
+    serve_app(listener, Arc::new(app), limits).await;
 }
 
-/// Serves readiness and metrics until the listener fails.
-///
-/// # Errors
-/// Returns an error if the listener cannot accept connections any more.
-pub async fn serve_ready(
-    shared: Arc<Shared>,
-    listener: TcpListener,
-) -> Result<(), apricotlug_http::HttpError> {
+/// Serves readiness and metrics.
+pub async fn serve_ready(shared: Arc<Shared>, listener: TcpListener) {
+    let limits = limits(&shared.conn_limits.ready);
     let mut app = tide::with_state(shared);
     app.at("/*")
         .get(|req: tide::Request<Arc<Shared>>| async move { Ok(readiness(&req)) });
-    serve_app(listener, Arc::new(app)).await
+    serve_app(listener, Arc::new(app), limits).await;
 }
 
 fn readiness(req: &tide::Request<Arc<Shared>>) -> Response {
@@ -59,6 +59,13 @@
         shared.metrics.set_change_log_bytes(held_bytes);
         let buffered_bytes = shared.buffered_bytes.get();
         shared.metrics.set_answer_buffer_bytes(buffered_bytes);
+        let conns = shared.conn_limits.callers.counts();
+        shared.metrics.set_caller_state(
+            shared.bodies.used(),
+            conns.open,
+            conns.closed,
+            conns.refused,
+        );
         let plan = shared.operator_state().plan.clone();
         shared.metrics.set_read_state(
             plan.map(|plan| plan.version),
--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! It synchronises with the platform's store, answers look-ups of where callers connect, and steers
 //! their requests to backend servers. A request passes these stages, one module each: `caller`
-//! (framing), `admission` (route, identify, admit), `dispatch` (choose a backend server, retry),
+//! (framing), `receive` (body), `admission` (route, identify, admit), `dispatch` (choose a backend server, retry),
 //! `attempt` (send, verify), `response` (deliver).
 //!
 //! Instances exchange short-lived state in datagrams (`datagrams`) or through relays (`relay`);
@@ -18,12 +18,15 @@
 mod http_api;
 mod instance;
 mod listed;
+mod machine;
 mod moves;
 mod peers;
 mod pool;
 mod read_sources;
+mod receive;
 mod registration;
 mod relay;
+mod request_body;
 mod response;
 mod shared;
 mod slot;
--- a/crates/apricotlug-steer/src/pool.rs
+++ b/crates/apricotlug-steer/src/pool.rs
@@ -27,10 +27,22 @@
 }
 
 /// Idle connections, by backend server.
-#[derive(Debug, Default)]
-pub struct Pool(Mutex<HashMap<BackendKey, Vec<IdleConn>>>);
+#[derive(Debug)]
+pub struct Pool {
+    max: usize,
+    conns: Mutex<HashMap<BackendKey, Vec<IdleConn>>>,
+}
 
 impl Pool {
+    /// Creates a pool for up to `max` connections.
+    #[must_use]
+    pub fn new(max: usize) -> Self {
+        Self {
+            max,
+            conns: Mutex::default(),
+        }
+    }
+
     /// Takes the most recently used connection that is still open, has no unexpected data to read
     /// and was idle for less than `max_idle`. Connections that fail the check are closed.
     pub async fn take(&self, key: BackendKey, max_idle: Duration, now: MonoTime) -> Option<Conn> {
@@ -55,10 +67,12 @@
         if !conn.is_reusable().await {
             return;
         }
+        conn.release_buffer();
         let idle_timeout = keep_alive_s.map_or(DEFAULT_IDLE_TIMEOUT, Duration::from_secs);
-        let mut conns_by_backend = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut conns_by_backend = self.conns.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_full = conns_by_backend.values().map(Vec::len).sum::<usize>() >= self.max;
         let conns = conns_by_backend.entry(key).or_default();
-        if conns.len() < MAX_IDLE_PER_BACKEND {
+        if conns.len() < MAX_IDLE_PER_BACKEND && !is_full {
             conns.push(IdleConn {
                 conn,
                 since: now,
@@ -69,13 +83,13 @@
 
     /// Closes all idle connections to a backend server.
     pub fn clear(&self, key: BackendKey) {
-        let mut conns_by_backend = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut conns_by_backend = self.conns.lock().unwrap_or_else(PoisonError::into_inner);
         conns_by_backend.remove(&key);
     }
 
     /// Closes expired connections, and all connections to backend servers that are not registered.
     pub fn sweep(&self, now: MonoTime, is_registered: impl Fn(BackendKey) -> bool) {
-        let mut conns_by_backend = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut conns_by_backend = self.conns.lock().unwrap_or_else(PoisonError::into_inner);
         conns_by_backend.retain(|key, conns| {
             conns.retain(|idle| !idle.expires_at.is_past(now));
             is_registered(*key) && !conns.is_empty()
@@ -83,7 +97,7 @@
     }
 
     fn pop(&self, key: BackendKey) -> Option<IdleConn> {
-        let mut conns_by_backend = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut conns_by_backend = self.conns.lock().unwrap_or_else(PoisonError::into_inner);
         conns_by_backend.get_mut(&key)?.pop()
     }
 }
--- /dev/null
+++ b/crates/apricotlug-steer/src/request_body.rs
@@ -0,0 +1,277 @@
+//! Request bodies: read whole before a backend server is chosen, each within the room that all of
+//! them share, which is taken before the bytes are read.
+
+use std::{
+    mem,
+    net::Shutdown,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use apricotlug_edge::Clock;
+use apricotlug_http::{BodyReader, Conn, Framing, HttpError};
+use apricotlug_model::HashMap;
+use apricotlug_policy::steer::{BodyKey, Room, RoomDecision};
+use async_std::net::TcpStream;
+
+use crate::body_buffer::BufferedBytes;
+
+/// Longest part of a body that is kept in one growing allocation, in bytes.
+const FIRST_PIECE_BYTES: usize = 256 * 1024;
+
+/// Capacity of each later piece, in bytes. The allocator gives one of this size a mapping of its own:
+/// memory is used as bytes arrive, never copied, and returned as a whole.
+const PIECE_BYTES: usize = 33 << 20;
+
+/// Step in which the operating system may back such a mapping with memory, in bytes.
+const PAGE_BYTES: usize = 2 << 20;
+
+/// Least room for a body, in bytes.
+const MIN_ROOM_BYTES: usize = 1024;
+
+/// Bytes of a body of unknown length for which room is taken in advance: the largest read.
+const NEXT_READ_BYTES: usize = 16 * 1024;
+
+/// Received bytes after which progress is recorded.
+const PROGRESS_BYTES: usize = 4 * 1024;
+
+/// Bodies of an instance, and the room that they share with answers.
+#[derive(Debug)]
+pub struct RequestBodies {
+    total: u64,
+    state: Mutex<State>,
+    answers: Arc<BufferedBytes>,
+    clock: Clock,
+}
+
+#[derive(Debug)]
+struct State {
+    room: Room,
+    streams: HashMap<BodyKey, TcpStream>,
+}
+
+/// Why a body was not read to its end.
+#[derive(Debug)]
+pub enum BodyError {
+    /// There is no room for it.
+    NoRoom,
+    /// It made no progress, and another needed its room.
+    Stalled,
+    /// It is malformed or too long, or its connection failed.
+    Http(HttpError),
+}
+
+impl RequestBodies {
+    /// Creates room of `total` bytes, which `answers` take part in.
+    #[must_use]
+    pub fn new(total: u64, answers: Arc<BufferedBytes>, clock: Clock) -> Self {
+        Self {
+            total,
+            state: Mutex::new(State {
+                room: Room::new(total),
+                streams: HashMap::default(),
+            }),
+            answers,
+            clock,
+        }
+    }
+
+    /// Returns the bytes of room that bodies have.
+    #[must_use]
+    pub fn used(&self) -> u64 {
+        self.state().room.used()
+    }
+
+    /// Takes room for a body that is about to be read: for all of one that declares its length.
+    ///
+    /// # Errors
+    /// Returns an error if there is no room.
+    pub fn start(
+        self: &Arc<Self>,
+        framing: Framing,
+        conn: &Conn,
+    ) -> Result<RequestBody, BodyError> {
+        let mut body = RequestBody {
+            pieces: Vec::new(),
+            len: 0,
+            declared: match framing {
+                Framing::Empty => Some(0),
+                Framing::Length(len) => Some(usize::try_from(len).unwrap_or(usize::MAX)),
+                Framing::Chunked | Framing::UntilClose => None,
+            },
+            held: None,
+        };
+        if body.declared == Some(0) {
+            return Ok(body);
+        }
+        let key = {
+            let mut state = self.state();
+            let key = state.room.add(self.clock.now());
+            state.streams.insert(key, conn.writer());
+            key
+        };
+        let held = HeldRoom {
+            key,
+            bodies: Arc::clone(self),
+        };
+        let is_granted = held.resize(body.declared.unwrap_or(NEXT_READ_BYTES));
+        body.held = Some(held);
+        if is_granted {
+            Ok(body)
+        } else {
+            Err(BodyError::NoRoom)
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Leaves the answers what the bodies do not use.
+    fn limit_answers(&self, state: &State) {
+        let left = self.total.saturating_sub(state.room.used());
+        self.answers
+            .set_max(usize::try_from(left).unwrap_or(usize::MAX));
+    }
+}
+
+/// Room of one body, released on drop.
+#[derive(Debug)]
+struct HeldRoom {
+    key: BodyKey,
+    bodies: Arc<RequestBodies>,
+}
+
+impl HeldRoom {
+    /// Takes room for `len` bytes of content in all. Returns whether there is enough.
+    fn resize(&self, len: usize) -> bool {
+        let bodies = &self.bodies;
+        let (now, answers) = (bodies.clock.now(), bodies.answers.get() as u64);
+        let mut state = bodies.state();
+        let decision = state.room.resize(self.key, room_for(len), answers, now);
+        bodies.limit_answers(&state);
+        match decision {
+            RoomDecision::Granted => true,
+            RoomDecision::Refused => false,
+            RoomDecision::GrantedInPlaceOf(lost) => {
+                for key in lost {
+                    if let Some(stream) = state.streams.remove(&key) {
+                        // Ends the pending read. A failure means that the connection has ended.
+                        let _ = stream.shutdown(Shutdown::Read);
+                    }
+                }
+                true
+            }
+        }
+    }
+
+    fn on_received(&self, bytes: usize) {
+        let now = self.bodies.clock.now();
+        let mut state = self.bodies.state();
+        state.room.on_received(self.key, bytes as u64, now);
+    }
+
+    fn is_lost(&self) -> bool {
+        !self.bodies.state().streams.contains_key(&self.key)
+    }
+}
+
+impl Drop for HeldRoom {
+    fn drop(&mut self) {
+        let mut state = self.bodies.state();
+        state.room.release(self.key);
+        state.streams.remove(&self.key);
+        self.bodies.limit_answers(&state);
+    }
+}
+
+/// Body of a request, in pieces.
+#[derive(Debug)]
+pub struct RequestBody {
+    pieces: Vec<Vec<u8>>,
+    len: usize,
+    declared: Option<usize>,
+    held: Option<HeldRoom>,
+}
+
+impl RequestBody {
+    /// Reads the body to its end.
+    ///
+    /// # Errors
+    /// Returns an error if there is no room for more, or the body cannot be read.
+    pub async fn read(
+        mut self,
+        conn: &mut Conn,
+        mut reader: BodyReader,
+    ) -> Result<Self, BodyError> {
+        let Some(held) = self.held.take() else {
+            return Ok(self);
+        };
+        let mut received = 0;
+        loop {
+            if self.declared.is_none() && !held.resize(self.len + NEXT_READ_BYTES) {
+                return Err(BodyError::NoRoom);
+            }
+            let piece = match reader.next(conn).await {
+                Ok(Some(piece)) => piece,
+                Ok(None) => break,
+                Err(_) if held.is_lost() => return Err(BodyError::Stalled),
+                Err(e) => return Err(BodyError::Http(e)),
+            };
+            self.push(&piece);
+            received += piece.len();
+            if received >= PROGRESS_BYTES {
+                held.on_received(mem::take(&mut received));
+            }
+        }
+        if held.is_lost() {
+            return Err(BodyError::Stalled);
+        }
+        held.bodies.state().room.on_complete(held.key);
+        self.held = Some(held);
+        Ok(self)
+    }
+
+    /// Returns the length, in bytes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Iterates over the pieces, in order.
+    pub fn pieces(&self) -> impl Iterator<Item = &[u8]> {
+        self.pieces.iter().map(Vec::as_slice)
+    }
+
+    fn push(&mut self, mut bytes: &[u8]) {
+        self.len += bytes.len();
+        if self.pieces.is_empty() {
+            let capacity = self.declared.unwrap_or_default().min(FIRST_PIECE_BYTES);
+            self.pieces.push(Vec::with_capacity(capacity));
+        }
+        while !bytes.is_empty() {
+            let is_first = self.pieces.len() == 1;
+            let limit = if is_first {
+                FIRST_PIECE_BYTES
+            } else {
+                PIECE_BYTES
+            };
+            match self.pieces.last_mut() {
+                Some(piece) if piece.len() < limit => {
+                    let (now, rest) = bytes.split_at(bytes.len().min(limit - piece.len()));
+                    piece.extend_from_slice(now);
+                    bytes = rest;
+                }
+                _ => self.pieces.push(Vec::with_capacity(PIECE_BYTES)),
+            }
+        }
+    }
+}
+
+/// Returns the room that a body of `len` bytes takes, in bytes.
+fn room_for(len: usize) -> u64 {
+    let first = len.min(FIRST_PIECE_BYTES);
+    let rest = (len - first)
+        .div_ceil(PAGE_BYTES)
+        .saturating_mul(PAGE_BYTES);
+    (first.next_power_of_two().max(MIN_ROOM_BYTES) as u64).saturating_add(rest as u64)
+}
--- a/crates/apricotlug-steer/src/response.rs
+++ b/crates/apricotlug-steer/src/response.rs
@@ -14,6 +14,9 @@
 /// while the buffers of all requests together are full.
 const MAX_UNFRAMED_BYTES: usize = 16 << 20;
 
+/// Longest body that is copied behind its head, in bytes.
+const MAX_JOINED_BYTES: usize = 64 * 1024;
+
 /// Why a response was not delivered completely.
 #[derive(Debug, Error)]
 pub enum DeliveryError {
@@ -104,8 +107,13 @@
         Framing::Length(body.len() as u64).announce(&mut head.headers);
     }
     let mut bytes = head.encode();
-    bytes.extend_from_slice(body);
+    if body.len() <= MAX_JOINED_BYTES {
+        bytes.extend_from_slice(body);
+    }
     conn.write(&bytes).await?;
+    if body.len() > MAX_JOINED_BYTES {
+        conn.write(body).await?;
+    }
     Ok(if is_closing {
         AfterResponse::Close
     } else {
--- a/crates/apricotlug-steer/src/shared.rs
+++ b/crates/apricotlug-steer/src/shared.rs
@@ -16,8 +16,10 @@
 use crate::{
     body_buffer::BufferedBytes,
     freshness::{BootDeadline, StoreFreshness},
+    machine::{ConnLimits, room_bytes},
     pool::Pool,
     relay::ChangeLog,
+    request_body::RequestBodies,
     steering::SteeringState,
 };
 
@@ -90,6 +92,10 @@
     pub pool: Pool,
     /// Bytes of response bodies that are buffered.
     pub buffered_bytes: Arc<BufferedBytes>,
+    /// Request bodies, and the room that they share.
+    pub bodies: Arc<RequestBodies>,
+    /// Limits on connections.
+    pub conn_limits: ConnLimits,
     /// Requests in flight, and whether the instance is leaving.
     pub drain: Drain,
     /// Counters and histograms for the metrics endpoint.
@@ -102,9 +108,14 @@
     /// Creates the state of a new run.
     #[must_use]
     pub fn new(settings: SiteSettings, run: u64) -> Self {
+        let (machine, clock) = (settings.machine, Clock::start());
+        let buffered_bytes = Arc::<BufferedBytes>::default();
+        let room = room_bytes(machine);
+        let bodies = RequestBodies::new(room, Arc::clone(&buffered_bytes), clock);
+        let conn_limits = ConnLimits::new(machine);
         Self {
             run,
-            clock: Clock::start(),
+            clock,
             freshness: StoreFreshness::default(),
             passes_on_until: BootDeadline::default(),
             last_read: Mutex::default(),
@@ -112,8 +123,10 @@
             settings: RwLock::new(Arc::new(settings)),
             operator_state: RwLock::default(),
             change_log: ChangeLog::default(),
-            pool: Pool::default(),
-            buffered_bytes: Arc::default(),
+            pool: Pool::new(conn_limits.pooled),
+            buffered_bytes,
+            bodies: Arc::new(bodies),
+            conn_limits,
             drain: Drain::default(),
             metrics: Metrics::default(),
             leave: OnceLock::new(),
