--- a/crates/apricotlug-config/tests/site.rs
+++ b/crates/apricotlug-config/tests/site.rs
@@ -19,9 +19,18 @@
     assert_eq!(settings.bounds.retry_ratio, 0.2);
     assert_eq!(settings.bounds.apply_ms, 2_500);
     assert_eq!(settings.min_lease_ms, 1_000);
+    assert_eq!(settings.machine.memory_mb, 112);
+    assert_eq!(settings.machine.descriptors, None);
     assert!(settings.is_first_start && settings.bounds.is_revocation_strict);
 }
 
+#[test]
+fn the_limits_of_the_machine_are_read_where_they_are_given() {
+    let text = format!("{EXAMPLE}\n[machine]\nmemory_mb = 260\ndescriptors = 4100\n");
+    let machine = parse_site("steer.toml", &text).unwrap().machine;
+    assert_eq!((machine.memory_mb, machine.descriptors), (260, Some(4_100)));
+}
+
 #[test]
 fn each_fault_is_found_with_its_place() {
     let cases: &[(&str, &str, &[FindingCode])] = &[
@@ -48,6 +57,16 @@
             "quota_slack = 20\nmore = 1",
             &[UnknownField],
         ),
+        (
+            "cold_slack = 5",
+            "cold_slack = 5\n[machine]\nmemory_mb = 0",
+            &[OutOfRange],
+        ),
+        (
+            "cold_slack = 5",
+            "cold_slack = 5\n[machine]\ndescriptors = \"many\"",
+            &[WrongType],
+        ),
         ("127.0.0.1:7100", "127.0.0.1:0", &[OutOfRange]),
         (
             "caller = \"127.0.0.1:7000\"",
--- a/crates/apricotlug-policy/src/steer/admission/room.rs
+++ b/crates/apricotlug-policy/src/steer/admission/room.rs
@@ -5,10 +5,10 @@
 use apricotlug_model::{HashMap, MonoTime};
 
 /// Longest body that counts as short, in bytes of room.
-const SHORT_BYTES: u64 = 64 * 1024;
+const SHORT_BYTES: u64 = 80 * 1024;
 
 /// Part of the room that long bodies cannot take, in bytes.
-const SHORT_PART_BYTES: u64 = 6 << 20;
+const SHORT_PART_BYTES: u64 = 5 << 20;
 
 /// Longest time without progress for which a body keeps room that another needs.
 const STALL: Duration = Duration::from_secs(1);
--- a/crates/apricotlug-steer/src/machine.rs
+++ b/crates/apricotlug-steer/src/machine.rs
@@ -8,7 +8,7 @@
 
 /// Memory that a process uses without bodies, in bytes: its state, its answers to other instances
 /// and the buffers of its connections.
-const BASE_BYTES: u64 = 40 << 20;
+const BASE_BYTES: u64 = 42 << 20;
 
 /// Least room for bodies, in bytes, however small the machine.
 const MIN_ROOM_BYTES: u64 = 8 << 20;
@@ -19,6 +19,9 @@
 /// Fewest descriptors for sockets with which an instance works.
 const MIN_SOCKETS: usize = 64;
 
+/// Most descriptors that are counted on where the operating system allows more.
+const MAX_DESCRIPTORS: usize = 65_536;
+
 /// Callers' connections for each MB of memory. Each may hold a buffer of 16 KiB.
 const CALLERS_PER_MB: usize = 8;
 
@@ -49,9 +52,8 @@
     #[must_use]
     pub fn new(machine: SiteMachine) -> Self {
         let descriptors = machine.descriptors.map_or_else(own_limit, |n| n as usize);
-        let sockets = descriptors
-            .saturating_sub(FILE_DESCRIPTORS)
-            .max(MIN_SOCKETS);
+        let sockets = descriptors.saturating_sub(FILE_DESCRIPTORS);
+        let sockets = sockets.clamp(MIN_SOCKETS, MAX_DESCRIPTORS);
         let callers = (sockets * 3 / 8).min(machine.memory_mb as usize * CALLERS_PER_MB);
         Self {
             callers: Arc::new(ConnGate::new(callers)),
@@ -78,5 +80,5 @@
 
 fn own_limit() -> usize {
     let limit = getrlimit(Resource::Nofile).current;
-    limit.map_or(usize::MAX, |limit| limit as usize)
+    limit.map_or(MAX_DESCRIPTORS, |limit| limit as usize)
 }
--- a/crates/apricotlug-steer/src/request_body.rs
+++ b/crates/apricotlug-steer/src/request_body.rs
@@ -25,8 +25,8 @@
 /// Step in which the operating system may back such a mapping with memory, in bytes.
 const PAGE_BYTES: usize = 2 << 20;
 
-/// Least room for a body, in bytes.
-const MIN_ROOM_BYTES: usize = 1024;
+/// Room for the buffer of the connection that a body is read from, in bytes.
+const CONN_BYTES: usize = 16 * 1024;
 
 /// Bytes of a body of unknown length for which room is taken in advance: the largest read.
 const NEXT_READ_BYTES: usize = 16 * 1024;
@@ -273,5 +273,5 @@
     let rest = (len - first)
         .div_ceil(PAGE_BYTES)
         .saturating_mul(PAGE_BYTES);
-    (first.next_power_of_two().max(MIN_ROOM_BYTES) as u64).saturating_add(rest as u64)
+    ((first.next_power_of_two() + CONN_BYTES) as u64).saturating_add(rest as u64)
 }
