End a long answer that falls silent when its route's time is over

Once the route's timeout is over, a backend server may be silent for 200 ms; a body on which bytes come is delivered on.

--- a/crates/apricotlug-steer/src/caller.rs
+++ b/crates/apricotlug-steer/src/caller.rs
@@ -15,7 +15,7 @@
     attempt::OutgoingRequest,
     dispatch::{Dispatched, Outcome, buffered_framing, dispatch},
     receive::{ReceiveError, receive},
-    response::{AfterResponse, DeliveryError, deliver, refuse},
+    response::{AfterResponse, DeliveryError, DeliveryLimits, deliver, refuse},
     shared::Shared,
 };
 
@@ -251,10 +251,8 @@
     let delivered = match dispatched.outcome {
         Outcome::Answered(response) => {
             let key = response.key;
-            let time_limit = request.as_ref().map_or(MAX_DELIVERY_TIME, |request| {
-                delivery_time(shared, request, arrived_at)
-            });
-            let delivered = deliver(conn, &head, *response, is_closing, time_limit).await;
+            let limits = delivery_limits(shared, request.as_ref().ok(), arrived_at);
+            let delivered = deliver(conn, &head, *response, is_closing, limits).await;
             if matches!(delivered, Err(DeliveryError::Backend(_))) {
                 let now = shared.clock.now();
                 shared
@@ -276,15 +274,21 @@
     })
 }
 
-/// Returns for how long the caller of a request still waits for the rest of a body.
-fn delivery_time(shared: &Shared, request: &AdmittedRequest, arrived_at: MonoTime) -> Duration {
+/// Returns until when a body that is still under way is delivered to the caller of a request.
+fn delivery_limits(
+    shared: &Shared,
+    request: Option<&AdmittedRequest>,
+    arrived_at: MonoTime,
+) -> DeliveryLimits {
     let time_budget = request
-        .metadata
-        .time_budget_ms
+        .and_then(|request| request.metadata.time_budget_ms)
         .map_or(MAX_DELIVERY_TIME, Duration::from_millis);
-    shared
-        .clock
-        .remaining(arrived_at.after(time_budget.min(MAX_DELIVERY_TIME)))
+    let caller_leaves_at = arrived_at.after(time_budget.min(MAX_DELIVERY_TIME));
+    DeliveryLimits {
+        clock: shared.clock,
+        timeout_at: request.map_or(caller_leaves_at, |request| request.deadline),
+        caller_leaves_at,
+    }
 }
 
 /// Refunds the quota of a request that no backend server ran.
--- a/crates/apricotlug-steer/src/response.rs
+++ b/crates/apricotlug-steer/src/response.rs
@@ -3,7 +3,11 @@
 use std::time::Duration;
 
 use apricotlug_adapter::refusal_head;
-use apricotlug_http::{BodyWriter, Conn, Framing, HttpError, Phase, RequestHead, ResponseHead};
+use apricotlug_edge::Clock;
+use apricotlug_http::{
+    BodyReader, BodyWriter, Conn, Framing, HttpError, Phase, RequestHead, ResponseHead,
+};
+use apricotlug_model::MonoTime;
 use async_std::future::timeout;
 use thiserror::Error;
 
@@ -17,6 +21,20 @@
 /// Longest body that is copied behind its head, in bytes.
 const MAX_JOINED_BYTES: usize = 64 * 1024;
 
+/// Longest silence of a backend server within a body, once the time of its route is over.
+const MAX_LATE_SILENCE: Duration = Duration::from_millis(200);
+
+/// Until when a body that is still under way is delivered.
+#[derive(Clone, Copy, Debug)]
+pub struct DeliveryLimits {
+    /// Clock of the deadlines.
+    pub clock: Clock,
+    /// Time at which the route's timeout is over. A body on which bytes still come is delivered on.
+    pub timeout_at: MonoTime,
+    /// Time after which the caller no longer waits.
+    pub caller_leaves_at: MonoTime,
+}
+
 /// Why a response was not delivered completely.
 #[derive(Debug, Error)]
 pub enum DeliveryError {
@@ -62,8 +80,8 @@
 
 /// Delivers a backend server's response.
 ///
-/// A body that is still under way is cut off after `time_limit`: its caller no longer waits, and it
-/// may never end.
+/// A body that is still under way is cut off when its caller no longer waits, or when its backend
+/// server falls silent and the route's timeout is over: it may never end.
 ///
 /// # Errors
 /// Returns an error if either connection fails before the end of the body. The caller's connection
@@ -73,12 +91,13 @@
     req: &RequestHead,
     response: BackendResponse,
     is_closing: bool,
-    time_limit: Duration,
+    limits: DeliveryLimits,
 ) -> Result<AfterResponse, DeliveryError> {
     if response.rest.is_none() {
         return deliver_buffered(conn, req, response.head, response.body.bytes(), is_closing).await;
     }
-    timeout(time_limit, stream(conn, req, response, is_closing))
+    let time_limit = limits.clock.remaining(limits.caller_leaves_at);
+    timeout(time_limit, stream(conn, req, response, is_closing, limits))
         .await
         .unwrap_or(Err(DeliveryError::Backend(HttpError::TimedOut(
             Phase::Body,
@@ -121,11 +140,24 @@
     })
 }
 
+async fn next_piece(
+    backend: &mut Conn,
+    reader: &mut BodyReader,
+    limits: DeliveryLimits,
+) -> Result<Option<Vec<u8>>, DeliveryError> {
+    let remaining = limits.clock.remaining(limits.timeout_at);
+    timeout(remaining.max(MAX_LATE_SILENCE), reader.next(backend))
+        .await
+        .unwrap_or(Err(HttpError::TimedOut(Phase::Body)))
+        .map_err(DeliveryError::Backend)
+}
+
 async fn stream(
     conn: &mut Conn,
     req: &RequestHead,
     response: BackendResponse,
     is_closing: bool,
+    limits: DeliveryLimits,
 ) -> Result<AfterResponse, DeliveryError> {
     let Some((mut backend, mut reader)) = response.rest else {
         return Ok(AfterResponse::Close);
@@ -134,11 +166,7 @@
     if req.minor == 0 && !has_length {
         // HTTP/1.0 has no chunked encoding.
         let mut body = response.body;
-        while let Some(chunk) = reader
-            .next(&mut backend)
-            .await
-            .map_err(DeliveryError::Backend)?
-        {
+        while let Some(chunk) = next_piece(&mut backend, &mut reader, limits).await? {
             if !body.push(&chunk) || body.bytes().len() > MAX_UNFRAMED_BYTES {
                 let error = HttpError::BodyTooLarge(MAX_UNFRAMED_BYTES as u64);
                 return Err(DeliveryError::Backend(error));
@@ -154,11 +182,7 @@
     writer.write(response.body.bytes()).await?;
     // The rest may take long to deliver.
     drop(response.body);
-    while let Some(chunk) = reader
-        .next(&mut backend)
-        .await
-        .map_err(DeliveryError::Backend)?
-    {
+    while let Some(chunk) = next_piece(&mut backend, &mut reader, limits).await? {
         writer.write(&chunk).await?;
     }
     writer.finish().await?;
