Decide who holds the duty of usage reports, and what is reported

While writing, they found two reports of one window after the store had lost writes: by a restarted holder that took its own record at once (left out now), and by a process that had read nothing before (it reports no window that ended before its first read).

--- a/crates/apricotlug-policy/src/steer/mod.rs
+++ b/crates/apricotlug-policy/src/steer/mod.rs
@@ -1,8 +1,9 @@
 //! Steering of requests to a changing set of backend servers, grouped by decision: whether a request
 //! is admitted, where it goes, what it may use of limits over all instances, where the store's items
-//! are read, and which version of a service answers.
+//! are read, which version of a service answers, and what one instance does for all.
 
 mod admission;
+mod duties;
 mod limits;
 mod placement;
 mod read_schedule;
@@ -11,6 +12,10 @@
 pub use admission::{
     AdmissionDecision, CallerWaits, Leave, RequestLimits, decide_admission, retry_after_ms,
 };
+pub use duties::{
+    Collection, DutyHolder, DutyInstance, DutyRecord, DutyStep, DutyTerms, DutyWrite, LostWindow,
+    Outbox, SentRequest, UsageCounts, WallAnchor, WindowCounts, window_end, window_number,
+};
 pub use limits::{
     ColdGate, KnownInstance, LimitShare, Quotas, ReportDelay, ReportInterval, ServiceRetryBudget,
     usable_cold_rate,
