Report usage of client accounts, by one instance for all

Where the settings have `[usage]`, every instance counts the requests that backend servers began to run, by client account and window of the wall clock, and sends closed windows straight to the holder of the duty over the peer port (`windows`, answered at once by `confirmed`). The holder writes each report into the duty's record and then sends it; its successor sends the same one.

The windows are the wall clock's, so it is read, in one place (`Clock::read_wall`), and only an anchor gets it that does not follow a jump.

--- a/crates/apricotlug-config/src/lib.rs
+++ b/crates/apricotlug-config/src/lib.rs
@@ -17,4 +17,4 @@
 pub use bundle::{load_bundle, parse_bundle};
 pub use doc::MAX_FINDINGS;
 pub use settings::{Listen, LogLevel, Settings, parse_settings};
-pub use site::{SiteBounds, SiteListen, SiteSettings, parse_site};
+pub use site::{SiteBounds, SiteListen, SiteSettings, SiteUsage, parse_site};
--- a/crates/apricotlug-config/src/site.rs
+++ b/crates/apricotlug-config/src/site.rs
@@ -19,6 +19,9 @@
 /// Time within which a confirmed change is in force where the settings do not say.
 const DEFAULT_APPLY_MS: u32 = 2_500;
 
+/// Shortest window of usage: each one costs a message of every instance and three writes.
+const MIN_WINDOW_MS: u32 = 1_000;
+
 /// Settings of an entry instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SiteSettings {
@@ -42,6 +45,8 @@
     pub min_lease_ms: u32,
     /// Bounds that the installation sets.
     pub bounds: SiteBounds,
+    /// Reports of client accounts' usage; `None` where nobody wants them.
+    pub usage: Option<SiteUsage>,
 }
 
 impl SiteSettings {
@@ -105,6 +110,21 @@
     pub cold_slack: f64,
 }
 
+/// Reports of client accounts' usage, which one instance at a time sends. Times are in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SiteUsage {
+    /// Address that accepts the reports.
+    pub addr: SocketAddr,
+    /// Length of a window of the wall clock that one report covers.
+    pub window_ms: u32,
+    /// Time after the end of a window by which its report is due.
+    pub late_ms: u32,
+    /// Least time between two holds of one instance with another's between them.
+    pub lease_ms: u32,
+    /// Time after its machine was suspended or cut off for which an instance may act on old knowledge.
+    pub thaw_slack_ms: u32,
+}
+
 /// Parses and checks the settings of an entry instance on the platform.
 ///
 /// # Errors
@@ -134,6 +154,8 @@
     let store = store.and_then(|store| read_store(doc, store));
     let bounds = fields.table(doc, "bounds", "`bounds`");
     let bounds = bounds.and_then(|bounds| read_bounds(doc, bounds));
+    let usage = fields.optional_table(doc, "usage", "`usage`");
+    let usage = usage.map(|usage| read_usage(doc, usage));
     fields.finish(doc);
     let (data_centre, regions) = (data_centre?, regions?);
     if !regions.contains_key(data_centre.value) {
@@ -159,6 +181,39 @@
         store,
         min_lease_ms,
         bounds: bounds?,
+        usage: match usage {
+            Some(usage) => Some(usage?),
+            None => None,
+        },
+    })
+}
+
+fn read_window(doc: &mut Doc<'_>, fields: &mut Fields<'_>) -> Option<u32> {
+    let window_ms = fields.span_ms(doc, "window")?;
+    if window_ms < MIN_WINDOW_MS {
+        doc.add(
+            FindingCode::OutOfRange,
+            fields.offset_of("window"),
+            format!("`window` is {window_ms} ms"),
+            format!("give at least {MIN_WINDOW_MS} ms"),
+        );
+    }
+    Some(window_ms)
+}
+
+fn read_usage(doc: &mut Doc<'_>, mut fields: Fields<'_>) -> Option<SiteUsage> {
+    let addr = fields.addr(doc, "address", Port::Named);
+    let window_ms = read_window(doc, &mut fields);
+    let late_ms = fields.span_ms(doc, "late");
+    let lease_ms = fields.span_ms(doc, "lease");
+    let thaw_slack_ms = fields.span_ms(doc, "thaw_slack");
+    fields.finish(doc);
+    Some(SiteUsage {
+        addr: addr?.value,
+        window_ms: window_ms?,
+        late_ms: late_ms?,
+        lease_ms: lease_ms?,
+        thaw_slack_ms: thaw_slack_ms?,
     })
 }
 
--- a/crates/apricotlug-config/tests/site.rs
+++ b/crates/apricotlug-config/tests/site.rs
@@ -19,6 +19,9 @@
     assert_eq!(settings.bounds.retry_ratio, 0.2);
     assert_eq!(settings.bounds.apply_ms, 2_500);
     assert_eq!(settings.min_lease_ms, 1_000);
+    assert_eq!(settings.usage.map(|usage| usage.late_ms), Some(10_000));
+    let without = EXAMPLE.split("[usage]").next().unwrap_or_default();
+    assert_eq!(parse_site("steer.toml", without).unwrap().usage, None);
     assert!(settings.is_first_start && settings.bounds.is_revocation_strict);
 }
 
@@ -49,6 +52,15 @@
             &[UnknownField],
         ),
         ("127.0.0.1:7100", "127.0.0.1:0", &[OutOfRange]),
+        ("127.0.0.1:7101", "127.0.0.1:0", &[OutOfRange]),
+        ("\nwindow = \"5s\"", "\nwindow = 5", &[WrongType]),
+        ("\nwindow = \"5s\"", "\nwindow = \"0s\"", &[OutOfRange]),
+        ("late = \"10s\"", "", &[MissingField]),
+        (
+            "lease = \"3s\"",
+            "lease = \"3s\"\nterm = 1",
+            &[UnknownField],
+        ),
         (
             "caller = \"127.0.0.1:7000\"",
             "caller = \"nowhere\"",
--- a/crates/apricotlug-edge/src/clock.rs
+++ b/crates/apricotlug-edge/src/clock.rs
@@ -33,6 +33,13 @@
         self.wall_at_start.after(self.start.elapsed())
     }
 
+    /// Reads the machine's wall clock, which may jump. Only what windows of the wall clock are counted by
+    /// may rest on it, and only through an anchor that does not follow a jump.
+    #[must_use]
+    pub fn read_wall(&self) -> UnixTime {
+        UnixTime::now()
+    }
+
     /// Converts a monotonic time to wall-clock time.
     #[must_use]
     pub fn to_unix(&self, at: MonoTime) -> UnixTime {
--- a/crates/apricotlug-edge/src/metrics.rs
+++ b/crates/apricotlug-edge/src/metrics.rs
@@ -58,6 +58,11 @@
     store_revision: Gauge<u64>,
     store_read_age_ms: Gauge<u64>,
     store_reads: Counter<u64>,
+    usage_reports: Counter<u64>,
+    usage_requests_lost: Counter<u64>,
+    usage_window: Gauge<u64>,
+    duty_fence: Gauge<u64>,
+    duty_held_ms: Gauge<u64>,
     latency: Histogram<f64>,
 }
 
@@ -86,6 +91,11 @@
             store_revision: meter.u64_gauge("apricotlug_store_revision").build(),
             store_read_age_ms: meter.u64_gauge("apricotlug_store_read_age_ms").build(),
             store_reads: meter.u64_counter("apricotlug_store_reads").build(),
+            usage_reports: meter.u64_counter("apricotlug_usage_reports").build(),
+            usage_requests_lost: meter.u64_counter("apricotlug_usage_requests_lost").build(),
+            usage_window: meter.u64_gauge("apricotlug_usage_window").build(),
+            duty_fence: meter.u64_gauge("apricotlug_duty_fence").build(),
+            duty_held_ms: meter.u64_gauge("apricotlug_duty_held_ms").build(),
             latency: meter
                 .f64_histogram("apricotlug_latency_seconds")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
@@ -158,6 +168,29 @@
         self.store_reads.add(1, &attributes);
     }
 
+    /// Counts a report of usage that this instance sent, by result.
+    pub fn on_usage_report(&self, result: &'static str) {
+        self.usage_reports
+            .add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Counts requests of this instance that are missing from a report of usage.
+    pub fn on_usage_lost(&self, requests: u64) {
+        self.usage_requests_lost.add(requests, &[]);
+    }
+
+    /// Records the latest window of usage whose report is settled.
+    pub fn set_usage_window(&self, number: u64) {
+        self.usage_window.record(number, &[]);
+    }
+
+    /// Records the number of this instance's hold of the usage duty and for how long it has had it, in
+    /// milliseconds; both 0 where it does not hold it.
+    pub fn set_duty(&self, fence: u64, held_ms: u64) {
+        self.duty_fence.record(fence, &[]);
+        self.duty_held_ms.record(held_ms, &[]);
+    }
+
     /// Renders all instruments in the text exposition format, one line per value.
     #[must_use]
     pub fn page(&self) -> String {
--- a/crates/apricotlug-policy/src/steer/duties/collection.rs
+++ b/crates/apricotlug-policy/src/steer/duties/collection.rs
@@ -1,6 +1,6 @@
 //! Counts of all instances that the holder of the usage duty has received, by window.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::record::WindowCounts;
 
@@ -12,6 +12,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Collection {
     windows: BTreeMap<u64, BTreeMap<u64, WindowCounts>>,
+    /// Runs that reported the last settled window.
+    recent_runs: BTreeSet<u64>,
 }
 
 impl Collection {
@@ -39,6 +41,14 @@
         runs.iter().filter(is_missing).count()
     }
 
+    /// Returns how many runs have reported the last settled window and not this one. Some may have
+    /// ended; others may be cut off from the store, by which instances know each other.
+    #[must_use]
+    pub fn missing_recent(&self, number: u64) -> usize {
+        let recent: Vec<_> = self.recent_runs.iter().copied().collect();
+        self.missing(number, &recent)
+    }
+
     /// Returns the sums over all instances for a window.
     #[must_use]
     pub fn total(&self, number: u64) -> WindowCounts {
@@ -59,13 +69,11 @@
         total
     }
 
-    /// Drops the windows up to and including one.
+    /// Drops the windows up to and including one, which is settled.
     pub fn forget_through(&mut self, number: u64) {
+        if let Some(settled) = self.windows.get(&number) {
+            self.recent_runs = settled.keys().copied().collect();
+        }
         self.windows = self.windows.split_off(&number.saturating_add(1));
     }
-
-    /// Drops everything.
-    pub fn clear(&mut self) {
-        self.windows.clear();
-    }
 }
--- a/crates/apricotlug-policy/tests/steer_usage.rs
+++ b/crates/apricotlug-policy/tests/steer_usage.rs
@@ -177,7 +177,9 @@
         assert!(collection.receive(1, counts(number, 1)));
     }
     assert!(!collection.receive(1, counts(25, 1)), "bounded");
+    assert_eq!(collection.missing_recent(6), 0);
     collection.forget_through(5);
+    assert_eq!(collection.missing_recent(6), 1, "run 2");
     assert_eq!(collection.missing(5, &[1]), 1);
     assert!(collection.receive(1, counts(25, 1)));
 }
--- a/crates/apricotlug-steer/src/dispatch.rs
+++ b/crates/apricotlug-steer/src/dispatch.rs
@@ -17,6 +17,7 @@
     attempt::{AttemptError, BackendResponse, OutgoingRequest, Target, attempt},
     shared::Shared,
     slot::{SlotGuard, hedge_delay_ms},
+    usage::{SentEnd, SentGuard},
 };
 
 /// Largest number of backend servers that cannot be reached before a request is refused.
@@ -170,7 +171,15 @@
 ) -> FinishedAttempt {
     let mut slot = placement.slot;
     let choice = slot.choice;
+    let sent = shared
+        .usage
+        .as_ref()
+        .zip(outgoing.account)
+        .map(|(usage, account)| SentGuard::new(usage, account, choice.wait_ms, choice.expected_ms));
     let result = attempt(shared, outgoing, &placement.target).await;
+    if let Some(sent) = sent {
+        sent.end(sent_end(&result));
+    }
     let ms = slot.elapsed_ms();
     let is_slow = slot.is_slow();
     tracing::info!(
@@ -206,6 +215,16 @@
     }
 }
 
+/// Returns whether a backend server began to run the request of an attempt.
+fn sent_end(result: &Result<BackendResponse, AttemptError>) -> SentEnd {
+    match result {
+        Ok(response) if response.metadata.is_not_executed => SentEnd::NotRun,
+        Ok(_) => SentEnd::Answered,
+        Err(AttemptError::Unreachable | AttemptError::Refused { .. }) => SentEnd::NotRun,
+        Err(AttemptError::Unknown(_)) => SentEnd::Unknown,
+    }
+}
+
 fn record_load(shared: &Shared, key: BackendKey, response: &BackendResponse, now: MonoTime) {
     let mut steering = shared.steering();
     let entry = steering.fleet.entry_mut(key);
--- a/crates/apricotlug-steer/src/http_api.rs
+++ b/crates/apricotlug-steer/src/http_api.rs
@@ -65,6 +65,10 @@
             shared.last_read().map(|read| read.revision),
             shared.freshness.age_ms(),
         );
+        if let Some(usage) = &shared.usage {
+            let (fence, held) = usage.held();
+            shared.metrics.set_duty(fence, held.as_millis() as u64);
+        }
         res.set_body(shared.metrics.page());
         return res;
     }
--- a/crates/apricotlug-steer/src/instance.rs
+++ b/crates/apricotlug-steer/src/instance.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     caller, datagrams, http_api, moves::DueStatus, registration, relay, shared::Shared,
-    store_changes::ExpiryGrace, store_sync::sync_store,
+    store_changes::ExpiryGrace, store_sync::sync_store, usage,
 };
 
 /// Interval at which the number of dropped log lines is read.
@@ -96,6 +96,8 @@
             Arc::clone(&shared),
             store.clone(),
         ));
+        task::spawn(usage::collect(Arc::clone(&shared)));
+        task::spawn(usage::hold(Arc::clone(&shared), store.clone()));
         task::spawn(maintain(Arc::clone(&shared), expiry_grace, store));
         task::spawn(report_dropped_lines(Arc::clone(&shared), dropped));
         task::spawn(datagrams::send(
@@ -131,6 +133,7 @@
             .drain
             .wait_empty(&shared.clock, leave.abandon_at)
             .await;
+        usage::flush(shared, leave.abandon_at).await;
         tracing::info!(kind = "stop", given_up = abandoned);
         abandoned
     }
--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -30,6 +30,7 @@
 mod steering;
 mod store_changes;
 mod store_sync;
+mod usage;
 mod wire;
 
 #[rustfmt::skip]
--- a/crates/apricotlug-steer/src/relay/client.rs
+++ b/crates/apricotlug-steer/src/relay/client.rs
@@ -47,6 +47,21 @@
     Ok(response)
 }
 
+/// Sends a request to an instance on a new connection and reads the response.
+///
+/// # Errors
+/// Returns an error if no valid response arrives within the time limit.
+pub async fn ask_once(
+    instance: SocketAddr,
+    request: &RelayRequest,
+    time_limit: Duration,
+) -> io::Result<RelayResponse> {
+    let stream = connect(instance).await?;
+    write(&stream, &encode_relay_request(request), time_limit).await?;
+    let bytes = read(&stream, time_limit).await?;
+    decode_relay_response(&bytes).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))
+}
+
 async fn connect(relay: SocketAddr) -> io::Result<TcpStream> {
     let stream = timeout(CONNECT_TIMEOUT, apricotlug_http::connect(relay))
         .await
--- a/crates/apricotlug-steer/src/relay/mod.rs
+++ b/crates/apricotlug-steer/src/relay/mod.rs
@@ -10,7 +10,7 @@
 mod server;
 
 pub use change_log::{ChangeLog, Delta, OlderListing, Snapshot};
-pub use client::poll;
+pub use client::{ask_once, poll};
 pub use server::serve;
 
 use std::{io, time::Duration};
--- a/crates/apricotlug-steer/src/relay/server.rs
+++ b/crates/apricotlug-steer/src/relay/server.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use apricotlug_policy::steer::WindowCounts;
 use async_std::{
     future::timeout,
     net::{TcpListener, TcpStream},
@@ -66,6 +67,9 @@
 }
 
 async fn build_response(shared: &Shared, request: RelayRequest) -> RelayResponse {
+    if !request.windows.is_empty() {
+        return confirm_windows(shared, request);
+    }
     let received_at = StoreFreshness::now();
     shared
         .steering()
@@ -108,6 +112,20 @@
     response
 }
 
+/// Takes windows of usage and responds at once, without the store's items and other figures.
+fn confirm_windows(shared: &Shared, request: RelayRequest) -> RelayResponse {
+    let windows = request.windows.into_iter().map(WindowCounts::from);
+    let confirmed = shared
+        .usage
+        .as_ref()
+        .map(|usage| usage.on_windows(request.run, windows.collect()));
+    RelayResponse {
+        run: shared.run,
+        confirmed: confirmed.unwrap_or_default(),
+        ..RelayResponse::default()
+    }
+}
+
 fn whole_ms(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/apricotlug-steer/src/shared.rs
+++ b/crates/apricotlug-steer/src/shared.rs
@@ -19,6 +19,7 @@
     pool::Pool,
     relay::ChangeLog,
     steering::SteeringState,
+    usage::Usage,
 };
 
 /// Plan and evacuations that operators ordered, as last read from the store.
@@ -94,6 +95,8 @@
     pub drain: Drain,
     /// Counters and histograms for the metrics endpoint.
     pub metrics: Metrics,
+    /// Counts of client accounts' usage; `None` where nobody wants them.
+    pub usage: Option<Usage>,
     leave: OnceLock<Leave>,
     accepting: (Sender<()>, Receiver<()>),
 }
@@ -102,13 +105,15 @@
     /// Creates the state of a new run.
     #[must_use]
     pub fn new(settings: SiteSettings, run: u64) -> Self {
+        let clock = Clock::start();
         Self {
             run,
-            clock: Clock::start(),
+            clock,
             freshness: StoreFreshness::default(),
             passes_on_until: BootDeadline::default(),
             last_read: Mutex::default(),
             steering: Mutex::new(SteeringState::new(&settings)),
+            usage: Usage::new(&settings, run, &clock),
             settings: RwLock::new(Arc::new(settings)),
             operator_state: RwLock::default(),
             change_log: ChangeLog::default(),
--- a/crates/apricotlug-steer/src/store_changes.rs
+++ b/crates/apricotlug-steer/src/store_changes.rs
@@ -172,6 +172,7 @@
             });
         }
         StoreKey::Member(name) => apply_member(shared, &name, &item),
+        StoreKey::UsageDuty => apply_usage_duty(shared, &item),
         // `apply_changes` has picked the plans out.
         StoreKey::Plan | StoreKey::Other => {}
     }
@@ -239,6 +240,16 @@
     }
 }
 
+fn apply_usage_duty(shared: &Shared, item: &Item) {
+    let Some(usage) = &shared.usage else {
+        return;
+    };
+    match serde_json::from_slice(&item.value) {
+        Ok(record) => usage.on_record(Some(record), item.revision),
+        Err(e) => reject(shared, &item.key, &e),
+    }
+}
+
 fn apply_removal(shared: &Shared, expiry_grace: &ExpiryGrace, key: StoreKey) {
     let now = shared.clock.now();
     match key {
@@ -274,6 +285,11 @@
             tracing::info!(kind = "move_order_removed", service);
             shared.steering().moves.on_order_removed(&service);
         }
+        StoreKey::UsageDuty => {
+            if let Some(usage) = &shared.usage {
+                usage.on_record(None, 0);
+            }
+        }
         StoreKey::Plan => tracing::warn!(kind = "plan_removed"),
         StoreKey::MoveStatus(_) | StoreKey::Other => {}
     }
--- a/crates/apricotlug-steer/src/wire/figures.rs
+++ b/crates/apricotlug-steer/src/wire/figures.rs
@@ -1,6 +1,7 @@
 //! Figures that instances report of themselves, and sums of them.
 
 use apricotlug_model::HashMap;
+use apricotlug_policy::steer::WindowCounts;
 use capnp::{primitive_list, struct_list};
 
 use crate::pulse_capnp::{busy, counted, demand, proof, spent, window};
@@ -56,6 +57,24 @@
     pub counts: HashMap<String, u64>,
 }
 
+impl From<WindowCounts> for WindowUsage {
+    fn from(source: WindowCounts) -> Self {
+        Self {
+            number: source.number,
+            counts: source.counts.into_iter().collect(),
+        }
+    }
+}
+
+impl From<WindowUsage> for WindowCounts {
+    fn from(wire: WindowUsage) -> Self {
+        Self {
+            number: wire.number,
+            counts: wire.counts.into_iter().collect(),
+        }
+    }
+}
+
 pub(super) fn write_usage(
     mut builder: struct_list::Builder<'_, spent::Owned>,
     source: &[AccountUsage],
