Merge the usage duty; its holder goes by the store's era

Cause: the duty was built against revisions that a store which comes back gives out again. Change: a newer era in any response ends the hold, and a write names the era of the record that it replaces.

--- a/crates/apricotlug-config/src/site.rs
+++ b/crates/apricotlug-config/src/site.rs
@@ -22,6 +22,9 @@
 /// Memory of the machine where the settings do not say, in MB: that of a small one.
 const DEFAULT_MEMORY_MB: u32 = 112;
 
+/// Shortest window of usage: each one costs a message of every instance and three writes.
+const MIN_WINDOW_MS: u32 = 1_000;
+
 /// Settings of an entry instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SiteSettings {
@@ -47,6 +50,8 @@
     pub bounds: SiteBounds,
     /// Limits of the machine.
     pub machine: SiteMachine,
+    /// Reports of client accounts' usage; `None` where nobody wants them.
+    pub usage: Option<SiteUsage>,
 }
 
 /// Limits of the machine on one process.
@@ -119,6 +124,21 @@
     pub cold_slack: f64,
 }
 
+/// Reports of client accounts' usage, which one instance at a time sends. Times are in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SiteUsage {
+    /// Address that accepts the reports.
+    pub addr: SocketAddr,
+    /// Length of a window of the wall clock that one report covers.
+    pub window_ms: u32,
+    /// Time after the end of a window by which its report is due.
+    pub late_ms: u32,
+    /// Least time between two holds of one instance with another's between them.
+    pub lease_ms: u32,
+    /// Time after its machine was suspended or cut off for which an instance may act on old knowledge.
+    pub thaw_slack_ms: u32,
+}
+
 /// Parses and checks the settings of an entry instance on the platform.
 ///
 /// # Errors
@@ -155,6 +175,8 @@
             descriptors: None,
         }),
     };
+    let usage = fields.optional_table(doc, "usage", "`usage`");
+    let usage = usage.map(|usage| read_usage(doc, usage));
     fields.finish(doc);
     let (data_centre, regions) = (data_centre?, regions?);
     if !regions.contains_key(data_centre.value) {
@@ -181,6 +203,39 @@
         min_lease_ms,
         bounds: bounds?,
         machine: machine?,
+        usage: match usage {
+            Some(usage) => Some(usage?),
+            None => None,
+        },
+    })
+}
+
+fn read_window(doc: &mut Doc<'_>, fields: &mut Fields<'_>) -> Option<u32> {
+    let window_ms = fields.span_ms(doc, "window")?;
+    if window_ms < MIN_WINDOW_MS {
+        doc.add(
+            FindingCode::OutOfRange,
+            fields.offset_of("window"),
+            format!("`window` is {window_ms} ms"),
+            format!("give at least {MIN_WINDOW_MS} ms"),
+        );
+    }
+    Some(window_ms)
+}
+
+fn read_usage(doc: &mut Doc<'_>, mut fields: Fields<'_>) -> Option<SiteUsage> {
+    let addr = fields.addr(doc, "address", Port::Named);
+    let window_ms = read_window(doc, &mut fields);
+    let late_ms = fields.span_ms(doc, "late");
+    let lease_ms = fields.span_ms(doc, "lease");
+    let thaw_slack_ms = fields.span_ms(doc, "thaw_slack");
+    fields.finish(doc);
+    Some(SiteUsage {
+        addr: addr?.value,
+        window_ms: window_ms?,
+        late_ms: late_ms?,
+        lease_ms: lease_ms?,
+        thaw_slack_ms: thaw_slack_ms?,
     })
 }
 
--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -34,6 +34,7 @@
 mod store_changes;
 mod store_era;
 mod store_sync;
+mod usage;
 mod wire;
 
 #[rustfmt::skip]
--- a/crates/apricotlug-steer/src/shared.rs
+++ b/crates/apricotlug-steer/src/shared.rs
@@ -22,6 +22,7 @@
     request_body::RequestBodies,
     steering::SteeringState,
     store_era::EraGrace,
+    usage::Usage,
 };
 
 /// Plan and evacuations that operators ordered, as last read from the store.
@@ -103,6 +104,8 @@
     pub drain: Drain,
     /// Counters and histograms for the metrics endpoint.
     pub metrics: Metrics,
+    /// Counts of client accounts' usage; `None` where nobody wants them.
+    pub usage: Option<Usage>,
     leave: OnceLock<Leave>,
     accepting: (Sender<()>, Receiver<()>),
 }
@@ -123,6 +126,7 @@
             passes_on_until: BootDeadline::default(),
             last_read: Mutex::default(),
             steering: Mutex::new(SteeringState::new(&settings)),
+            usage: Usage::new(&settings, run, &clock),
             settings: RwLock::new(Arc::new(settings)),
             operator_state: RwLock::default(),
             change_log: ChangeLog::default(),
