--- a/crates/apricotlug-steer/src/dispatch.rs
+++ b/crates/apricotlug-steer/src/dispatch.rs
@@ -173,14 +173,23 @@
     let result = attempt(shared, outgoing, &placement.target).await;
     let ms = slot.elapsed_ms();
     let is_slow = slot.is_slow();
+    let answer = result.as_ref().ok().map(|response| &response.metadata);
     tracing::info!(
         kind = "sent",
         request = request.metadata.request_id,
+        service = request.service,
+        route = request.route().id,
+        account = request.account().map(|account| account.id.as_str()),
         object = request.metadata.object,
         backend = placement.target.id,
         data_centre = placement.target.data_centre,
         load = placement.load,
+        reported_load = answer
+            .and_then(|answer| answer.load)
+            .map(|(running, waiting, _)| running + waiting),
+        work_percent = answer.and_then(|answer| answer.work_percent),
         warm = choice.warm,
+        wait_ms = choice.wait_ms as u64,
         expected_ms = choice.expected_ms as u64,
         ms = ms as u64
     );
