Place requests by their likely cost and by the work left at backend servers

Cause: choices took counts of requests for work. A cheap request queued behind dear ones wherever accounts or objects of a route differ, and the machines' present speed was not read.

Change: an instance learns cost factors by route, account and object (bounded, most used kept), the spread of service times, the rest of its own requests in flight, and reports that work to the others in the field reserved for it. Each figure is used only as far as it has come true, by the regression of observed on predicted deviations; speeds are judged by their age. Where figures are in use, the risk of a late answer is a cost. With costs alike and no speeds, choices are unchanged.

Tests: with the figures never believed, the test of cheap requests and those of learned factors fail; with each believed whole, those of alike costs, of wrong speeds and of the measure fail. The test of reports failed until a spread was assumed before the first answer.

--- a/crates/apricotlug-edge/src/metrics.rs
+++ b/crates/apricotlug-edge/src/metrics.rs
@@ -49,6 +49,7 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     attempts: Counter<u64>,
+    learned_estimates: Counter<u64>,
     lookups: Counter<u64>,
     log_lines_dropped: Counter<u64>,
     bad_records: Counter<u64>,
@@ -77,6 +78,7 @@
         Self {
             requests: meter.u64_counter("apricotlug_requests").build(),
             attempts: meter.u64_counter("apricotlug_attempts").build(),
+            learned_estimates: meter.u64_counter("apricotlug_learned_estimates").build(),
             lookups: meter.u64_counter("apricotlug_lookups").build(),
             log_lines_dropped: meter.u64_counter("apricotlug_log_lines_dropped").build(),
             bad_records: meter.u64_counter("apricotlug_bad_records").build(),
@@ -112,6 +114,12 @@
         self.attempts.add(1, &[KeyValue::new("end", end)]);
     }
 
+    /// Counts a request whose expected time follows from a learned figure, by figure.
+    pub fn on_learned_estimate(&self, figure: &'static str) {
+        let attributes = [KeyValue::new("figure", figure)];
+        self.learned_estimates.add(1, &attributes);
+    }
+
     /// Counts a look-up.
     pub fn on_lookup(&self) {
         self.lookups.add(1, &[]);
--- a/crates/apricotlug-policy/examples/steer_cost.rs
+++ b/crates/apricotlug-policy/examples/steer_cost.rs
@@ -59,6 +59,7 @@
             service: SERVICE,
             route: "lookup",
             object: Some(objects[i as usize * 31 % OBJECTS]),
+            account: None,
             is_large: false,
             region: "east",
             data_centre: "east-a",
--- a/crates/apricotlug-policy/src/steer/mod.rs
+++ b/crates/apricotlug-policy/src/steer/mod.rs
@@ -16,8 +16,9 @@
     usable_cold_rate,
 };
 pub use placement::{
-    BackendKey, Choice, ChoiceRequest, Entry, Fleet, Health, NoBackend, RegionLoad, RegionSplit,
-    RequestOutcome, ServiceTime, object_hash, rank_weight,
+    BackendKey, Choice, ChoiceRequest, CostKeys, Entry, Estimate, Fleet, Health, MachineSpeed,
+    NoBackend, RegionLoad, RegionSplit, RequestOutcome, ServiceTime, Skill, SpeedReading,
+    SpeedSkill, WorkCosts, object_hash, rank_weight,
 };
 pub use read_schedule::{Read, ReadLimits, ReadSchedule, ReadSources};
 pub use rollout::{Evidence, MoveDecision, Rollout, Stage};
--- a/crates/apricotlug-policy/src/steer/placement/choose.rs
+++ b/crates/apricotlug-policy/src/steer/placement/choose.rs
@@ -7,8 +7,9 @@
 use super::{
     affinity::rank_weight,
     entry::{BackendKey, Entry, MAX_LOAD_FACTOR},
+    estimate::{Estimate, RequestTimes},
     fleet::Fleet,
-    measurements::ServiceTime,
+    work_left::WorkComparison,
 };
 use crate::steer::limits::LimitShare;
 
@@ -80,6 +81,8 @@
     pub route: &'a str,
     /// Hash of the requested object; `None` for requests without affinity to an object.
     pub object: Option<u64>,
+    /// Hash of the client account; `None` for requests without one.
+    pub account: Option<u64>,
     /// Whether a large answer is expected, which should not leave the data centre.
     pub is_large: bool,
     /// Region of this instance.
@@ -132,6 +135,8 @@
     pub is_known: bool,
     /// Milliseconds from which the answer counts as slow whether the object was warm or cold.
     pub slow_ms: f64,
+    /// How the expected times came about.
+    pub estimate: Estimate,
 }
 
 /// Reason why no backend server is chosen.
@@ -155,9 +160,9 @@
         target_ms: u32,
         now: MonoTime,
     ) -> Result<Choice, NoBackend> {
-        let time = self.times(request.route, target_ms);
+        let times = self.request_times(request, target_ms);
         if request.is_large_deployment
-            && let Some(choice) = self.choose_among_homes(request, time, target_ms, now)
+            && let Some(choice) = self.choose_among_homes(request, &times, now)
         {
             return Ok(choice);
         }
@@ -174,15 +179,7 @@
         let region = self
             .assigned_region(request, object, now)
             .unwrap_or_default();
-        self.choose_by_region(
-            request,
-            &region,
-            &all,
-            (time, target_ms),
-            &homes,
-            scarcity,
-            now,
-        )
+        self.choose_by_region(request, &region, &all, &times, &homes, scarcity, now)
     }
 
     /// Chooses the backend server with the lowest expected cost among `keys`.
@@ -190,13 +187,11 @@
         &self,
         request: &ChoiceRequest<'_>,
         keys: impl Iterator<Item = BackendKey>,
-        time: ServiceTime,
+        times: &RequestTimes,
         homes: &[(BackendKey, f64)],
         scarcity: f64,
         now: MonoTime,
     ) -> Result<Choice, NoBackend> {
-        let busy_ms = self.busy_ms_by_service.get(request.service).copied();
-        let busy_ms = busy_ms.unwrap_or(time.busy_ms);
         let mut best: Option<(f64, Choice)> = None;
         let mut reason = NoBackend::None;
         for key in keys {
@@ -208,8 +203,7 @@
             if request.load(entry, now) >= f64::from(entry.backend.slots) * MAX_LOAD_FACTOR {
                 continue;
             }
-            let (cost, choice) =
-                self.cost(request, (key, entry), (time, busy_ms), homes, scarcity, now);
+            let (cost, choice) = self.cost(request, (key, entry), times, homes, scarcity, now);
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, choice));
             }
@@ -316,7 +310,7 @@
         &self,
         request: &ChoiceRequest<'_>,
         (key, entry): (BackendKey, &Entry),
-        (time, busy_ms): (ServiceTime, f64),
+        times: &RequestTimes,
         homes: &[(BackendKey, f64)],
         scarcity: f64,
         now: MonoTime,
@@ -325,9 +319,18 @@
         let load = request.load(entry, now);
         let (warm, off_home) = Self::warm_estimate(request, key, entry, homes, now);
         let slowness = entry.health.slowness(now);
-        let service_ms = time.mean_ms(warm) * slowness;
-        let busy_ms = busy_ms * slowness;
-        let wait_ms = (load + 1.0 - slots).max(0.0) / slots * busy_ms;
+        let time = times.route;
+        let reading = entry.speed.reading(now);
+        let speed_factor = times.speed.factor(reading);
+        let service_ms = time.mean_ms(warm) * slowness * times.factor * speed_factor;
+        let busy_ms = times.busy_ms * slowness * speed_factor;
+        let count_wait_ms = (load + 1.0 - slots).max(0.0) / slots * busy_ms;
+        let work = if count_wait_ms > 0.0 {
+            entry.work.compare(load, slots, busy_ms, now)
+        } else {
+            WorkComparison::default()
+        };
+        let wait_ms = times.wait_ms(count_wait_ms, &work);
         let is_same_region = entry.region == request.region;
         let round_trip_ms = self.round_trip_ms(&entry.backend.data_centre, is_same_region);
         let expected_ms = round_trip_ms + wait_ms + service_ms;
@@ -338,16 +341,18 @@
             0.0
         };
         let network_cost_ms = network_cost_ms(request, entry) + off_home_region_ms;
-        let backend_time_ms = (time.cold_ms - time.warm_ms) * (off_home + 1.0 - warm) * scarcity;
+        let cold_extra_ms = (time.cold_ms - time.warm_ms) * times.factor;
+        let backend_time_ms = cold_extra_ms * (off_home + 1.0 - warm) * scarcity;
         let load_ms =
             load_factor(load, slots, request.is_large_deployment) * FULL_LOAD_COST * busy_ms;
         let failure_ms = entry.health.failure_rate(now) * FAILURE_COST_MS;
-        let cost = expected_ms + network_cost_ms + backend_time_ms + load_ms + failure_ms;
+        let late_ms = times.late_risk_ms(expected_ms, service_ms);
+        let cost = expected_ms + network_cost_ms + backend_time_ms + load_ms + failure_ms + late_ms;
         let is_recent = warm >= WARM_RECENT * entry.warm_ratio && request.object.is_some();
         let usual_ms = if is_recent {
             service_ms * SLOW_FACTOR_RECENT
         } else {
-            time.cold_ms * SLOW_FACTOR_OTHER
+            time.cold_ms * times.factor * speed_factor * SLOW_FACTOR_OTHER
         };
         let was_cold = entry.cold.is_cold(now.before(COLD_GRACE));
         let choice = Choice {
@@ -362,6 +367,17 @@
             warm,
             is_recent,
             is_known: time.is_known(),
+            estimate: Estimate {
+                serial: self.choices,
+                keys: times.keys,
+                cost_factor: times.factor,
+                speed_factor,
+                service_ms,
+                count_wait_ms,
+                work,
+                reading,
+                spread: times.spread,
+            },
         };
         (cost, choice)
     }
--- a/crates/apricotlug-policy/src/steer/placement/entry.rs
+++ b/crates/apricotlug-policy/src/steer/placement/entry.rs
@@ -4,7 +4,9 @@
 
 use apricotlug_model::{Backend, BackendState, HashMap, MonoTime};
 
-use super::{affinity::object_hash, measurements::Health};
+use super::{
+    affinity::object_hash, machine_speed::MachineSpeed, measurements::Health, work_left::WorkLeft,
+};
 use crate::steer::limits::ColdGate;
 
 /// Time for which a load reported by the backend server itself is used.
@@ -55,6 +57,10 @@
     /// Moving average of the share, 0 to 1, of requests for recently sent objects that found them
     /// warm.
     pub(super) warm_ratio: f64,
+    /// Known work of the requests in flight.
+    pub(super) work: WorkLeft,
+    /// Present speed of its machine.
+    pub(super) speed: MachineSpeed,
     /// Time of this instance's last request for each object, by object hash.
     pub(super) last_sent: HashMap<u64, MonoTime>,
 }
@@ -79,6 +85,8 @@
             other_requests_mean: 0.0,
             samples: 0,
             warm_ratio: 1.0,
+            work: WorkLeft::default(),
+            speed: MachineSpeed::default(),
             last_sent: HashMap::default(),
         }
     }
@@ -133,6 +141,32 @@
         self.reported_load = Some((now, running.saturating_add(waiting).saturating_sub(1)));
     }
 
+    /// Records how long work takes on its machine at the moment, in percent of the usual time.
+    /// Ignores what is no positive number.
+    pub fn on_speed_report(&mut self, now: MonoTime, percent: f64) {
+        self.speed.on_report(now, percent);
+    }
+
+    /// Returns the expected work left of this instance's requests there, in milliseconds of one
+    /// slot.
+    #[must_use]
+    pub fn own_work_ms(&self, now: MonoTime) -> f64 {
+        self.work.own_ms(now)
+    }
+
+    /// Adds the requests that another instance has in progress there, and the work that is left of
+    /// them in milliseconds; 0 where it is not told.
+    pub fn add_reported(&mut self, requests: u32, work_ms: f64) {
+        self.other_requests += requests;
+        self.work.add_reported(requests, work_ms);
+    }
+
+    /// Removes a report that was added.
+    pub fn remove_reported(&mut self, requests: u32, work_ms: f64) {
+        self.other_requests = self.other_requests.saturating_sub(requests);
+        self.work.remove_reported(requests, work_ms);
+    }
+
     /// Records that another backend server answered at its address: sending pauses for a time in
     /// which the removal of this one should be reported.
     pub fn on_misdirected(&mut self, now: MonoTime) {
--- a/crates/apricotlug-policy/src/steer/placement/fleet.rs
+++ b/crates/apricotlug-policy/src/steer/placement/fleet.rs
@@ -10,6 +10,7 @@
 use super::{
     choose::{Choice, ChoiceRequest},
     entry::{BackendKey, Entry, RequestOutcome},
+    estimate::{ServiceCosts, learn},
     measurements::{Health, ServiceTime, TIME_GAIN},
     ranking::RankingCache,
     regions::RegionSplit,
@@ -35,6 +36,8 @@
     times: HashMap<String, ServiceTime>,
     /// Moving average of the service time in milliseconds, by service.
     pub(super) busy_ms_by_service: HashMap<String, f64>,
+    /// What was learned of the cost of requests, by service.
+    pub(super) costs: HashMap<String, ServiceCosts>,
     /// Network round-trip time in milliseconds, by data centre.
     round_trips_ms: HashMap<String, f64>,
     /// Data centres, by region, in which a backend server is or was registered.
@@ -239,6 +242,7 @@
     pub fn on_end(&mut self, choice: &Choice, route: &str, outcome: RequestOutcome, now: MonoTime) {
         let entry = self.entry_mut(choice.key);
         entry.own_requests = entry.own_requests.saturating_sub(1);
+        entry.work.on_end(choice.estimate.serial);
         match outcome {
             RequestOutcome::Answered(ms) => {
                 entry
@@ -249,12 +253,15 @@
                 let round_trip_ms = self.round_trip_ms(&data_centre, true).min(ms);
                 let work_ms = ms - round_trip_ms - choice.wait_ms;
                 let time = self.times.get_mut(route);
-                let was_warm = time.and_then(|time| time.observe(work_ms, choice.wait_ms));
+                let estimate = &choice.estimate;
+                let factor = estimate.cost_factor * estimate.speed_factor;
+                let was_warm = time.and_then(|time| time.observe(work_ms, choice.wait_ms, factor));
                 let busy_ms = self
                     .busy_ms_by_service
-                    .entry(service)
+                    .entry(service.clone())
                     .or_insert(work_ms.max(1.0));
                 *busy_ms += (work_ms.max(1.0) - *busy_ms) * TIME_GAIN;
+                learn(&mut self.costs, &service, choice, work_ms);
                 if let (Some(was_warm), true) = (was_warm, choice.is_recent) {
                     let entry = self.entry_mut(choice.key);
                     let observed = f64::from(u8::from(was_warm));
--- a/crates/apricotlug-policy/src/steer/placement/homes.rs
+++ b/crates/apricotlug-policy/src/steer/placement/homes.rs
@@ -11,8 +11,8 @@
     affinity::rank_weight,
     choose::{Choice, ChoiceRequest, NoBackend, scarcity},
     entry::BackendKey,
+    estimate::RequestTimes,
     fleet::Fleet,
-    measurements::ServiceTime,
     ranking::{HomeScope, Ranking, rank},
     regions::{RegionLoad, RegionSplit},
 };
@@ -44,8 +44,7 @@
     pub(super) fn choose_among_homes(
         &mut self,
         request: &ChoiceRequest<'_>,
-        time: ServiceTime,
-        target_ms: u32,
+        times: &RequestTimes,
         now: MonoTime,
     ) -> Option<Choice> {
         self.choices = self.choices.wrapping_add(1);
@@ -65,15 +64,7 @@
         let region = self.assigned_region(request, object, now)?;
         let homes = self.ordered_homes(request, &ranking, &ranked, &region, now);
         let scarcity = self.last_scarcity(request.service);
-        let choice = self.choose_by_region(
-            request,
-            &region,
-            &ranked,
-            (time, target_ms),
-            &homes,
-            scarcity,
-            now,
-        );
+        let choice = self.choose_by_region(request, &region, &ranked, times, &homes, scarcity, now);
         choice.ok()
     }
 
@@ -107,18 +98,18 @@
         request: &ChoiceRequest<'_>,
         region: &str,
         keys: &[BackendKey],
-        (time, target_ms): (ServiceTime, u32),
+        times: &RequestTimes,
         homes: &[(BackendKey, f64)],
         scarcity: f64,
         now: MonoTime,
     ) -> Result<Choice, NoBackend> {
         let in_region = |key: &BackendKey| self.entry(*key).region == region;
         let in_region_keys = keys.iter().copied().filter(in_region);
-        let best = self.lowest_cost(request, in_region_keys, time, homes, scarcity, now);
+        let best = self.lowest_cost(request, in_region_keys, times, homes, scarcity, now);
         let split = self.splits.get(request.service);
         let may_spill = split.is_some_and(RegionSplit::may_spill);
         if let Ok(best) = best
-            && (best.wait_ms < f64::from(target_ms) * SPILL_WAIT || !may_spill)
+            && (best.wait_ms < f64::from(times.target_ms) * SPILL_WAIT || !may_spill)
         {
             return Ok(best);
         }
@@ -127,7 +118,7 @@
         };
         let others = keys.iter().copied();
         let others = others.filter(|key| !in_region(key) && has_capacity(key));
-        let other = self.lowest_cost(request, others, time, homes, scarcity, now);
+        let other = self.lowest_cost(request, others, times, homes, scarcity, now);
         match (best, other) {
             (Ok(best), Ok(other)) if other.expected_ms < best.expected_ms => {
                 if let Some(split) = self.splits.get_mut(request.service) {
--- a/crates/apricotlug-policy/src/steer/placement/measurements.rs
+++ b/crates/apricotlug-policy/src/steer/placement/measurements.rs
@@ -68,8 +68,9 @@
     /// Records an observed service time `ms`, without network time and the expected wait `wait_ms`.
     ///
     /// Returns whether the object was warm, or `None` where the wait is too long to tell. The
-    /// observation is assigned to the nearer of the warm and the cold time, by ratio.
-    pub fn observe(&mut self, ms: f64, wait_ms: f64) -> Option<bool> {
+    /// observation is assigned to the nearer of the warm and the cold time, by ratio, once `factor`
+    /// is taken out: the expected service time in multiples of the route's.
+    pub fn observe(&mut self, ms: f64, wait_ms: f64, factor: f64) -> Option<bool> {
         let ms = ms.clamp(self.min_ms, self.max_ms);
         self.observations = self.observations.saturating_add(1);
         let update_mean = |time: &mut f64| *time += (ms - *time) * TIME_GAIN;
@@ -77,7 +78,8 @@
         if wait_ms > self.busy_ms * MAX_CLASSIFY_WAIT {
             return None;
         }
-        let is_warm = ms * ms < self.warm_ms * self.cold_ms;
+        let usual_ms = ms / factor;
+        let is_warm = usual_ms * usual_ms < self.warm_ms * self.cold_ms;
         if is_warm {
             update_mean(&mut self.warm_ms);
         } else {
--- a/crates/apricotlug-policy/tests/steer_fleet.rs
+++ b/crates/apricotlug-policy/tests/steer_fleet.rs
@@ -47,6 +47,7 @@
         service: SERVICE,
         route: "lookup",
         object,
+        account: None,
         is_large: false,
         region: "west",
         data_centre: "a",
--- a/crates/apricotlug-policy/tests/steer_homes.rs
+++ b/crates/apricotlug-policy/tests/steer_homes.rs
@@ -62,6 +62,7 @@
         service: SERVICE,
         route: "lookup",
         object: Some(object),
+        account: None,
         is_large: false,
         region,
         data_centre,
--- a/crates/apricotlug-steer/src/dispatch.rs
+++ b/crates/apricotlug-steer/src/dispatch.rs
@@ -17,6 +17,7 @@
     attempt::{AttemptError, BackendResponse, OutgoingRequest, Target, attempt},
     shared::Shared,
     slot::{SlotGuard, hedge_delay_ms},
+    steering::name_hash,
 };
 
 /// Largest number of backend servers that cannot be reached before a request is refused.
@@ -189,6 +190,9 @@
             .map(|(running, waiting, _)| running + waiting),
         work_percent = answer.and_then(|answer| answer.work_percent),
         warm = choice.warm,
+        cost_factor = choice.estimate.cost_factor,
+        speed_factor = choice.estimate.speed_factor,
+        count_wait_ms = choice.estimate.count_wait_ms as u64,
         wait_ms = choice.wait_ms as u64,
         expected_ms = choice.expected_ms as u64,
         ms = ms as u64
@@ -221,6 +225,9 @@
     if let Some((running, waiting, _)) = response.metadata.load {
         entry.on_load_report(now, running, waiting);
     }
+    if let Some(percent) = response.metadata.work_percent {
+        entry.on_speed_report(now, percent);
+    }
     if let Some(cold_remaining_ms) = response.metadata.cold_remaining_ms {
         entry
             .cold
@@ -362,6 +369,7 @@
             service: &request.service,
             route: &route.id,
             object: request.object,
+            account: request.account().map(|account| name_hash(&account.id)),
             is_large: route.exchange == apricotlug_model::Exchange::Download,
             region: settings.region(),
             data_centre: &settings.data_centre,
@@ -403,6 +411,10 @@
             return Err(Refusal::new(503, "Service Unavailable", code).with_retry_ms(ms));
         }
         steering.fleet.on_send(&choice_request, choice.key, now);
+        steering.fleet.on_work_sent(&choice, now);
+        for figure in choice.learned_figures() {
+            shared.metrics.on_learned_estimate(figure);
+        }
         let entry = steering.fleet.entry(choice.key);
         if entry.cold.is_cold(now) {
             tracing::info!(
--- a/crates/apricotlug-steer/src/steering.rs
+++ b/crates/apricotlug-steer/src/steering.rs
@@ -58,6 +58,7 @@
     accounts_by_hash: HashMap<u64, String>,
     reported_loads: HashMap<u64, Vec<BackendLoad>>,
     backends_by_hash: HashMap<u64, BackendKey>,
+    ticked_at: MonoTime,
 }
 
 impl SteeringState {
@@ -89,6 +90,7 @@
             accounts_by_hash: HashMap::default(),
             reported_loads: HashMap::default(),
             backends_by_hash: HashMap::default(),
+            ticked_at: MonoTime::default(),
         }
     }
 
@@ -126,6 +128,7 @@
     /// Starts a new interval between two datagrams: selects the relays, removes stale instances and
     /// recalculates this instance's shares of the accounts' rates and of other limits.
     pub fn tick(&mut self, settings: &SiteSettings, now: MonoTime) {
+        self.ticked_at = now;
         self.relays = self.peers.relays(settings, now);
         self.listed_instances = self.peers.listed_instances(settings);
         if !self.polls_a_relay() {
@@ -277,16 +280,22 @@
     }
 
     /// Returns the requests in flight from this instance and the runs it reports for, by backend
-    /// server.
+    /// server, with the work that was left of them at the last tick. Where a run does not tell
+    /// that, the sum is not told either.
     fn loads(&self, is_relayed: impl Fn(u64) -> bool) -> Vec<BackendLoad> {
-        let mut sums: HashMap<u64, u16> = HashMap::default();
+        let mut sums: HashMap<u64, BackendLoad> = HashMap::default();
         for (_, entry) in self
             .fleet
             .iter()
             .filter(|(_, entry)| entry.own_requests > 0)
         {
-            let own = u16::try_from(entry.own_requests).unwrap_or(u16::MAX);
-            sums.insert(name_hash(&entry.backend.id), own);
+            let backend = name_hash(&entry.backend.id);
+            let own = BackendLoad {
+                backend,
+                requests: u16::try_from(entry.own_requests).unwrap_or(u16::MAX),
+                work_ms: entry.own_work_ms(self.ticked_at) as f32,
+            };
+            sums.insert(backend, own);
         }
         for (_, loads) in self
             .reported_loads
@@ -294,17 +303,12 @@
             .filter(|(run, _)| is_relayed(**run))
         {
             for load in loads {
-                let sum = sums.entry(load.backend).or_default();
-                *sum = sum.saturating_add(load.requests);
+                let sum = sums.entry(load.backend);
+                sum.and_modify(|sum| *sum = sum.plus(*load))
+                    .or_insert(*load);
             }
         }
-        let sums = sums.into_iter();
-        sums.map(|(backend, requests)| BackendLoad {
-            backend,
-            requests,
-            work_ms: 0.0,
-        })
-        .collect()
+        sums.into_values().collect()
     }
 
     /// Records a relay's response, which reports for all other instances.
@@ -395,12 +399,13 @@
         for load in previous {
             if let Some(key) = self.backends_by_hash.get(&load.backend) {
                 let entry = self.fleet.entry_mut(*key);
-                entry.other_requests = entry.other_requests.saturating_sub(load.requests.into());
+                entry.remove_reported(load.requests.into(), load.work_ms.into());
             }
         }
         for load in loads {
             if let Some(key) = self.backends_by_hash.get(&load.backend) {
-                self.fleet.entry_mut(*key).other_requests += u32::from(load.requests);
+                let entry = self.fleet.entry_mut(*key);
+                entry.add_reported(load.requests.into(), load.work_ms.into());
             }
         }
     }
--- a/crates/apricotlug-steer/src/wire/figures.rs
+++ b/crates/apricotlug-steer/src/wire/figures.rs
@@ -27,6 +27,23 @@
     pub work_ms: f32,
 }
 
+impl BackendLoad {
+    /// Adds the load that another run has there. Its work is known only if that of both is.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        let is_told = self.work_ms > 0.0 && other.work_ms > 0.0;
+        Self {
+            backend: self.backend,
+            requests: self.requests.saturating_add(other.requests),
+            work_ms: if is_told {
+                self.work_ms + other.work_ms
+            } else {
+                0.0
+            },
+        }
+    }
+}
+
 /// Responses of the versions of a service that is being moved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MoveEvidence {
--- a/crates/apricotlug-steer/tests/support/cold_limit/instance.rs
+++ b/crates/apricotlug-steer/tests/support/cold_limit/instance.rs
@@ -248,6 +248,7 @@
             service: "shop",
             route: ROUTE,
             object: Some(1),
+            account: None,
             is_large: false,
             region: self.settings.region(),
             data_centre: &self.settings.data_centre,
