--- a/crates/apricotlug-steer/src/dispatch.rs
+++ b/crates/apricotlug-steer/src/dispatch.rs
@@ -18,6 +18,7 @@
     request_body::RequestBody,
     shared::Shared,
     slot::{SlotGuard, hedge_delay_ms},
+    steering::name_hash,
     usage::{SentEnd, SentGuard},
 };
 
@@ -183,14 +184,26 @@
     }
     let ms = slot.elapsed_ms();
     let is_slow = slot.is_slow();
+    let answer = result.as_ref().ok().map(|response| &response.metadata);
     tracing::info!(
         kind = "sent",
         request = request.metadata.request_id,
+        service = request.service,
+        route = request.route().id,
+        account = request.account().map(|account| account.id.as_str()),
         object = request.metadata.object,
         backend = placement.target.id,
         data_centre = placement.target.data_centre,
         load = placement.load,
+        reported_load = answer
+            .and_then(|answer| answer.load)
+            .map(|(running, waiting, _)| running + waiting),
+        work_percent = answer.and_then(|answer| answer.work_percent),
         warm = choice.warm,
+        cost_factor = choice.estimate.cost_factor,
+        speed_factor = choice.estimate.speed_factor,
+        count_wait_ms = choice.estimate.count_wait_ms as u64,
+        wait_ms = choice.wait_ms as u64,
         expected_ms = choice.expected_ms as u64,
         ms = ms as u64
     );
@@ -232,6 +245,9 @@
     if let Some((running, waiting, _)) = response.metadata.load {
         entry.on_load_report(now, running, waiting);
     }
+    if let Some(percent) = response.metadata.work_percent {
+        entry.on_speed_report(now, percent);
+    }
     if let Some(cold_remaining_ms) = response.metadata.cold_remaining_ms {
         entry
             .cold
@@ -373,6 +389,7 @@
             service: &request.service,
             route: &route.id,
             object: request.object,
+            account: request.account().map(|account| name_hash(&account.id)),
             is_large: route.exchange == apricotlug_model::Exchange::Download,
             region: settings.region(),
             data_centre: &settings.data_centre,
@@ -414,6 +431,10 @@
             return Err(Refusal::new(503, "Service Unavailable", code).with_retry_ms(ms));
         }
         steering.fleet.on_send(&choice_request, choice.key, now);
+        steering.fleet.on_work_sent(&choice, now);
+        for figure in choice.learned_figures() {
+            shared.metrics.on_learned_estimate(figure);
+        }
         let entry = steering.fleet.entry(choice.key);
         if entry.cold.is_cold(now) {
             tracing::info!(
