Admit by rank where a service is short of room

PlanAccount.priority and PlanRoute.priority were decoded and read by nothing. A service for which the plan lets different ranks compete now has a gate on rank: the part of the allowed wait that a request may use falls with its rank, and a cut on rank follows this instance's refusals, both only while the region's backend servers are short of room. With one rank admission is as before.

--- a/crates/apricotlug-edge/src/metrics.rs
+++ b/crates/apricotlug-edge/src/metrics.rs
@@ -49,6 +49,7 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     attempts: Counter<u64>,
+    ranked: Counter<u64>,
     lookups: Counter<u64>,
     log_lines_dropped: Counter<u64>,
     bad_records: Counter<u64>,
@@ -77,6 +78,7 @@
         Self {
             requests: meter.u64_counter("apricotlug_requests").build(),
             attempts: meter.u64_counter("apricotlug_attempts").build(),
+            ranked: meter.u64_counter("apricotlug_ranked_requests").build(),
             lookups: meter.u64_counter("apricotlug_lookups").build(),
             log_lines_dropped: meter.u64_counter("apricotlug_log_lines_dropped").build(),
             bad_records: meter.u64_counter("apricotlug_bad_records").build(),
@@ -112,6 +114,18 @@
         self.attempts.add(1, &[KeyValue::new("end", end)]);
     }
 
+    /// Counts a request for a service where different ranks compete, by service, rank and whether
+    /// it was admitted.
+    pub fn on_ranked(&self, service: &str, rank: String, is_admitted: bool) {
+        let result = if is_admitted { "admitted" } else { "refused" };
+        let attributes = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("rank", rank),
+            KeyValue::new("result", result),
+        ];
+        self.ranked.add(1, &attributes);
+    }
+
     /// Counts a look-up.
     pub fn on_lookup(&self) {
         self.lookups.add(1, &[]);
--- a/crates/apricotlug-policy/src/steer/admission/admit.rs
+++ b/crates/apricotlug-policy/src/steer/admission/admit.rs
@@ -40,13 +40,25 @@
     expected_ms: f64,
     wait_ms: f64,
     is_known: bool,
+) -> AdmissionDecision {
+    decide_with_wait_share(limits, expected_ms, wait_ms, is_known, 1.0)
+}
+
+/// Decides as [`decide_admission`], for a request that may use the part `wait_share` of the wait
+/// that it is allowed.
+pub(super) fn decide_with_wait_share(
+    limits: RequestLimits,
+    expected_ms: f64,
+    wait_ms: f64,
+    is_known: bool,
+    wait_share: f64,
 ) -> AdmissionDecision {
     if is_known && expected_ms > limits.left_ms * USABLE_SHARE {
         return AdmissionDecision::TooLate;
     }
-    let is_in_target = expected_ms <= limits.target_left_ms * USABLE_SHARE;
-    let is_short_wait = wait_ms <= limits.target_ms * MAX_LATE_WAIT;
-    if is_in_target || is_short_wait {
+    let in_target_ms = limits.target_left_ms * USABLE_SHARE - (expected_ms - wait_ms);
+    let allowed_ms = in_target_ms.max(limits.target_ms * MAX_LATE_WAIT);
+    if wait_ms <= allowed_ms * wait_share {
         AdmissionDecision::Admit
     } else {
         AdmissionDecision::Overloaded
--- a/crates/apricotlug-policy/src/steer/mod.rs
+++ b/crates/apricotlug-policy/src/steer/mod.rs
@@ -9,7 +9,8 @@
 mod rollout;
 
 pub use admission::{
-    AdmissionDecision, CallerWaits, Leave, RequestLimits, decide_admission, retry_after_ms,
+    AdmissionDecision, CallerWaits, Leave, Rank, RankGate, RankedRequest, RequestLimits, Room,
+    decide_admission, ranks_by_service, retry_after_ms,
 };
 pub use limits::{
     ColdGate, KnownInstance, LimitShare, Quotas, ReportDelay, ReportInterval, ServiceRetryBudget,
--- a/crates/apricotlug-policy/src/steer/placement/entry.rs
+++ b/crates/apricotlug-policy/src/steer/placement/entry.rs
@@ -95,6 +95,13 @@
         }
     }
 
+    /// Returns whether the backend server reported its load itself a short time ago.
+    #[must_use]
+    pub fn has_reported_load(&self, now: MonoTime) -> bool {
+        self.reported_load
+            .is_some_and(|(at, _)| now.since(at) < LOAD_REPORT_TTL)
+    }
+
     /// Returns the expected number of running and waiting requests where reports of the other
     /// instances are older than the duration of most requests: their moving average then predicts
     /// the load better than their last reports.
--- a/crates/apricotlug-policy/src/steer/placement/mod.rs
+++ b/crates/apricotlug-policy/src/steer/placement/mod.rs
@@ -8,6 +8,7 @@
 mod measurements;
 mod ranking;
 mod regions;
+mod utilisation;
 
 pub use affinity::{object_hash, rank_weight};
 pub use choose::{Choice, ChoiceRequest, NoBackend};
--- a/crates/apricotlug-steer/src/admission.rs
+++ b/crates/apricotlug-steer/src/admission.rs
@@ -5,7 +5,7 @@
 use apricotlug_adapter::{RequestMetadata, decode_request};
 use apricotlug_http::RequestHead;
 use apricotlug_model::{AccountKey, MonoTime, Plan, PlanAccount, PlanRoute, RouteKey};
-use apricotlug_policy::steer::object_hash;
+use apricotlug_policy::steer::{Rank, RankedRequest, object_hash};
 use rand::RngExt;
 
 use crate::shared::{OperatorState, Shared};
@@ -20,6 +20,10 @@
 /// Delay before a retry, in milliseconds, while this instance is leaving. Others are there already.
 const LEAVING_RETRY_MS: u64 = 50;
 
+/// Time that a caller must have waited in earlier attempts to count as one that comes back. Shorter
+/// times are differences between callers.
+const MIN_RETURN_WAIT_MS: u64 = 40;
+
 /// Refusal of a request that was not run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -72,6 +76,8 @@
     /// Hash of the object that the request concerns; `None` if it names none or the route has no
     /// affinity.
     pub object: Option<u64>,
+    /// What decides its order under scarcity.
+    pub ranked: RankedRequest,
     /// Time by which a response meets the route's target latency, less the time that the caller has
     /// probably waited already.
     pub target_latency_at: MonoTime,
@@ -147,7 +153,13 @@
     drop(steering);
     let target_ms = u64::from(route.target_ms).saturating_sub(waited_ms);
     let object = metadata.object.as_deref().filter(|_| route.has_affinity);
+    let ranked_account = account.map(|key| &plan.accounts[key]);
     Ok(AdmittedRequest {
+        ranked: RankedRequest {
+            rank: Rank::of(&plan, route, ranked_account),
+            account: ranked_account.map_or(0, |account| object_hash("", &account.id)),
+            is_returning: waited_ms >= MIN_RETURN_WAIT_MS,
+        },
         object: object.map(|object| object_hash(&service, object)),
         evacuated: operator_state.evacuated.clone(),
         route: route_key,
--- a/crates/apricotlug-steer/src/dispatch.rs
+++ b/crates/apricotlug-steer/src/dispatch.rs
@@ -6,7 +6,7 @@
 use apricotlug_model::{MonoTime, PlanService};
 use apricotlug_policy::steer::{
     AdmissionDecision, BackendKey, ChoiceRequest, NoBackend, RequestLimits, RequestOutcome,
-    decide_admission, retry_after_ms, usable_cold_rate,
+    retry_after_ms, usable_cold_rate,
 };
 use async_std::task;
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
@@ -15,6 +15,7 @@
 use crate::{
     admission::{AdmittedRequest, Refusal},
     attempt::{AttemptError, BackendResponse, OutgoingRequest, Target, attempt},
+    rank_admission::admit_by_rank,
     shared::Shared,
     slot::{SlotGuard, hedge_delay_ms},
 };
@@ -344,6 +345,8 @@
         target_left_ms: request.target_latency_at.since(now).as_secs_f64() * 1_000.0,
         target_ms: route.target_ms.into(),
     };
+    // Further attempts of an admitted request don't count as requests of its rank.
+    let is_first = history.sent == 0 && history.unreachable == 0;
     let bounds = settings.bounds;
     let cold_rate = service.map_or(0.0, |service| {
         usable_cold_rate(service.cold_rate, bounds.cold_overage, bounds.cold_slack)
@@ -370,12 +373,19 @@
             continue;
         }
         let choice = chosen.map_err(|reason| refuse_unplaced(&mut steering.rng, reason, limits))?;
-        let code =
-            match decide_admission(limits, choice.expected_ms, choice.wait_ms, choice.is_known) {
-                AdmissionDecision::Admit => None,
-                AdmissionDecision::TooLate => Some("too_late"),
-                AdmissionDecision::Overloaded => Some("crowded"),
-            };
+        let admission = admit_by_rank(
+            shared,
+            (&mut steering.rank_gates, &steering.fleet, &mut steering.rng),
+            request,
+            limits,
+            &choice,
+            is_first,
+        );
+        let code = match admission.decision {
+            AdmissionDecision::Admit => None,
+            AdmissionDecision::TooLate => Some("too_late"),
+            AdmissionDecision::Overloaded => Some("crowded"),
+        };
         if let Some(code) = code {
             let draw = steering.rng.random::<f64>();
             let ms = retry_after_ms(limits, choice.expected_ms, draw);
@@ -387,6 +397,10 @@
                 load = steering.fleet.entry(choice.key).load(now),
                 expected_ms = choice.expected_ms as u64,
                 wait_ms = choice.wait_ms as u64,
+                rank = %request.ranked.rank,
+                wait_share = admission.wait_share,
+                shortage = admission.shortage,
+                is_returning = request.ranked.is_returning,
                 target_left_ms = limits.target_left_ms as u64,
                 left_ms = limits.left_ms as u64,
                 retry_ms = ms
--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -21,6 +21,7 @@
 mod moves;
 mod peers;
 mod pool;
+mod rank_admission;
 mod read_sources;
 mod registration;
 mod relay;
--- a/crates/apricotlug-steer/src/steering.rs
+++ b/crates/apricotlug-steer/src/steering.rs
@@ -5,8 +5,8 @@
 use apricotlug_config::SiteSettings;
 use apricotlug_model::{HashMap, MonoTime, Plan};
 use apricotlug_policy::steer::{
-    BackendKey, CallerWaits, Fleet, LimitShare, Quotas, ReportDelay, ReportInterval,
-    ServiceRetryBudget, object_hash,
+    BackendKey, CallerWaits, Fleet, LimitShare, Quotas, RankGate, ReportDelay, ReportInterval,
+    ServiceRetryBudget, object_hash, ranks_by_service,
 };
 use rand::{SeedableRng, rngs::SmallRng};
 
@@ -44,6 +44,8 @@
     pub limit_share: LimitShare,
     /// How long callers usually wait, by route.
     pub caller_waits: CallerWaits,
+    /// Order of requests by rank, for the services where different ranks may compete.
+    pub rank_gates: HashMap<String, RankGate>,
     /// Random source for draws.
     pub rng: SmallRng,
     retry_budgets: HashMap<String, ServiceRetryBudget>,
@@ -79,6 +81,7 @@
             moves: Moves::default(),
             limit_share: LimitShare::default(),
             caller_waits: CallerWaits::default(),
+            rank_gates: HashMap::default(),
             rng: SmallRng::from_rng(&mut rand::rng()),
             retry_budgets: HashMap::default(),
             retry_bounds: (retry_window, bounds.retry_ratio, bounds.retry_slack),
@@ -92,7 +95,7 @@
         }
     }
 
-    /// Applies the client accounts of a new plan.
+    /// Applies the client accounts and the ranks of a new plan.
     pub fn on_plan(&mut self, plan: &Plan, now: MonoTime) {
         for account in plan.accounts.values() {
             self.quotas
@@ -100,6 +103,13 @@
             self.accounts_by_hash
                 .insert(name_hash(&account.id), account.id.clone());
         }
+        let mut ranks = ranks_by_service(plan);
+        ranks.retain(|_, ranks| ranks.len() > 1);
+        self.rank_gates
+            .retain(|service, _| ranks.contains_key(service));
+        for (service, ranks) in ranks {
+            self.rank_gates.entry(service).or_default().set_ranks(ranks);
+        }
     }
 
     /// Records the key of a backend server, under the hash of its id.
