Order under scarcity: distance of ranks by recent demand, names and terms

The part of the allowed wait now falls with the requests of more urgent ranks instead of the number of ranks, so that ranks with few requests do not use it up. The test of the rank of accounts is replaced by one on the ranks that a plan lets compete, which holds the same order and more.

--- a/crates/apricotlug-policy/examples/scarcity_compare.rs
+++ b/crates/apricotlug-policy/examples/scarcity_compare/main.rs
@@ -2,10 +2,10 @@
 //!
 //! `cargo run --release -p apricotlug-policy --example scarcity_compare`
 
-#[path = "../tests/support/scarcity.rs"]
-mod scarcity;
+#[path = "simulation.rs"]
+mod simulation;
 
-use scarcity::{Load, Order, Results, Tally, run};
+use simulation::{Load, Order, Results, Tally, run};
 
 const ORDERS: [Order; 5] = [
     Order::None,
--- a/crates/apricotlug-policy/src/steer/admission/rank_gate.rs
+++ b/crates/apricotlug-policy/src/steer/admission/rank_gate.rs
@@ -44,6 +44,10 @@
 /// this instance cannot see then how much of the room those get elsewhere.
 const ASSUMED_SERVED: f64 = 0.2;
 
+/// Recent requests of all but the least urgent rank from which the distance of ranks follows from
+/// them. It follows from the number of ranks else.
+const MIN_MORE_URGENT: f64 = 4.0;
+
 /// Maximum number of client accounts whose shares are kept.
 const MAX_ACCOUNTS: usize = 1_024;
 
@@ -139,7 +143,7 @@
         }
         let least_urgent = self.ranks.len() - 1;
         let position = self.position(request.rank);
-        let of_rank = 1.0 - (1.0 - LEAST_URGENT_WAIT) * position as f64 / least_urgent as f64;
+        let of_rank = 1.0 - (1.0 - LEAST_URGENT_WAIT) * self.distance(request.rank, now);
         let bonus = if request.is_returning {
             RETURN_BONUS
         } else {
@@ -155,6 +159,21 @@
         }
     }
 
+    /// Returns how far a rank is from the most urgent, 0, to the least urgent, 1, by the requests that
+    /// arrived lately: ranks that few requests have are close to the next ones.
+    fn distance(&self, rank: Rank, now: MonoTime) -> f64 {
+        let more_urgent = |rank: Rank| -> f64 {
+            let shares = self.by_rank.iter().filter(|(other, _)| **other < rank);
+            shares.map(|(_, share)| share.arrived(now)).sum()
+        };
+        let least_urgent = self.ranks.last().map_or(0.0, |rank| more_urgent(*rank));
+        if least_urgent < MIN_MORE_URGENT {
+            let least_urgent = self.ranks.len().saturating_sub(1).max(1);
+            return self.position(rank) as f64 / least_urgent as f64;
+        }
+        more_urgent(rank) / least_urgent
+    }
+
     /// Returns the number of ranks that are more urgent.
     fn position(&self, rank: Rank) -> usize {
         let position = self.ranks.iter().position(|other| *other == rank);
--- a/crates/apricotlug-policy/src/steer/admission/served_share.rs
+++ b/crates/apricotlug-policy/src/steer/admission/served_share.rs
@@ -38,10 +38,15 @@
 
     /// Returns the share that was admitted, 0 to 1; `None` if there were too few requests lately.
     pub(super) fn get(&self, now: MonoTime) -> Option<f64> {
-        let is_known = self.arrived * self.decay_factor(now) >= MIN_REQUESTS;
+        let is_known = self.arrived(now) >= MIN_REQUESTS;
         is_known.then(|| self.admitted / self.arrived)
     }
 
+    /// Returns the number of requests that arrived lately.
+    pub(super) fn arrived(&self, now: MonoTime) -> f64 {
+        self.arrived * self.decay_factor(now)
+    }
+
     fn decay_factor(&self, now: MonoTime) -> f64 {
         let half_lives = now.since(self.updated_at).as_secs_f64() / self.half_life.as_secs_f64();
         (-half_lives * std::f64::consts::LN_2).exp()
--- a/crates/apricotlug-policy/tests/steer_scarcity.rs
+++ b/crates/apricotlug-policy/tests/steer_scarcity.rs
@@ -2,15 +2,16 @@
 
 use std::{sync::LazyLock, time::Duration};
 
-use apricotlug_model::MonoTime;
+use apricotlug_model::{Exchange, MonoTime, Part, Plan, PlanAccount, PlanRoute};
 use apricotlug_policy::steer::{
     AdmissionDecision, Rank, RankGate, RankedRequest, RequestLimits, Room, decide_admission,
+    ranks_by_service,
 };
 
-#[path = "support/scarcity.rs"]
-mod scarcity;
+#[path = "../examples/scarcity_compare/simulation.rs"]
+mod simulation;
 
-use scarcity::{Load, Order, RANKS, Results, run};
+use simulation::{Load, Order, RANKS, Results, run};
 
 /// Served and earned shares by which a less urgent rank may lie above a more urgent one.
 const MAX_SERVED_ABOVE: f64 = 0.05;
@@ -159,15 +160,47 @@
     assert!(share(2, true) < share(1, false));
 }
 
+fn plan(routes: &[(&str, u32)], accounts: &[u32]) -> Plan {
+    let mut plan = Plan::default();
+    for (service, priority) in routes {
+        plan.routes.push(PlanRoute {
+            id: format!("{service}-{priority}"),
+            host: String::new(),
+            prefix: "/".to_owned(),
+            exchange: Exchange::Idempotent,
+            parts: vec![Part {
+                service: (*service).to_owned(),
+                weight: 1.0,
+            }],
+            timeout_ms: 2_000,
+            target_ms: 400,
+            attempts: 2,
+            priority: *priority,
+            homes: Vec::new(),
+            is_open: false,
+            has_affinity: false,
+        });
+    }
+    for priority in accounts {
+        plan.accounts.push(PlanAccount {
+            id: format!("account-{priority}"),
+            priority: *priority,
+            rate: 0.0,
+            burst: 0.0,
+            homes: Vec::new(),
+        });
+    }
+    plan
+}
+
 #[test]
-fn the_rank_of_the_account_goes_before_that_of_the_route() {
-    let urgent_account = Rank {
-        account: 0,
-        route: 2,
-    };
-    let urgent_route = Rank {
-        account: 1,
-        route: 0,
+fn ranks_compete_by_account_first_and_only_for_the_service_of_their_routes() {
+    let plan = plan(&[("desk", 2), ("desk", 0), ("view", 1)], &[1, 0, 1]);
+    let ranks = ranks_by_service(&plan);
+    let pairs = |service: &str| -> Vec<_> {
+        let ranks = ranks[service].iter();
+        ranks.map(|rank| (rank.account, rank.route)).collect()
     };
-    assert!(urgent_account < urgent_route);
+    assert_eq!(pairs("desk"), [(0, 0), (0, 2), (1, 0), (1, 2)]);
+    assert_eq!(pairs("view"), [(0, 1), (1, 1)]);
 }
