Order under scarcity: keep as much wait as the more urgent requests need

The wait kept for the more urgent was the same however few they were; it follows their part of the requests now.

--- a/crates/apricotlug-policy/src/steer/admission/rank_gate.rs
+++ b/crates/apricotlug-policy/src/steer/admission/rank_gate.rs
@@ -6,7 +6,7 @@
 //! the same backend servers and derive the parts from the same plan, so that they need no messages of
 //! their own to agree.
 
-use std::time::Duration;
+use std::{cmp::Ordering, time::Duration};
 
 use apricotlug_model::{HashMap, MonoTime};
 
@@ -21,8 +21,10 @@
 /// Time after which a request counts half in an admitted share.
 const HALF_LIFE: Duration = Duration::from_secs(4);
 
-/// Part of the allowed wait that the least urgent rank may use.
-const LEAST_URGENT_WAIT: f64 = 0.3;
+/// Part of the allowed wait that is kept for more urgent ranks, as a multiple of their part of the
+/// requests, and its maximum.
+const KEPT_WAIT: f64 = 2.0;
+const MAX_KEPT_WAIT: f64 = 0.7;
 
 /// Part added for a caller that comes back after a refusal.
 const RETURN_BONUS: f64 = 0.15;
@@ -44,9 +46,9 @@
 /// this instance cannot see then how much of the room those get elsewhere.
 const ASSUMED_SERVED: f64 = 0.2;
 
-/// Recent requests of all but the least urgent rank from which the distance of ranks follows from
-/// them. It follows from the number of ranks else.
-const MIN_MORE_URGENT: f64 = 4.0;
+/// Recent requests of other ranks from which the kept wait follows from them. It follows from the
+/// number of ranks else: the more urgent requests may come to other instances.
+const MIN_OTHERS: f64 = 2.0;
 
 /// Maximum number of client accounts whose shares are kept.
 const MAX_ACCOUNTS: usize = 1_024;
@@ -143,7 +145,7 @@
         }
         let least_urgent = self.ranks.len() - 1;
         let position = self.position(request.rank);
-        let of_rank = 1.0 - (1.0 - LEAST_URGENT_WAIT) * self.distance(request.rank, now);
+        let of_rank = 1.0 - self.kept_wait(request.rank, now);
         let bonus = if request.is_returning {
             RETURN_BONUS
         } else {
@@ -159,19 +161,24 @@
         }
     }
 
-    /// Returns how far a rank is from the most urgent, 0, to the least urgent, 1, by the requests that
-    /// arrived lately: ranks that few requests have are close to the next ones.
-    fn distance(&self, rank: Rank, now: MonoTime) -> f64 {
-        let more_urgent = |rank: Rank| -> f64 {
-            let shares = self.by_rank.iter().filter(|(other, _)| **other < rank);
-            shares.map(|(_, share)| share.arrived(now)).sum()
-        };
-        let least_urgent = self.ranks.last().map_or(0.0, |rank| more_urgent(*rank));
-        if least_urgent < MIN_MORE_URGENT {
+    /// Returns the part of the allowed wait that is kept for the ranks above one, in proportion to the
+    /// requests that arrived lately: ranks that few requests have need little.
+    fn kept_wait(&self, rank: Rank, now: MonoTime) -> f64 {
+        let (mut more_urgent, mut less_urgent, mut own) = (0.0, 0.0, 0.0);
+        for (other, share) in &self.by_rank {
+            let sum = match other.cmp(&rank) {
+                Ordering::Less => &mut more_urgent,
+                Ordering::Equal => &mut own,
+                Ordering::Greater => &mut less_urgent,
+            };
+            *sum += share.arrived(now);
+        }
+        if more_urgent + less_urgent < MIN_OTHERS {
             let least_urgent = self.ranks.len().saturating_sub(1).max(1);
-            return self.position(rank) as f64 / least_urgent as f64;
+            return MAX_KEPT_WAIT * self.position(rank) as f64 / least_urgent as f64;
         }
-        more_urgent(rank) / least_urgent
+        let all = more_urgent + own + less_urgent;
+        (more_urgent / all * KEPT_WAIT).min(MAX_KEPT_WAIT)
     }
 
     /// Returns the number of ranks that are more urgent.
