--- a/crates/apricotlug-edge/src/metrics.rs
+++ b/crates/apricotlug-edge/src/metrics.rs
@@ -51,6 +51,7 @@
     requests: Counter<u64>,
     attempts: Counter<u64>,
     learned_estimates: Counter<u64>,
+    ranked: Counter<u64>,
     lookups: Counter<u64>,
     log_lines_dropped: Counter<u64>,
     bad_records: Counter<u64>,
@@ -91,6 +92,7 @@
             requests: meter.u64_counter("apricotlug_requests").build(),
             attempts: meter.u64_counter("apricotlug_attempts").build(),
             learned_estimates: meter.u64_counter("apricotlug_learned_estimates").build(),
+            ranked: meter.u64_counter("apricotlug_ranked_requests").build(),
             lookups: meter.u64_counter("apricotlug_lookups").build(),
             log_lines_dropped: meter.u64_counter("apricotlug_log_lines_dropped").build(),
             bad_records: meter.u64_counter("apricotlug_bad_records").build(),
@@ -147,6 +149,18 @@
         self.learned_estimates.add(1, &attributes);
     }
 
+    /// Counts a request for a service where different ranks compete, by service, rank and whether
+    /// it was admitted.
+    pub fn on_ranked(&self, service: &str, rank: String, is_admitted: bool) {
+        let result = if is_admitted { "admitted" } else { "refused" };
+        let attributes = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("rank", rank),
+            KeyValue::new("result", result),
+        ];
+        self.ranked.add(1, &attributes);
+    }
+
     /// Counts a look-up.
     pub fn on_lookup(&self) {
         self.lookups.add(1, &[]);
--- a/crates/apricotlug-policy/src/steer/admission/room.rs
+++ b/crates/apricotlug-policy/src/steer/admission/room.rs
@@ -41,7 +41,7 @@
 
 /// Decision on more room for a body.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RoomDecision {
+pub enum BodyRoomDecision {
     /// The body has the room.
     Granted,
     /// The body has the room, and these have lost theirs: they make no progress.
@@ -52,7 +52,7 @@
 
 /// Room for request bodies, in bytes.
 #[derive(Debug)]
-pub struct Room {
+pub struct BodyRoom {
     total: u64,
     used: u64,
     used_by_long: u64,
@@ -60,7 +60,7 @@
     bodies: HashMap<BodyKey, Held>,
 }
 
-impl Room {
+impl BodyRoom {
     /// Creates empty room of `total` bytes.
     #[must_use]
     pub fn new(total: u64) -> Self {
@@ -97,12 +97,18 @@
     /// something else than request bodies. Where room is short, bodies without progress lose theirs,
     /// oldest stall first, if that is enough.
     #[must_use]
-    pub fn resize(&mut self, key: BodyKey, bytes: u64, others: u64, now: MonoTime) -> RoomDecision {
+    pub fn resize(
+        &mut self,
+        key: BodyKey,
+        bytes: u64,
+        others: u64,
+        now: MonoTime,
+    ) -> BodyRoomDecision {
         let Some(held) = self.bodies.get(&key).copied() else {
-            return RoomDecision::Refused;
+            return BodyRoomDecision::Refused;
         };
         if bytes <= held.bytes {
-            return RoomDecision::Granted;
+            return BodyRoomDecision::Granted;
         }
         let wanted = Held { bytes, ..held };
         self.remove(key);
@@ -110,9 +116,9 @@
         let is_granted = lost.is_some();
         self.insert(key, if is_granted { wanted } else { held });
         match lost {
-            None => RoomDecision::Refused,
-            Some(lost) if lost.is_empty() => RoomDecision::Granted,
-            Some(lost) => RoomDecision::GrantedInPlaceOf(lost),
+            None => BodyRoomDecision::Refused,
+            Some(lost) if lost.is_empty() => BodyRoomDecision::Granted,
+            Some(lost) => BodyRoomDecision::GrantedInPlaceOf(lost),
         }
     }
 
--- a/crates/apricotlug-policy/src/steer/mod.rs
+++ b/crates/apricotlug-policy/src/steer/mod.rs
@@ -10,8 +10,8 @@
 mod rollout;
 
 pub use admission::{
-    AdmissionDecision, BodyKey, CallerWaits, Leave, RequestLimits, Room, RoomDecision,
-    decide_admission, retry_after_ms,
+    AdmissionDecision, BodyKey, BodyRoom, BodyRoomDecision, CallerWaits, Leave, Rank, RankGate,
+    RankedRequest, RequestLimits, Room, decide_admission, ranks_by_service, retry_after_ms,
 };
 pub use duties::{
     Collection, DutyHolder, DutyInstance, DutyRecord, DutyStep, DutyTerms, DutyWrite, LostWindow,
--- a/crates/apricotlug-policy/src/steer/placement/mod.rs
+++ b/crates/apricotlug-policy/src/steer/placement/mod.rs
@@ -11,6 +11,7 @@
 mod ranking;
 mod regions;
 mod skill;
+mod utilisation;
 mod work_cost;
 mod work_left;
 
--- a/crates/apricotlug-policy/tests/steer_room.rs
+++ b/crates/apricotlug-policy/tests/steer_room.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use apricotlug_model::MonoTime;
-use apricotlug_policy::steer::{BodyKey, Room, RoomDecision};
+use apricotlug_policy::steer::{BodyKey, BodyRoom, BodyRoomDecision};
 
 const MIB: u64 = 1 << 20;
 const TOTAL: u64 = 70 * MIB;
@@ -12,11 +12,14 @@
     MonoTime::default().after(Duration::from_millis(ms))
 }
 
-fn room_with(bodies: &[(u64, u64)]) -> (Room, Vec<BodyKey>) {
-    let mut room = Room::new(TOTAL);
+fn room_with(bodies: &[(u64, u64)]) -> (BodyRoom, Vec<BodyKey>) {
+    let mut room = BodyRoom::new(TOTAL);
     let keys = bodies.iter().map(|(bytes, ms)| {
         let key = room.add(at(*ms));
-        assert_eq!(room.resize(key, *bytes, 0, at(*ms)), RoomDecision::Granted);
+        assert_eq!(
+            room.resize(key, *bytes, 0, at(*ms)),
+            BodyRoomDecision::Granted
+        );
         key
     });
     let keys = keys.collect();
@@ -54,7 +57,7 @@
         let used = room.used();
         let key = room.add(at(0));
         let decision = room.resize(key, bytes, others, at(0));
-        assert_eq!(decision == RoomDecision::Granted, is_granted, "{what}");
+        assert_eq!(decision == BodyRoomDecision::Granted, is_granted, "{what}");
         room.release(key);
         assert_eq!(room.used(), used, "{what}");
     }
@@ -66,7 +69,7 @@
     room.on_received(keys[0], 8 * 1024, at(600));
     let asks = room.add(at(1_150));
     let decision = room.resize(asks, 20 * MIB, 0, at(1_150));
-    assert_eq!(decision, RoomDecision::GrantedInPlaceOf(vec![keys[1]]));
+    assert_eq!(decision, BodyRoomDecision::GrantedInPlaceOf(vec![keys[1]]));
     assert_eq!(room.used(), 60 * MIB);
     room.release(keys[1]);
     assert_eq!(room.used(), 60 * MIB, "it had lost its room before");
@@ -80,11 +83,11 @@
     let asks = room.add(at(5_000));
     assert_eq!(
         room.resize(asks, 40 * MIB, 0, at(5_000)),
-        RoomDecision::Refused
+        BodyRoomDecision::Refused
     );
     assert_eq!(room.used(), 60 * MIB);
     let decision = room.resize(asks, 20 * MIB, 0, at(5_000));
-    assert_eq!(decision, RoomDecision::GrantedInPlaceOf(vec![keys[2]]));
+    assert_eq!(decision, BodyRoomDecision::GrantedInPlaceOf(vec![keys[2]]));
 }
 
 #[test]
@@ -93,5 +96,5 @@
     (1..20).for_each(|i| room.on_received(keys[0], 1, at(i * 100)));
     let asks = room.add(at(2_000));
     let decision = room.resize(asks, 60 * MIB, 0, at(2_000));
-    assert_eq!(decision, RoomDecision::GrantedInPlaceOf(keys));
+    assert_eq!(decision, BodyRoomDecision::GrantedInPlaceOf(keys));
 }
--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -22,6 +22,7 @@
 mod moves;
 mod peers;
 mod pool;
+mod rank_admission;
 mod read_sources;
 mod receive;
 mod registration;
--- a/crates/apricotlug-steer/src/request_body.rs
+++ b/crates/apricotlug-steer/src/request_body.rs
@@ -10,7 +10,7 @@
 use apricotlug_edge::Clock;
 use apricotlug_http::{BodyReader, Conn, Framing, HttpError};
 use apricotlug_model::HashMap;
-use apricotlug_policy::steer::{BodyKey, Room, RoomDecision};
+use apricotlug_policy::steer::{BodyKey, BodyRoom, BodyRoomDecision};
 use async_std::net::TcpStream;
 
 use crate::body_buffer::BufferedBytes;
@@ -45,7 +45,7 @@
 
 #[derive(Debug)]
 struct State {
-    room: Room,
+    room: BodyRoom,
     streams: HashMap<BodyKey, TcpStream>,
 }
 
@@ -67,7 +67,7 @@
         Self {
             total,
             state: Mutex::new(State {
-                room: Room::new(total),
+                room: BodyRoom::new(total),
                 streams: HashMap::default(),
             }),
             answers,
@@ -150,9 +150,9 @@
         let decision = state.room.resize(self.key, room_for(len), answers, now);
         bodies.limit_answers(&state);
         match decision {
-            RoomDecision::Granted => true,
-            RoomDecision::Refused => false,
-            RoomDecision::GrantedInPlaceOf(lost) => {
+            BodyRoomDecision::Granted => true,
+            BodyRoomDecision::Refused => false,
+            BodyRoomDecision::GrantedInPlaceOf(lost) => {
                 for key in lost {
                     if let Some(stream) = state.streams.remove(&key) {
                         // Ends the pending read. A failure means that the connection has ended.
