Exchange figures with a relay while the store is read elsewhere

Cause: an instance whose relay is behind the store reads the store itself for some seconds, and neither reported its usage nor got that of the others meanwhile. With reports that say whom they cover, both sides then set a part of every account's rate aside. Change: figures are exchanged with a relay of the region whenever the last report is old, whatever the store's items are read from.

--- a/crates/apricotlug-steer/src/instance.rs
+++ b/crates/apricotlug-steer/src/instance.rs
@@ -111,6 +111,7 @@
         ));
         task::spawn(datagrams::receive(Arc::clone(&shared), peer_socket));
         task::spawn(relay::serve(Arc::clone(&shared), relay_listener));
+        task::spawn(relay::exchange_figures(Arc::clone(&shared)));
         task::spawn(caller::accept(Arc::clone(&shared), caller_listener));
         task::spawn(http_api::serve_lookups(
             Arc::clone(&shared),
--- a/crates/apricotlug-steer/src/relay/mod.rs
+++ b/crates/apricotlug-steer/src/relay/mod.rs
@@ -7,10 +7,12 @@
 
 mod change_log;
 mod client;
+mod report;
 mod server;
 
 pub use change_log::{ChangeLog, Delta, ListedChanges, OlderRead, Snapshot};
 pub use client::{ask_once, poll};
+pub use report::exchange_figures;
 pub use server::serve;
 
 use std::{io, time::Duration};
--- a/crates/apricotlug-steer/src/steering.rs
+++ b/crates/apricotlug-steer/src/steering.rs
@@ -25,6 +25,11 @@
 const RELAY_DATAGRAM_TIMEOUT: Duration = Duration::from_millis(1_000);
 const CLIENT_REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Age of a relay's last report from which the figures are asked for, though the store's items are read
+/// elsewhere: for instances that look-ups list, and for the others, which poll less often.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(700);
+const MAX_UNLISTED_REPORT_AGE: Duration = Duration::from_millis(1_400);
+
 /// Fewest requests in flight at a backend server that a relay includes in its responses.
 const MIN_REPORTED_REQUESTS: u16 = 2;
 
@@ -282,6 +287,19 @@
         self.listed_instances
     }
 
+    /// Returns whether this instance gets the figures of the others from a relay, and the last report
+    /// is older than polls are apart.
+    #[must_use]
+    pub fn lacks_relay_report(&self, now: MonoTime) -> bool {
+        let max_age = if self.listed_instances.includes_self {
+            MAX_REPORT_AGE
+        } else {
+            MAX_UNLISTED_REPORT_AGE
+        };
+        let is_recent = |report: &RelayReport| now.since(report.at) < max_age;
+        self.polls_a_relay() && !self.relay.as_ref().is_some_and(is_recent)
+    }
+
     fn polls_a_relay(&self) -> bool {
         self.relays.is_needed && !self.relays.includes_self
     }
