Let an instance that has just started take the usage duty last

A process makes no report for windows that ended before its first read. One that had just started and took the duty by its rank left five windows of a second out, which the process test showed: the next holder was killed right after its take-over, and both others had seen the same last change.

The new test fails without the change (holder 0, expected 2).

--- a/crates/apricotlug-policy/src/steer/duties/holder.rs
+++ b/crates/apricotlug-policy/src/steer/duties/holder.rs
@@ -256,7 +256,13 @@
             Some(_) => self.terms.take_over,
             None => self.terms.take_released,
         };
-        let wait = wait + RANK_DELAY * rank.min(MAX_RANK);
+        // Whoever knows the windows since the last settled one goes first.
+        let would_skip = seen
+            .record
+            .as_ref()
+            .is_some_and(|record| record.last_window < self.top_window);
+        let places = rank.min(MAX_RANK) + if would_skip { MAX_RANK + 1 } else { 0 };
+        let wait = wait + RANK_DELAY * places;
         if now.since(seen.changed_at) < wait {
             return None;
         }
--- a/crates/apricotlug-policy/tests/steer_duty_holder.rs
+++ b/crates/apricotlug-policy/tests/steer_duty_holder.rs
@@ -357,3 +357,26 @@
         world.check(&format!("seed {seed}"));
     }
 }
+
+/// Guards against windows that nobody reports: an instance that has just started takes the duty before
+/// one that knows which windows are open.
+#[test]
+fn an_instance_that_has_just_started_stands_behind_the_others() {
+    let mut world = World::new();
+    world.run_for(12_000);
+    assert_eq!(world.holder(), 0);
+    world.is_paused[0] = true;
+    // A window ends meanwhile, and the next holder stops before it has settled that one.
+    world.run_for(4_000);
+    world.restart(0);
+    world.is_paused[0] = false;
+    while world.holders() == 0 {
+        world.run_for(STEP_MS);
+    }
+    assert_eq!(world.holder(), 1);
+    world.is_paused[1] = true;
+    world.run_for(15_000);
+    assert_eq!(world.holder(), 2);
+    world.check("just started");
+    assert_no_gap(&world.reported(), "just started");
+}
