--- a/crates/apricotlug-policy/examples/scarcity_compare/simulation.rs
+++ b/crates/apricotlug-policy/examples/scarcity_compare/simulation.rs
@@ -3,6 +3,7 @@
 //! callers that come back once.
 
 mod alternatives;
+mod results;
 
 use std::{
     cmp::Reverse,
@@ -17,6 +18,8 @@
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
+pub use results::{Results, Tally};
+
 pub const RANKS: usize = 3;
 const ACCOUNTS_PER_RANK: u64 = 4;
 const SERVERS: usize = 24;
@@ -25,7 +28,6 @@
 const WORK_MS: f64 = 200.0;
 const TARGET_MS: u32 = 500;
 const BUDGET_MS: f64 = 2_500.0;
-const LATE_WORTH: f64 = 0.2;
 const WARM_UP_MS: u64 = 5_000;
 const END_MS: u64 = 20_000;
 const REPORT_MS: u64 = 150;
@@ -68,48 +70,6 @@
     pub seed: u64,
 }
 
-/// Results of one rank or client account.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Tally {
-    pub arrived: f64,
-    pub served: f64,
-    pub in_time: f64,
-}
-
-impl Tally {
-    pub fn served_share(self) -> f64 {
-        self.served / self.arrived.max(1.0)
-    }
-
-    pub fn in_time_share(self) -> f64 {
-        self.in_time / self.arrived.max(1.0)
-    }
-
-    pub fn payoff(self) -> f64 {
-        (self.in_time + (self.served - self.in_time) * LATE_WORTH) / self.arrived.max(1.0)
-    }
-
-    fn add(&mut self, other: Self) {
-        self.arrived += other.arrived;
-        self.served += other.served;
-        self.in_time += other.in_time;
-    }
-}
-
-#[derive(Clone, Debug, Default)]
-pub struct Results {
-    pub ranks: [Tally; RANKS],
-    pub accounts: Vec<Tally>,
-}
-
-impl Results {
-    pub fn all(&self) -> Tally {
-        let mut all = Tally::default();
-        self.ranks.iter().for_each(|tally| all.add(*tally));
-        all
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Request {
     arrived: u64,
--- a/crates/apricotlug-policy/src/steer/admission/mod.rs
+++ b/crates/apricotlug-policy/src/steer/admission/mod.rs
@@ -6,6 +6,7 @@
 mod rank;
 mod rank_cut;
 mod rank_gate;
+mod ranked_request;
 mod served_share;
 mod shortage;
 
@@ -13,4 +14,5 @@
 pub use caller_waits::CallerWaits;
 pub use leave::Leave;
 pub use rank::{Rank, ranks_by_service};
-pub use rank_gate::{RankGate, RankedRequest, Room};
+pub use rank_gate::RankGate;
+pub use ranked_request::{RankedRequest, Room};
--- a/crates/apricotlug-policy/src/steer/admission/rank_gate.rs
+++ b/crates/apricotlug-policy/src/steer/admission/rank_gate.rs
@@ -14,6 +14,7 @@
     admit::{AdmissionDecision, RequestLimits, decide_with_wait_share},
     rank::Rank,
     rank_cut::RankCut,
+    ranked_request::{RankedRequest, Room},
     served_share::ServedShare,
     shortage::Shortage,
 };
@@ -22,8 +23,14 @@
 const HALF_LIFE: Duration = Duration::from_secs(4);
 
 /// Part of the allowed wait that is kept for more urgent ranks, as a multiple of their part of the
-/// requests, and its maximum.
+/// requests.
 const KEPT_WAIT: f64 = 2.0;
+
+/// Requests of a rank that the cut refuses at most, as a multiple of the more urgent requests. Those
+/// of the rank itself count again when their callers come back.
+const MAX_CUT: f64 = 4.0;
+
+/// Maximum part of the allowed wait that is kept.
 const MAX_KEPT_WAIT: f64 = 0.7;
 
 /// Part added for a caller that comes back after a refusal.
@@ -46,32 +53,19 @@
 /// this instance cannot see then how much of the room those get elsewhere.
 const ASSUMED_SERVED: f64 = 0.2;
 
-/// Recent requests of other ranks from which the kept wait follows from them. It follows from the
-/// number of ranks else: the more urgent requests may come to other instances.
+/// Recent requests of other ranks from which the kept room follows from them. The kept wait follows
+/// from the number of ranks else: the more urgent requests may come to other instances.
 const MIN_OTHERS: f64 = 2.0;
 
 /// Maximum number of client accounts whose shares are kept.
 const MAX_ACCOUNTS: usize = 1_024;
 
-/// Request as far as it matters for its order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RankedRequest {
-    /// Rank.
-    pub rank: Rank,
-    /// Number that identifies the client account.
-    pub account: u64,
-    /// Whether the caller probably comes back after a refusal.
-    pub is_returning: bool,
-}
-
-/// Room for a request, as far as this instance knows it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Room {
-    /// How short of room the backend servers of the region are, 0 to 1.
-    pub shortage: f64,
-    /// Whether the chosen backend server reported its load itself a short time ago, so that a slot
-    /// that looks free is free.
-    pub has_fresh_load: bool,
+/// Recent requests of the ranks around one.
+#[derive(Clone, Copy, Debug, Default)]
+struct OtherRanks {
+    more_urgent: f64,
+    own: f64,
+    less_urgent: f64,
 }
 
 /// Decides by rank who gets the room of one service.
@@ -145,14 +139,19 @@
         }
         let least_urgent = self.ranks.len() - 1;
         let position = self.position(request.rank);
-        let of_rank = 1.0 - self.kept_wait(request.rank, now);
+        let others = self.others(request.rank, now);
+        let of_rank = 1.0 - self.kept_wait(request.rank, others);
         let bonus = if request.is_returning {
             RETURN_BONUS
         } else {
             0.0
         };
         let change = self.account_change(request, now) - self.inversion(request.rank, now);
-        let passing_share = self.cut.passing_share(least_urgent - position);
+        let needed = others.map_or(1.0, |others| others.more_urgent / others.own.max(1.0));
+        let passing_share = self
+            .cut
+            .passing_share(least_urgent - position)
+            .max(1.0 - needed * MAX_CUT);
         let wait_share = (of_rank + bonus + change).clamp(0.0, 1.0);
         if draw < 1.0 - (1.0 - passing_share - bonus) * shortage {
             Some(1.0 - (1.0 - wait_share) * shortage)
@@ -161,24 +160,29 @@
         }
     }
 
-    /// Returns the part of the allowed wait that is kept for the ranks above one, in proportion to the
-    /// requests that arrived lately: ranks that few requests have need little.
-    fn kept_wait(&self, rank: Rank, now: MonoTime) -> f64 {
-        let (mut more_urgent, mut less_urgent, mut own) = (0.0, 0.0, 0.0);
+    /// Returns the recent requests of all ranks beside one; `None` where there are too few to know
+    /// their parts.
+    fn others(&self, rank: Rank, now: MonoTime) -> Option<OtherRanks> {
+        let mut others = OtherRanks::default();
         for (other, share) in &self.by_rank {
             let sum = match other.cmp(&rank) {
-                Ordering::Less => &mut more_urgent,
-                Ordering::Equal => &mut own,
-                Ordering::Greater => &mut less_urgent,
+                Ordering::Less => &mut others.more_urgent,
+                Ordering::Equal => &mut others.own,
+                Ordering::Greater => &mut others.less_urgent,
             };
             *sum += share.arrived(now);
         }
-        if more_urgent + less_urgent < MIN_OTHERS {
+        Some(others).filter(|others| others.more_urgent + others.less_urgent >= MIN_OTHERS)
+    }
+
+    /// Returns the part of the allowed wait that is kept for the ranks above one.
+    fn kept_wait(&self, rank: Rank, others: Option<OtherRanks>) -> f64 {
+        let Some(others) = others else {
             let least_urgent = self.ranks.len().saturating_sub(1).max(1);
             return MAX_KEPT_WAIT * self.position(rank) as f64 / least_urgent as f64;
-        }
-        let all = more_urgent + own + less_urgent;
-        (more_urgent / all * KEPT_WAIT).min(MAX_KEPT_WAIT)
+        };
+        let all = others.more_urgent + others.own + others.less_urgent;
+        (others.more_urgent / all * KEPT_WAIT).min(MAX_KEPT_WAIT)
     }
 
     /// Returns the number of ranks that are more urgent.
