--- a/crates/apricotlug-policy/examples/scarcity_compare/simulation.rs
+++ b/crates/apricotlug-policy/examples/scarcity_compare/simulation.rs
@@ -93,7 +93,7 @@
 enum Event {
     Arrival,
     Return(usize, Request),
-    Done(usize, Running),
+    Done(usize, Box<Running>),
     Report(usize),
     Deliver(usize, Vec<u32>),
     Window(usize),
@@ -219,7 +219,7 @@
             match self.pending[index].take() {
                 Some(Event::Arrival) => self.arrive(),
                 Some(Event::Return(i, request)) => self.handle(i, request),
-                Some(Event::Done(server, running)) => self.finish(server, running),
+                Some(Event::Done(server, running)) => self.finish(server, *running),
                 Some(Event::Report(i)) => self.report(i),
                 Some(Event::Deliver(i, loads)) => self.deliver(i, loads),
                 Some(Event::Window(i)) => self.end_window(i),
@@ -375,7 +375,10 @@
         let server = &mut self.servers[index];
         if server.running < SLOTS {
             server.running += 1;
-            self.push(request.work_ms as u64, Event::Done(index, running));
+            self.push(
+                request.work_ms as u64,
+                Event::Done(index, Box::new(running)),
+            );
         } else if server.queue.len() < MAX_QUEUE * SLOTS as usize {
             server.queue.push_back(running);
         } else {
@@ -405,7 +408,10 @@
         server.running -= 1;
         if let Some(next) = server.queue.pop_front() {
             server.running += 1;
-            self.push(next.request.work_ms as u64, Event::Done(index, next));
+            self.push(
+                next.request.work_ms as u64,
+                Event::Done(index, Box::new(next)),
+            );
         }
         let instance = &mut self.instances[running.instance];
         instance.in_flight -= 1.0;
--- a/crates/apricotlug-steer/src/dispatch.rs
+++ b/crates/apricotlug-steer/src/dispatch.rs
@@ -3,32 +3,24 @@
 use std::{sync::Arc, time::Duration};
 
 use apricotlug_http::Framing;
-use apricotlug_model::{MonoTime, PlanService};
-use apricotlug_policy::steer::{
-    AdmissionDecision, BackendKey, ChoiceRequest, NoBackend, RequestLimits, RequestOutcome,
-    retry_after_ms, usable_cold_rate,
-};
+use apricotlug_model::MonoTime;
+use apricotlug_policy::steer::{BackendKey, RequestOutcome};
 use async_std::task;
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
-use rand::{RngExt, rngs::SmallRng};
 
 use crate::{
     admission::{AdmittedRequest, Refusal},
     attempt::{AttemptError, BackendResponse, OutgoingRequest, Target, attempt},
-    rank_admission::admit_by_rank,
+    place::{NO_BACKEND_RETRY_MS, Placement, place},
     request_body::RequestBody,
     shared::Shared,
-    slot::{SlotGuard, hedge_delay_ms},
-    steering::name_hash,
+    slot::hedge_delay_ms,
     usage::{SentEnd, SentGuard},
 };
 
 /// Largest number of backend servers that cannot be reached before a request is refused.
 const MAX_UNREACHABLE: u32 = 3;
 
-/// Delay before a retry, in milliseconds, if no backend server is available.
-const NO_BACKEND_RETRY_MS: u64 = 300;
-
 /// How a request ended.
 #[derive(Debug)]
 pub enum Outcome {
@@ -70,10 +62,11 @@
     code: &'static str,
 }
 
-struct Placement<'a> {
-    slot: SlotGuard<'a>,
-    target: Target,
-    load: u32,
+impl AttemptHistory {
+    /// Returns whether no attempt has been made yet.
+    fn is_first(&self) -> bool {
+        self.sent == 0 && self.unreachable == 0
+    }
 }
 
 /// Runs a request until a response arrives or no attempt is left.
@@ -87,7 +80,7 @@
     let mut hedge_at = MonoTime::MAX;
     loop {
         if in_flight.is_empty() {
-            match place(shared, request, &history) {
+            match place(shared, request, &history.keys, history.is_first()) {
                 Ok(placement) => {
                     hedge_at = start_attempt(
                         shared,
@@ -114,7 +107,7 @@
             }
             hedge_at = MonoTime::MAX;
             if may_hedge(shared, request, &history)
-                && let Ok(placement) = place(shared, request, &history)
+                && let Ok(placement) = place(shared, request, &history.keys, history.is_first())
                 && shared
                     .steering()
                     .take_retry(&request.service, shared.clock.now())
@@ -355,151 +348,6 @@
     }
 }
 
-/// Chooses a backend server and takes a slot there, which is released when the result is dropped.
-fn place<'a>(
-    shared: &'a Shared,
-    request: &'a AdmittedRequest,
-    history: &AttemptHistory,
-) -> Result<Placement<'a>, Refusal> {
-    let settings = shared.settings();
-    let now = shared.clock.now();
-    let mut guard = shared.steering();
-    let steering = &mut *guard;
-    let versions = steering
-        .moves
-        .choose_versions(&request.service, &mut steering.rng, now);
-    let target = versions.as_ref().map(|versions| versions.target.as_str());
-    let mut is_target = versions.as_ref().is_some_and(|versions| versions.is_target);
-    let mut may_fall_back = versions
-        .as_ref()
-        .is_some_and(|versions| versions.may_fall_back);
-    let route = request.route();
-    let account_home_regions: &[String] = request.account().map_or(&[], |account| &account.homes);
-    let service: Option<&PlanService> = request.plan.services.get(&request.service);
-    let limits = RequestLimits {
-        left_ms: request.deadline.since(now).as_secs_f64() * 1_000.0,
-        target_left_ms: request.target_latency_at.since(now).as_secs_f64() * 1_000.0,
-        target_ms: route.target_ms.into(),
-    };
-    // Further attempts of an admitted request don't count as requests of its rank.
-    let is_first = history.sent == 0 && history.unreachable == 0;
-    let bounds = settings.bounds;
-    let cold_rate = service.map_or(0.0, |service| {
-        usable_cold_rate(service.cold_rate, bounds.cold_overage, bounds.cold_slack)
-    });
-    loop {
-        let choice_request = ChoiceRequest {
-            service: &request.service,
-            route: &route.id,
-            object: request.object,
-            account: request.account().map(|account| name_hash(&account.id)),
-            is_large: route.exchange == apricotlug_model::Exchange::Download,
-            region: settings.region(),
-            data_centre: &settings.data_centre,
-            home_regions: [&route.homes, account_home_regions],
-            evacuated: &request.evacuated,
-            version_filter: target.map(|target| (target, is_target)),
-            excluded: &history.keys,
-            cold_rate,
-            share: &steering.limit_share,
-            is_large_deployment: steering.relays().is_needed,
-        };
-        let chosen = steering.fleet.choose(&choice_request, route.target_ms, now);
-        if chosen.is_err() && std::mem::take(&mut may_fall_back) {
-            is_target = !is_target;
-            continue;
-        }
-        let choice = chosen.map_err(|reason| refuse_unplaced(&mut steering.rng, reason, limits))?;
-        let admission = admit_by_rank(
-            shared,
-            (&mut steering.rank_gates, &steering.fleet, &mut steering.rng),
-            request,
-            limits,
-            &choice,
-            is_first,
-        );
-        let code = match admission.decision {
-            AdmissionDecision::Admit => None,
-            AdmissionDecision::TooLate => Some("too_late"),
-            AdmissionDecision::Overloaded => Some("crowded"),
-        };
-        if let Some(code) = code {
-            let draw = steering.rng.random::<f64>();
-            let ms = retry_after_ms(limits, choice.expected_ms, draw);
-            tracing::info!(
-                kind = "not_placed",
-                request = request.metadata.request_id,
-                result = code,
-                backend = steering.fleet.entry(choice.key).backend.id,
-                load = steering.fleet.entry(choice.key).load(now),
-                expected_ms = choice.expected_ms as u64,
-                wait_ms = choice.wait_ms as u64,
-                rank = %request.ranked.rank,
-                wait_share = admission.wait_share,
-                shortage = admission.shortage,
-                is_returning = request.ranked.is_returning,
-                target_left_ms = limits.target_left_ms as u64,
-                left_ms = limits.left_ms as u64,
-                retry_ms = ms
-            );
-            return Err(Refusal::new(503, "Service Unavailable", code).with_retry_ms(ms));
-        }
-        steering.fleet.on_send(&choice_request, choice.key, now);
-        steering.fleet.on_work_sent(&choice, now);
-        for figure in choice.learned_figures() {
-            shared.metrics.on_learned_estimate(figure);
-        }
-        let entry = steering.fleet.entry(choice.key);
-        if entry.cold.is_cold(now) {
-            tracing::info!(
-                kind = "cold_send",
-                request = request.metadata.request_id,
-                backend = entry.backend.id,
-                cold_ms = entry.cold.remaining(now).as_millis() as u64,
-                rate = choice_request.cold_rate,
-                share = steering.limit_share.in_region(&entry.region),
-                is_listed = steering.listed_instances().includes_self,
-                listed_instances = steering.listed_instances().count,
-                known_instances = steering.peers.count(),
-                news_ms = shared.freshness.age_ms()
-            );
-        }
-        return Ok(Placement {
-            slot: SlotGuard {
-                shared,
-                request,
-                choice,
-                version: entry.backend.version.clone(),
-                started_at: now,
-                slow_ms: choice.slow_ms.max(route.target_ms.into()),
-                outcome: None,
-            },
-            load: entry.load(now),
-            target: Target {
-                key: choice.key,
-                id: entry.backend.id.clone(),
-                addr: entry.backend.addr,
-                data_centre: entry.backend.data_centre.clone(),
-                is_cross_region: entry.region != settings.region(),
-                deadline: request.deadline,
-                may_repeat: route.exchange.may_repeat(),
-            },
-        });
-    }
-}
-
-fn refuse_unplaced(rng: &mut SmallRng, reason: NoBackend, limits: RequestLimits) -> Refusal {
-    match reason {
-        NoBackend::None => Refusal::new(503, "Service Unavailable", "none_there")
-            .with_retry_ms(NO_BACKEND_RETRY_MS),
-        NoBackend::Full => {
-            let draw = rng.random::<f64>();
-            let ms = retry_after_ms(limits, limits.left_ms / 2.0, draw);
-            Refusal::new(503, "Service Unavailable", "all_full").with_retry_ms(ms)
-        }
-    }
-}
-
 /// Returns the framing for a body that was read completely.
 #[must_use]
 pub fn buffered_framing(framing: Framing, body: &RequestBody) -> Framing {
--- a/crates/apricotlug-steer/src/steering.rs
+++ b/crates/apricotlug-steer/src/steering.rs
@@ -1,6 +1,6 @@
 //! State on which an instance bases its steering decisions.
 
-use std::{collections::HashSet, time::Duration};
+use std::time::Duration;
 
 use apricotlug_config::SiteSettings;
 use apricotlug_model::{HashMap, MonoTime, Plan};
@@ -11,6 +11,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
+    coverage::{Coverage, RelayReport},
     listed::ListedInstances,
     moves::{DEPARTED_REPORTED, Moves},
     peers::{Peers, Relays},
@@ -20,9 +21,7 @@
 /// Time without a report after which a relay no longer stands for all other instances.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1_800);
 
-/// Time without a datagram of another relay, and without a request of a relay client, after which their
-/// figures no longer cover the instances that they reported for.
-const RELAY_DATAGRAM_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time without a request of a relay client after which its figures no longer count as reported.
 const CLIENT_REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Age of a relay's last report from which the figures are asked for, though the store's items are read
@@ -39,28 +38,6 @@
 /// Time without a request after which an instance no longer counts as a relay client.
 const RELAY_CLIENT_TIMEOUT: Duration = Duration::from_millis(3_000);
 
-/// When a relay reported last, and for which instances.
-#[derive(Clone, Debug)]
-struct RelayReport {
-    run: u64,
-    at: MonoTime,
-    /// Hashes of the names of the instances whose figures the report included.
-    covered: Vec<u64>,
-}
-
-/// Hashes of the names of the instances whose figures this one has, itself included, as of the last tick.
-/// A relay that hears nothing of some instances must not take what it hears for the figures of all.
-#[derive(Clone, Debug, Default)]
-struct Coverage {
-    /// This instance and those that poll it as a relay.
-    own: Vec<u64>,
-    /// These, and those that other relays report for.
-    all: HashSet<u64>,
-    /// Whether a report did not tell whom it covers, as those of an earlier version. It then counts for
-    /// all instances.
-    is_untold: bool,
-}
-
 /// State on which an instance bases its steering decisions.
 #[derive(Debug)]
 pub struct SteeringState {
@@ -87,8 +64,7 @@
     relay_clients: HashMap<u64, MonoTime>,
     /// Last report of the relay that reports for all other instances.
     relay: Option<RelayReport>,
-    /// Last report of each other relay, by run.
-    relay_reports: HashMap<u64, RelayReport>,
+    /// Whose figures this instance has.
     coverage: Coverage,
     relays: Relays,
     listed_instances: ListedInstances,
@@ -123,7 +99,6 @@
             retry_bounds: (retry_window, bounds.retry_ratio, bounds.retry_slack),
             relay_clients: HashMap::default(),
             relay: None,
-            relay_reports: HashMap::default(),
             coverage: Coverage::default(),
             relays: Relays::default(),
             listed_instances: ListedInstances::default(),
@@ -203,15 +178,11 @@
         };
         let (unreported, has_full_reports, delay) = if self.relays.is_needed {
             self.update_coverage(settings, now);
-            let Coverage { all, is_untold, .. } = &self.coverage;
-            let unreported = match is_untold {
-                true => 0,
-                false => self
-                    .peers
-                    .count_uncovered(settings, listed.includes_self, all),
-            };
+            let missing = self
+                .coverage
+                .count_missing(&self.peers, settings, listed.includes_self);
             // The figures of those that are covered arrive in few sums.
-            (unreported, true, ReportDelay::Relayed)
+            (missing, true, ReportDelay::Relayed)
         } else {
             let unreported = self.peers.count_unreported(now);
             (unreported, false, ReportDelay::Direct)
@@ -232,14 +203,10 @@
             let last_request = self.relay_clients.get(&member.info.run);
             last_request.is_some_and(|at| now.since(*at) < CLIENT_REPORT_TIMEOUT)
         });
-        let names = clients.map(|(name, _)| name).chain([&*settings.instance]);
-        self.coverage.own = names.map(name_hash).collect();
-        let relay = self.relay.iter();
+        let reporting = clients.map(|(name, _)| name).chain([&*settings.instance]);
+        let relay = self.relay.as_ref();
         let relay = relay.filter(|report| now.since(report.at) < RELAY_TIMEOUT);
-        let reports = relay.chain(self.relay_reports.values());
-        self.coverage.is_untold = reports.clone().any(|report| report.covered.is_empty());
-        let reported = reports.flat_map(|report| &report.covered);
-        self.coverage.all = self.coverage.own.iter().chain(reported).copied().collect();
+        self.coverage.update(reporting.map(name_hash), relay, now);
     }
 
     fn remove_stale(&mut self, now: MonoTime) {
@@ -258,10 +225,8 @@
         for run in expired {
             self.remove_run(run);
         }
-        let is_fresh = |report: &RelayReport| now.since(report.at) < RELAY_DATAGRAM_TIMEOUT;
-        self.relay_reports.retain(|_, report| is_fresh(report));
         if self.polls_a_relay() {
-            self.relay_reports.clear();
+            self.coverage.forget_relays();
             self.quotas.retain(|run| Some(run) == relay);
         }
     }
@@ -336,7 +301,7 @@
 
     /// Fills a response to a run with the figures of all instances except that one.
     pub fn fill_response(&self, run: u64, response: &mut RelayResponse) {
-        response.covered = self.coverage.all.iter().copied().collect();
+        response.covered = self.coverage.all();
         response.usage = account_usage(&self.quotas, |other| other != run);
         response.evidence = self.moves.evidence(|other| other != run).collect();
         response.loads = self.loads(|other| other != run);
@@ -436,7 +401,7 @@
                 .moves
                 .evidence(|run| run == DEPARTED_REPORTED || self.relay_clients.contains_key(&run))
                 .collect(),
-            covered: self.coverage.own.clone(),
+            covered: self.coverage.own().to_vec(),
             ..StatusDatagram::default()
         }
     }
@@ -469,7 +434,7 @@
             at: now,
             covered: datagram.covered,
         };
-        self.relay_reports.insert(run, report);
+        self.coverage.on_relay_report(report);
         for MoveEvidence { order, counts } in datagram.evidence {
             self.moves.on_evidence(run, order, counts);
         }
