--- a/crates/apricotlug-http/src/gate.rs
+++ b/crates/apricotlug-http/src/gate.rs
@@ -21,7 +21,7 @@
     open: usize,
     /// Number of the next wait.
     next_wait: u64,
-    /// Connections that carry no complete request head, by the number of their wait.
+    /// Connections that carry no complete request, by the number of their wait.
     waiting: BTreeMap<u64, TcpStream>,
     closed: u64,
     refused: u64,
@@ -114,7 +114,18 @@
         }
     }
 
-    /// Records that the connection carries a request. Returns `false` if it has been closed for
+    /// Records that more of a request has arrived: others have waited longer from now on. Returns `false`
+    /// if the connection has been closed for another.
+    #[must_use]
+    pub fn on_progress(&mut self) -> bool {
+        let is_open = self.on_request();
+        if is_open {
+            self.on_wait();
+        }
+        is_open
+    }
+
+    /// Records that the connection carries a complete request. Returns `false` if it has been closed for
     /// another.
     #[must_use]
     pub fn on_request(&mut self) -> bool {
--- a/crates/apricotlug-http/src/serve.rs
+++ b/crates/apricotlug-http/src/serve.rs
@@ -119,9 +119,6 @@
     S: Clone + Send + Sync + 'static,
 {
     let head = conn.read_request().await?;
-    if !permit.on_request() {
-        return Ok(AfterResponse::Close);
-    }
     let framing = request_framing(&head)?;
     if matches!(framing, Framing::Length(len) if len > body_bytes) {
         return Err(HttpError::BodyTooLarge(body_bytes));
@@ -139,6 +136,10 @@
     while let Some(piece) = reader.next(conn).await? {
         body.extend_from_slice(&piece);
     }
+    // A caller that stops within its body keeps nobody out.
+    if !permit.on_request() {
+        return Ok(AfterResponse::Close);
+    }
     let mut req = to_app_request(&head, body)?;
     req.set_peer_addr(Some(peer));
     let response: Response = app
--- a/crates/apricotlug-policy/examples/scarcity_compare/simulation.rs
+++ b/crates/apricotlug-policy/examples/scarcity_compare/simulation.rs
@@ -287,7 +287,7 @@
             .fleet
             .choose(&choice_request, TARGET_MS, now);
         let fleet = &self.instances[i].fleet;
-        let utilisation = fleet.utilisation("desk", "west", now);
+        let utilisation = fleet.utilisation("desk", "west", &[], now);
         let shortage = self.instances[i].gate.shortage("west", now, || utilisation);
         let Ok(choice) = chosen else {
             self.record(i, request, false, shortage);
--- a/crates/apricotlug-policy/src/steer/admission/rank_cut.rs
+++ b/crates/apricotlug-policy/src/steer/admission/rank_cut.rs
@@ -20,8 +20,8 @@
 const RISE_PER_S: f64 = 4.0;
 const FALL_PER_S: f64 = 0.5;
 
-/// Largest time between two requests that counts for the change.
-const MAX_STEP: Duration = Duration::from_millis(250);
+/// Largest time between two requests that counts for a rise.
+const MAX_RISE_STEP: Duration = Duration::from_millis(250);
 
 /// Number of ranks that are refused, from the least urgent on, with the part of the last one.
 #[derive(Clone, Copy, Debug)]
@@ -60,16 +60,16 @@
         if self.passing_share(position) >= 1.0 {
             self.uncut.record(is_admitted, now);
         }
-        let step = now.since(self.updated_at).min(MAX_STEP).as_secs_f64();
+        let elapsed = now.since(self.updated_at);
         self.updated_at = now;
         let refused = self.uncut.get(now).map_or(0.0, |admitted| 1.0 - admitted) * shortage;
-        let rate = if refused > TOLERATED_REFUSALS {
-            (refused - TOLERATED_REFUSALS) * RISE_PER_S
+        let change = if refused > TOLERATED_REFUSALS {
+            (refused - TOLERATED_REFUSALS) * RISE_PER_S * elapsed.min(MAX_RISE_STEP).as_secs_f64()
         } else {
-            (refused / TOLERATED_REFUSALS - 1.0) * FALL_PER_S
+            (refused / TOLERATED_REFUSALS - 1.0) * FALL_PER_S * elapsed.as_secs_f64()
         };
         // The most urgent rank is never cut.
         let highest = count.saturating_sub(1) as f64;
-        self.level = (self.level + rate * step).clamp(0.0, highest);
+        self.level = (self.level + change).clamp(0.0, highest);
     }
 }
--- a/crates/apricotlug-policy/src/steer/admission/shortage.rs
+++ b/crates/apricotlug-policy/src/steer/admission/shortage.rs
@@ -12,7 +12,7 @@
 /// Time for which a utilisation is used.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Weight of a new utilisation in its moving average.
+/// Weight of a new utilisation in its moving average after one such time.
 const GAIN: f64 = 0.3;
 
 /// Shortage of room of one service, by region.
@@ -25,9 +25,12 @@
     pub fn get(&mut self, region: &str, now: MonoTime, utilisation: impl FnOnce() -> f64) -> f64 {
         let mean = match self.0.get_mut(region) {
             Some((at, mean)) => {
-                if now.since(*at) >= UPDATE_INTERVAL {
+                let elapsed = now.since(*at);
+                if elapsed >= UPDATE_INTERVAL {
                     *at = now;
-                    *mean += (utilisation() - *mean) * GAIN;
+                    let intervals = elapsed.as_secs_f64() / UPDATE_INTERVAL.as_secs_f64();
+                    let gain = 1.0 - (1.0 - GAIN).powf(intervals);
+                    *mean += (utilisation() - *mean) * gain;
                 }
                 *mean
             }
--- a/crates/apricotlug-policy/src/steer/duties/holder.rs
+++ b/crates/apricotlug-policy/src/steer/duties/holder.rs
@@ -80,6 +80,8 @@
     held: Option<Held>,
     requested: Option<Requested>,
     is_uncertain: bool,
+    /// Revision that the last take-over was refused for.
+    conflict: Option<u64>,
     has_read: bool,
     /// Largest numbers ever seen. They stay when the store loses the writes that contained them.
     top_fence: u64,
@@ -97,6 +99,7 @@
             held: None,
             requested: None,
             is_uncertain: false,
+            conflict: None,
             has_read: false,
             top_fence: 0,
             top_window: 0,
@@ -184,6 +187,13 @@
         (!held.until.is_past(now)).then_some(held.record.fence)
     }
 
+    /// Returns whether the last known record names this instance as the holder, whose hold may be over.
+    #[must_use]
+    pub fn is_named(&self) -> bool {
+        let record = self.record().filter(|record| !record.is_released);
+        record.is_some_and(|record| record.holder.run == self.own.run)
+    }
+
     /// Returns when this instance took the duty; `None` unless it holds it.
     #[must_use]
     pub fn taken_at(&self) -> Option<BootTime> {
@@ -326,6 +336,9 @@
         if let Some(seen) = self.seen.as_mut().filter(|_| self.held.is_none()) {
             seen.changed_at = now;
             self.requested = None;
+            // The change that it conflicts with has not come by the watch, and won't.
+            self.is_uncertain = self.conflict == Some(seen.revision);
+            self.conflict = Some(seen.revision);
         }
     }
 
--- a/crates/apricotlug-policy/src/steer/limits/quota.rs
+++ b/crates/apricotlug-policy/src/steer/limits/quota.rs
@@ -87,7 +87,7 @@
     /// Part of all instances that report, 0 to 1; 1 until the reports have covered all.
     reporting_part: f64,
     level: f64,
-    /// Tokens left to the others while these have not reported for a short time.
+    /// Tokens left to the others while these don't report.
     set_aside: f64,
     credit: f64,
     /// Credit that the last interval added, per second.
@@ -279,6 +279,19 @@
         report.demand = demand;
     }
 
+    /// Records that the next report of a run comes after its reports had ceased for a while, with the
+    /// total of that report. What it admitted meanwhile was left to it, and is not charged again.
+    pub fn on_return(&mut self, from: u64, account: &str, admitted: u64) {
+        if let Some(bucket) = self.buckets.get_mut(account)
+            && let Some(report) = bucket.run_reports.get(&from)
+        {
+            let used = admitted.saturating_sub(report.last) as f64;
+            let left_to_it = used.min(bucket.set_aside);
+            bucket.set_aside -= left_to_it;
+            bucket.level += left_to_it;
+        }
+    }
+
     /// Forgets all runs except those for which `keeps` holds.
     pub fn retain(&mut self, keeps: impl Fn(u64) -> bool) {
         for bucket in self.buckets.values_mut() {
@@ -303,8 +316,9 @@
     fn fill(&mut self, now: MonoTime) {
         let span = now.since(self.filled_at).as_secs_f64();
         self.filled_at = now;
-        let tokens = self.rate * self.reporting_part * span;
-        self.level = (self.level + tokens).min(self.capacity());
+        let tokens = self.rate * span;
+        self.level = (self.level + tokens * self.reporting_part).min(self.capacity());
+        self.set_aside += tokens * (1.0 - self.reporting_part);
     }
 
     /// Returns the most tokens that the bucket holds for the instances that report.
@@ -324,19 +338,17 @@
         }
         self.reporting_part = 1.0 - unreported as f64 / interval.instances.max(1) as f64;
         if unreported == 0 {
-            self.level = (self.level + self.set_aside).min(self.burst);
+            if self.partial_ticks <= interval.delay.ticks() {
+                self.level = (self.level + self.set_aside).min(self.burst);
+            }
+            self.partial_ticks = 0;
+            self.set_aside = 0.0;
+            return;
         }
-        self.partial_ticks = match unreported {
-            0 => 0,
-            _ => self.partial_ticks + 1,
-        };
+        self.partial_ticks += 1;
         let excess = (self.level - self.capacity()).max(0.0);
         self.level -= excess;
-        self.set_aside = match self.partial_ticks {
-            0 => 0.0,
-            ticks if ticks > interval.delay.ticks() => 0.0,
-            _ => self.set_aside + excess,
-        };
+        self.set_aside += excess;
     }
 
     /// Returns the demand here at the time from which the other instances' demand is known, or
--- a/crates/apricotlug-policy/src/steer/placement/estimate.rs
+++ b/crates/apricotlug-policy/src/steer/placement/estimate.rs
@@ -108,6 +108,19 @@
 }
 
 impl Choice {
+    /// Returns the milliseconds until the answer is expected without what was learned of the cost of the
+    /// account's or object's requests. A refusal rests on no more than that: without answers, a cost
+    /// that has fallen would stay unknown.
+    #[must_use]
+    pub fn least_expected_ms(&self) -> f64 {
+        let Estimate {
+            service_ms,
+            cost_factor,
+            ..
+        } = self.estimate;
+        self.expected_ms - service_ms * (1.0 - 1.0 / cost_factor.max(1.0))
+    }
+
     /// Iterates over the learned figures that changed the expected times: `cost` of the account or
     /// object, `speed` of the machine, `work` that is left at the backend server.
     pub fn learned_figures(&self) -> impl Iterator<Item = &'static str> {
--- a/crates/apricotlug-policy/src/steer/placement/utilisation.rs
+++ b/crates/apricotlug-policy/src/steer/placement/utilisation.rs
@@ -2,36 +2,52 @@
 
 use apricotlug_model::MonoTime;
 
-use super::fleet::Fleet;
+use super::{entry::MAX_LOAD_FACTOR, fleet::Fleet};
 
 impl Fleet {
     /// Returns the requests that run or wait at a service's backend servers in a region as a share of
-    /// their slots, of those that take requests; 1 if there is none.
+    /// their slots, of those that have capacity and whose data centre is not evacuated; 1 if there is
+    /// none.
     ///
     /// Where no other instance reports requests, only backend servers that reported their load
     /// themselves are counted, if there is any.
     #[must_use]
-    pub fn utilisation(&self, service: &str, region: &str, now: MonoTime) -> f64 {
-        let (mut load, mut slots) = (0, 0);
-        let (mut reported_load, mut reported_slots) = (0, 0);
+    pub fn utilisation(
+        &self,
+        service: &str,
+        region: &str,
+        evacuated: &[String],
+        now: MonoTime,
+    ) -> f64 {
+        let (mut load, mut slots) = (0.0, 0.0);
+        let (mut reported_load, mut reported_slots) = (0.0, 0.0);
         let mut has_reports = false;
         for (_, entry) in self.of_service(service) {
-            if entry.region != region || !entry.takes_requests(now) {
+            let is_open = !evacuated.contains(&entry.backend.data_centre);
+            if entry.region != region || !is_open || !entry.has_capacity(now) {
                 continue;
             }
-            let of_entry = entry.load(now);
+            let of_slots = f64::from(entry.backend.slots);
+            // One that defers requests is full.
+            let least = if entry.takes_requests(now) {
+                0.0
+            } else {
+                of_slots
+            };
+            let of_entry = f64::from(entry.load(now)).clamp(least, of_slots * MAX_LOAD_FACTOR);
             load += of_entry;
-            slots += entry.backend.slots;
+            slots += of_slots;
             if entry.has_reported_load(now) {
                 reported_load += of_entry;
-                reported_slots += entry.backend.slots;
+                reported_slots += of_slots;
             }
             has_reports |= entry.other_requests > 0;
         }
-        match (has_reports, reported_slots, slots) {
-            (_, _, 0) => 1.0,
-            (true, _, _) | (_, 0, _) => f64::from(load) / f64::from(slots),
-            (false, _, _) => f64::from(reported_load) / f64::from(reported_slots),
+        match (has_reports, reported_slots > 0.0) {
+            _ if slots <= 0.0 => 1.0,
+            (true, _) => load / slots,
+            (false, true) => reported_load / reported_slots,
+            (false, false) => load / slots,
         }
     }
 }
--- a/crates/apricotlug-steer/src/caller.rs
+++ b/crates/apricotlug-steer/src/caller.rs
@@ -81,13 +81,9 @@
             Err(e) if e.caller_status().is_none() => return,
             head => head,
         };
-        if !permit.on_request() {
-            tracing::info!(kind = "conn_closed", result = "longest_silent");
-            return;
-        }
         let in_flight = shared.drain.count_request();
         let after = match head {
-            Ok(head) => serve_one(shared, &mut conn, head, caller_limits).await,
+            Ok(head) => serve_one(shared, &mut conn, &mut permit, head, caller_limits).await,
             Err(e) => refuse_malformed(&mut conn, &e).await,
         };
         drop(in_flight);
@@ -171,12 +167,18 @@
 async fn serve_one(
     shared: &Arc<Shared>,
     conn: &mut Conn,
+    permit: &mut ConnPermit,
     mut head: RequestHead,
     caller_limits: CallerLimits,
 ) -> AfterResponse {
     let arrived_at = shared.clock.now();
-    let (framing, body) = match receive(shared, conn, &head, caller_limits, arrived_at).await {
+    let receiving = receive(shared, conn, permit, &head, caller_limits, arrived_at);
+    let (framing, body) = match receiving.await {
         Ok(received) => received,
+        Err(ReceiveError::Displaced) => {
+            tracing::info!(kind = "conn_closed", result = "longest_silent");
+            return AfterResponse::Close;
+        }
         Err(ReceiveError::Http(e)) if e.caller_status().is_none() => return AfterResponse::Close,
         Err(ReceiveError::Http(e)) => return refuse_malformed(conn, &e).await,
         Err(ReceiveError::Refused(refusal)) => {
@@ -221,6 +223,8 @@
             (dispatched, id, "-", None)
         }
     };
+    // The answer may take long to deliver.
+    drop(body);
     let latency = shared.clock.now().since(arrived_at);
     let (status, code) = match &dispatched.outcome {
         Outcome::Answered(response) => (response.head.status, "answered"),
--- a/crates/apricotlug-steer/src/coverage.rs
+++ b/crates/apricotlug-steer/src/coverage.rs
@@ -41,6 +41,11 @@
         self.relays.insert(report.run, report);
     }
 
+    /// Returns whether a relay has reported recently, as of the last update.
+    pub fn has_report_of(&self, run: u64) -> bool {
+        self.relays.contains_key(&run)
+    }
+
     /// Forgets the datagrams of other relays, where this instance is none.
     pub fn forget_relays(&mut self) {
         self.relays.clear();
--- a/crates/apricotlug-steer/src/moves.rs
+++ b/crates/apricotlug-steer/src/moves.rs
@@ -96,7 +96,8 @@
     pub fn on_order(&mut self, order: MoveOrder, version: StoreVersion, now: MonoTime) {
         let service = order.service.clone();
         let known = self.moves.get(&service);
-        if known.is_some_and(|service_move| service_move.order_version == version) {
+        // Another era may have given the same revision to another order.
+        if known.is_some_and(|known| known.order_version == version && known.order == order) {
             return;
         }
         let status = self.statuses.get(&service);
--- a/crates/apricotlug-steer/src/rank_admission.rs
+++ b/crates/apricotlug-steer/src/rank_admission.rs
@@ -29,7 +29,7 @@
     choice: &Choice,
     is_first: bool,
 ) -> RankAdmission {
-    let times = (choice.expected_ms, choice.wait_ms);
+    let times = (choice.least_expected_ms(), choice.wait_ms);
     let Some(gate) = gates.get_mut(&request.service) else {
         return RankAdmission {
             decision: decide_admission(limits, times.0, times.1, choice.is_known),
@@ -41,7 +41,7 @@
     let entry = fleet.entry(choice.key);
     let region = &entry.region;
     let shortage = gate.shortage(region, now, || {
-        fleet.utilisation(&request.service, region, now)
+        fleet.utilisation(&request.service, region, &request.evacuated, now)
     });
     let room = Room {
         shortage,
--- a/crates/apricotlug-steer/src/receive.rs
+++ b/crates/apricotlug-steer/src/receive.rs
@@ -1,6 +1,8 @@
 //! Receives the body of a request, once nothing speaks against running it.
 
-use apricotlug_http::{BodyReader, Conn, Framing, HttpError, RequestHead, request_framing};
+use apricotlug_http::{
+    BodyReader, Conn, ConnPermit, Framing, HttpError, RequestHead, request_framing,
+};
 use apricotlug_model::{CallerLimits, MonoTime};
 
 use crate::{
@@ -19,6 +21,8 @@
     Refused(Refusal),
     /// The request is malformed or exceeds a limit, or its connection failed.
     Http(HttpError),
+    /// The connection was closed for another one, because it had waited longest.
+    Displaced,
 }
 
 impl From<HttpError> for ReceiveError {
@@ -38,6 +42,7 @@
                 Self::Refused(Refusal::new(408, "Request Timeout", "stalled_body"))
             }
             BodyError::Http(e) => Self::Http(e),
+            BodyError::Displaced => Self::Displaced,
         }
     }
 }
@@ -52,6 +57,7 @@
 pub async fn receive(
     shared: &Shared,
     conn: &mut Conn,
+    permit: &mut ConnPermit,
     head: &RequestHead,
     limits: CallerLimits,
     arrived_at: MonoTime,
@@ -70,7 +76,13 @@
     }
     conn.set_read_bytes(None);
     let reader = BodyReader::new(framing, limits.body_bytes);
-    Ok((framing, body.read(conn, reader).await?))
+    let body = body.read(conn, permit, reader).await?;
+    // Until here the connection could be closed for another one.
+    if permit.on_request() {
+        Ok((framing, body))
+    } else {
+        Err(ReceiveError::Displaced)
+    }
 }
 
 /// Returns whether the whole body has arrived already.
--- a/crates/apricotlug-steer/src/relay/report.rs
+++ b/crates/apricotlug-steer/src/relay/report.rs
@@ -17,10 +17,11 @@
 /// Exchanges figures with a relay whenever the last report is old, until the process ends.
 pub async fn exchange_figures(shared: Arc<Shared>) {
     let mut conn = None;
-    let mut failures = 0;
+    // Changes only after a failure: each other relay's first report starts a new count.
+    let mut offset = 0;
     loop {
         task::sleep(INTERVAL).await;
-        let Some(relay) = due_relay(&shared, failures) else {
+        let Some(relay) = due_relay(&shared, offset) else {
             continue;
         };
         let known = shared.last_read().map(|read| read.version);
@@ -30,24 +31,23 @@
             Ok(response) => {
                 let now = shared.clock.now();
                 shared.steering().on_relay_response(&response, now);
-                failures = 0;
             }
             Err(error) => {
                 tracing::debug!(kind = "figures", %relay, %error);
-                failures += 1;
+                offset += 1;
             }
         }
     }
 }
 
-/// Returns the relay to exchange figures with; `None` where the last report is recent enough. After a
-/// failure it is the region's next relay.
-fn due_relay(shared: &Shared, failures: usize) -> Option<SocketAddr> {
+/// Returns the relay to exchange figures with, the one of the region that is polled or the `offset`th
+/// after it; `None` where the last report is recent enough.
+fn due_relay(shared: &Shared, offset: usize) -> Option<SocketAddr> {
     let steering = shared.steering();
     if !steering.lacks_relay_report(shared.clock.now()) {
         return None;
     }
     let relays = &steering.relays().same_region;
-    let index = (shared.run as usize).wrapping_add(failures) % relays.len().max(1);
+    let index = (shared.run as usize).wrapping_add(offset) % relays.len().max(1);
     relays.get(index).copied()
 }
--- a/crates/apricotlug-steer/src/request_body.rs
+++ b/crates/apricotlug-steer/src/request_body.rs
@@ -8,7 +8,7 @@
 };
 
 use apricotlug_edge::Clock;
-use apricotlug_http::{BodyReader, Conn, Framing, HttpError};
+use apricotlug_http::{BodyReader, Conn, ConnPermit, Framing, HttpError};
 use apricotlug_model::HashMap;
 use apricotlug_policy::steer::{BodyKey, BodyRoom, BodyRoomDecision};
 use async_std::net::TcpStream;
@@ -58,6 +58,8 @@
     Stalled,
     /// It is malformed or too long, or its connection failed.
     Http(HttpError),
+    /// Its connection was closed for another one.
+    Displaced,
 }
 
 impl RequestBodies {
@@ -164,10 +166,23 @@
         }
     }
 
-    fn on_received(&self, bytes: usize) {
+    /// Records received bytes. Returns whether the body still has its room: bytes that were under way
+    /// arrive also after another one got it.
+    fn on_received(&self, bytes: usize) -> bool {
         let now = self.bodies.clock.now();
         let mut state = self.bodies.state();
         state.room.on_received(self.key, bytes as u64, now);
+        state.streams.contains_key(&self.key)
+    }
+
+    /// Records that the body is complete. Returns whether it still has its room, which it then keeps.
+    fn on_complete(&self) -> bool {
+        let mut state = self.bodies.state();
+        let has_room = state.streams.contains_key(&self.key);
+        if has_room {
+            state.room.on_complete(self.key);
+        }
+        has_room
     }
 
     fn is_lost(&self) -> bool {
@@ -201,6 +216,7 @@
     pub async fn read(
         mut self,
         conn: &mut Conn,
+        permit: &mut ConnPermit,
         mut reader: BodyReader,
     ) -> Result<Self, BodyError> {
         let Some(held) = self.held.take() else {
@@ -219,14 +235,19 @@
             };
             self.push(&piece);
             received += piece.len();
-            if received >= PROGRESS_BYTES {
-                held.on_received(mem::take(&mut received));
+            if received < PROGRESS_BYTES {
+                continue;
+            }
+            if !held.on_received(mem::take(&mut received)) {
+                return Err(BodyError::Stalled);
+            }
+            if !permit.on_progress() {
+                return Err(BodyError::Displaced);
             }
         }
-        if held.is_lost() {
+        if !held.on_complete() {
             return Err(BodyError::Stalled);
         }
-        held.bodies.state().room.on_complete(held.key);
         self.held = Some(held);
         Ok(self)
     }
--- a/crates/apricotlug-steer/src/steering.rs
+++ b/crates/apricotlug-steer/src/steering.rs
@@ -22,7 +22,7 @@
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1_800);
 
 /// Time without a request of a relay client after which its figures no longer count as reported.
-const CLIENT_REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
+const CLIENT_REPORT_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Age of a relay's last report from which the figures are asked for, though the store's items are read
 /// elsewhere: for instances that look-ups list, and for the others, which poll less often.
@@ -285,7 +285,11 @@
         if !self.relays.is_needed {
             return;
         }
-        let is_first = self.relay_clients.insert(request.run, now).is_none();
+        let previous = self.relay_clients.insert(request.run, now);
+        let is_first = previous.is_none();
+        if previous.is_some_and(|at| now.since(at) >= CLIENT_REPORT_TIMEOUT) {
+            self.on_return(request.run, &request.usage);
+        }
         if is_first {
             // As a relay this run reported for others too, and those now report through another
             // relay.
@@ -351,8 +355,11 @@
 
     /// Records a relay's response, which reports for all other instances.
     pub fn on_relay_response(&mut self, response: &RelayResponse, now: MonoTime) {
-        let previous = self.relay.as_ref().map(|report| report.run);
-        let is_first = previous != Some(response.run);
+        let previous = self.relay.as_ref().map(|report| (report.run, report.at));
+        let is_first = previous.is_none_or(|(run, _)| run != response.run);
+        if previous.is_some_and(|(_, at)| now.since(at) >= RELAY_TIMEOUT) {
+            self.on_return(response.run, &response.usage);
+        }
         if is_first {
             self.forget_relay();
             // It may have sent datagrams while this instance was a relay.
@@ -371,6 +378,15 @@
         self.set_reported_loads(response.run, response.loads.clone());
     }
 
+    /// Records that a run reports again after a time in which it did not.
+    fn on_return(&mut self, run: u64, usage: &[AccountUsage]) {
+        for entry in usage {
+            if let Some(account) = self.accounts_by_hash.get(&entry.account) {
+                self.quotas.on_return(run, account, entry.admitted);
+            }
+        }
+    }
+
     fn record_usage(&mut self, run: u64, usage: &[AccountUsage], is_first: bool) {
         for entry in usage {
             if let Some(account) = self.accounts_by_hash.get(&entry.account) {
@@ -428,13 +444,17 @@
         // All usage of a recently started run is recent. What a longer running one admitted before
         // its first datagram arrived here may be old and is not charged to the account.
         let is_long_running = datagram.sequence > RECENT_START_DATAGRAMS;
+        if self.relays.is_needed {
+            if !self.coverage.has_report_of(run) {
+                self.on_return(run, &datagram.usage);
+            }
+            self.coverage.on_relay_report(RelayReport {
+                run,
+                at: now,
+                covered: datagram.covered,
+            });
+        }
         self.record_usage(run, &datagram.usage, is_long_running || was_client);
-        let report = RelayReport {
-            run,
-            at: now,
-            covered: datagram.covered,
-        };
-        self.coverage.on_relay_report(report);
         for MoveEvidence { order, counts } in datagram.evidence {
             self.moves.on_evidence(run, order, counts);
         }
--- a/crates/apricotlug-steer/src/store_era.rs
+++ b/crates/apricotlug-steer/src/store_era.rs
@@ -269,7 +269,10 @@
 #[must_use]
 pub fn without_older_plans<'a>(log: &ChangeLog, changes: &'a [Change]) -> Cow<'a, [Change]> {
     let has_plan = changes.iter().any(|change| is_plan_key(change.key()));
-    let Some(held) = log.find(is_plan_key).filter(|_| has_plan) else {
+    if !has_plan {
+        return Cow::Borrowed(changes);
+    }
+    let Some(held) = log.find(is_plan_key) else {
         return Cow::Borrowed(changes);
     };
     let is_older = |change: &&Change| match change {
--- a/crates/apricotlug-steer/src/usage/collect.rs
+++ b/crates/apricotlug-steer/src/usage/collect.rs
@@ -90,7 +90,7 @@
 
 /// Sends what the holder does not have. Returns whether nothing is left to send.
 async fn send(shared: &Shared, usage: &Usage) -> bool {
-    let Some((run, peer, due)) = due(usage) else {
+    let Some((run, peer, due)) = due(shared, usage) else {
         return false;
     };
     if due.is_empty() {
@@ -113,11 +113,14 @@
 }
 
 /// Returns the holder's run and address, and the windows that it does not have; `None` where nobody
-/// holds the duty.
-fn due(usage: &Usage) -> Option<(u64, SocketAddr, Vec<WindowCounts>)> {
+/// holds the duty, or this instance, which is about to end.
+fn due(shared: &Shared, usage: &Usage) -> Option<(u64, SocketAddr, Vec<WindowCounts>)> {
     let state = usage.lock();
     let record = state.holder.record()?;
     let holder = (!record.is_released).then_some(&record.holder)?;
+    if holder.run == shared.run && shared.drain.is_leaving() {
+        return None;
+    }
     Some((holder.run, holder.peer, state.outbox.due_for(holder.run)))
 }
 
--- a/crates/apricotlug-steer/src/usage/state.rs
+++ b/crates/apricotlug-steer/src/usage/state.rs
@@ -10,7 +10,7 @@
 use apricotlug_model::BootTime;
 use apricotlug_policy::steer::{
     Collection, DutyHolder, DutyInstance, DutyRecord, DutyTerms, Outbox, UsageCounts, WallAnchor,
-    WindowCounts, window_end,
+    WindowCounts, window_end, window_number,
 };
 
 use crate::freshness::StoreFreshness;
@@ -27,6 +27,9 @@
 /// waits for no instance that is not known any more.
 const SEND_SLACK: Duration = Duration::from_millis(500);
 
+/// Windows after the present one that are taken: the sender's clock may be ahead.
+const MAX_WINDOWS_AHEAD: u64 = 2;
+
 /// State of the usage reports, locked for one step at a time.
 #[derive(Debug)]
 pub struct Usage {
@@ -133,17 +136,19 @@
         (fence, now.since(taken_at))
     }
 
-    /// Takes counts of another instance where this one holds the duty. Returns the numbers of the
-    /// windows that it now has.
+    /// Takes counts of another instance where the duty's record names this one. Returns the numbers of
+    /// the windows that it now has. A hold that is over may go on when the store is back.
     pub fn on_windows(&self, run: u64, windows: Vec<WindowCounts>) -> Vec<u64> {
         let mut state = self.lock();
-        if state.holder.fence(StoreFreshness::now()).is_none() {
+        if !state.holder.is_named() {
             return Vec::new();
         }
-        let settled = state.holder.next_window().unwrap_or_default();
+        let settled = state.holder.record().map(|record| record.last_window);
+        let wall = state.anchor.unix(StoreFreshness::now());
+        let newest = window_number(wall, state.window) + MAX_WINDOWS_AHEAD;
         let open = windows
             .into_iter()
-            .filter(|window| window.number >= settled);
+            .filter(|window| Some(window.number) > settled && window.number <= newest);
         let mut confirmed = Vec::new();
         for window in open {
             let number = window.number;
