--- a/crates/apricotlug-policy/src/steer/limits/quota.rs
+++ b/crates/apricotlug-policy/src/steer/limits/quota.rs
@@ -279,8 +279,9 @@
         report.demand = demand;
     }
 
-    /// Records that the next report of a run comes after its reports had ceased for a while, with the
-    /// total of that report. What it admitted meanwhile was left to it, and is not charged again.
+    /// Records that the next report of a run covers instances whose figures were missing for a while,
+    /// with the total of that report. What these admitted meanwhile was left to them, and is not charged
+    /// again.
     pub fn on_return(&mut self, from: u64, account: &str, admitted: u64) {
         if let Some(bucket) = self.buckets.get_mut(account)
             && let Some(report) = bucket.run_reports.get(&from)
--- a/crates/apricotlug-policy/tests/steer_duty_holder.rs
+++ b/crates/apricotlug-policy/tests/steer_duty_holder.rs
@@ -380,3 +380,22 @@
     world.check("just started");
     assert_no_gap(&world.reported(), "just started");
 }
+
+/// Guards against an instance whose view of the record is none that the store will ever confirm.
+#[test]
+fn a_take_over_that_conflicts_twice_reads_the_record() {
+    let mut world = World::new();
+    let mut holder = world.start(0);
+    holder.on_items_read(world.now(), world.wall());
+    for expected in [false, true] {
+        world.now_ms += 20_000;
+        let step = holder.next(world.now(), world.wall(), Some(0), None);
+        let DutyStep::Write(write) = step else {
+            panic!("{step:?}");
+        };
+        holder.on_requested(write.record, world.now());
+        holder.on_conflict(world.now());
+        let step = holder.next(world.now(), world.wall(), Some(0), None);
+        assert_eq!(step == DutyStep::Read, expected, "{step:?}");
+    }
+}
--- a/crates/apricotlug-policy/tests/steer_fleet.rs
+++ b/crates/apricotlug-policy/tests/steer_fleet.rs
@@ -355,3 +355,24 @@
     let next = fleet.choose(&request(Some(1)), TARGET_MS, at(5)).unwrap();
     assert_ne!(next.key, first.key);
 }
+
+/// Guards against a region that looks half empty, because room counts where nothing may be sent, and
+/// against loads that no backend server can have.
+#[test]
+fn utilisation_counts_only_room_that_requests_may_use() {
+    let now = at(0);
+    let mut fleet = fleet(2);
+    let keys: Vec<_> = fleet.of_service(SERVICE).map(|(key, _)| key).collect();
+    for key in &keys[..2] {
+        fleet.entry_mut(*key).own_requests = 6;
+    }
+    let evacuated = ["b".to_owned()];
+    assert_eq!(fleet.utilisation(SERVICE, "west", &[], now), 0.5);
+    assert_eq!(fleet.utilisation(SERVICE, "west", &evacuated, now), 1.0);
+    fleet.entry_mut(keys[2]).on_deferral(at(1_000));
+    assert_eq!(fleet.utilisation(SERVICE, "west", &[], now), 0.75);
+    for key in &keys {
+        fleet.entry_mut(*key).on_load_report(now, u32::MAX, 0);
+    }
+    assert_eq!(fleet.utilisation(SERVICE, "west", &[], now), 3.0);
+}
--- a/crates/apricotlug-steer/schema/pulse.capnp
+++ b/crates/apricotlug-steer/schema/pulse.capnp
@@ -17,13 +17,6 @@
   # Work that is left of them, in milliseconds of one slot.
 }
 
-struct Demand {
-  # Requests of one rank for a service that arrived at the sender, per tick interval.
-  service @0 :UInt64;
-  rank @1 :UInt32;
-  requests @2 :Float32;
-}
-
 struct Counted {
   # Requests of a client account that backend servers began to run.
   account @0 :Text;
@@ -55,7 +48,6 @@
   proofs @6 :List(Proof);
   covered @7 :List(UInt64);
   # Hashes of the names of the instances whose figures the sums include.
-  demands @8 :List(Demand);
 }
 
 struct Change {
@@ -79,7 +71,6 @@
   # Era of the store to which the revision belongs.
   windows @7 :List(Window);
   # Closed windows that the holder of the usage duty has not confirmed yet.
-  demands @8 :List(Demand);
 }
 
 struct Told {
@@ -98,5 +89,4 @@
   era @11 :UInt64;
   confirmed @12 :List(UInt64);
   # Numbers of the windows whose counts the sender holds now.
-  demands @13 :List(Demand);
 }
--- a/crates/apricotlug-steer/src/coverage.rs
+++ b/crates/apricotlug-steer/src/coverage.rs
@@ -36,14 +36,23 @@
 }
 
 impl Coverage {
-    /// Records a datagram of another relay.
+    /// Records a datagram of another relay. It counts at once: figures must not be passed on before it is
+    /// told whose they are.
     pub fn on_relay_report(&mut self, report: RelayReport) {
+        self.all.extend(&report.covered);
         self.relays.insert(report.run, report);
     }
 
-    /// Returns whether a relay has reported recently, as of the last update.
-    pub fn has_report_of(&self, run: u64) -> bool {
-        self.relays.contains_key(&run)
+    /// Returns whether a report covers instances whose figures were missing as of the last update.
+    pub fn grows_by(&self, covered: &[u64]) -> bool {
+        covered.iter().any(|name| !self.all.contains(name))
+    }
+
+    /// Records that an instance polls this one.
+    pub fn on_client(&mut self, name: u64) {
+        if self.all.insert(name) {
+            self.own.push(name);
+        }
     }
 
     /// Forgets the datagrams of other relays, where this instance is none.
--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -58,7 +58,7 @@
 pub use store_era::{EraGrace, keep_newer_plan, without_older_plans};
 pub use store_sync::record_response;
 pub use wire::{
-    AccountUsage, BackendLoad, MoveEvidence, RankDemand, RelayRequest, RelayResponse,
-    StatusDatagram, WindowUsage, WireError, decode_datagram, decode_relay_request,
-    decode_relay_response, encode_datagram, encode_relay_request, encode_relay_response,
+    AccountUsage, BackendLoad, MoveEvidence, RelayRequest, RelayResponse, StatusDatagram,
+    WindowUsage, WireError, decode_datagram, decode_relay_request, decode_relay_response,
+    encode_datagram, encode_relay_request, encode_relay_response,
 };
--- a/crates/apricotlug-steer/src/steering.rs
+++ b/crates/apricotlug-steer/src/steering.rs
@@ -287,8 +287,12 @@
         }
         let previous = self.relay_clients.insert(request.run, now);
         let is_first = previous.is_none();
-        if previous.is_some_and(|at| now.since(at) >= CLIENT_REPORT_TIMEOUT) {
+        if previous.is_none_or(|at| now.since(at) >= CLIENT_REPORT_TIMEOUT) {
             self.on_return(request.run, &request.usage);
+            let mut members = self.peers.iter();
+            if let Some((name, _)) = members.find(|(_, member)| member.info.run == request.run) {
+                self.coverage.on_client(name_hash(name));
+            }
         }
         if is_first {
             // As a relay this run reported for others too, and those now report through another
@@ -355,9 +359,9 @@
 
     /// Records a relay's response, which reports for all other instances.
     pub fn on_relay_response(&mut self, response: &RelayResponse, now: MonoTime) {
-        let previous = self.relay.as_ref().map(|report| (report.run, report.at));
-        let is_first = previous.is_none_or(|(run, _)| run != response.run);
-        if previous.is_some_and(|(_, at)| now.since(at) >= RELAY_TIMEOUT) {
+        let previous = self.relay.as_ref().map(|report| report.run);
+        let is_first = previous != Some(response.run);
+        if self.coverage.grows_by(&response.covered) {
             self.on_return(response.run, &response.usage);
         }
         if is_first {
@@ -378,7 +382,7 @@
         self.set_reported_loads(response.run, response.loads.clone());
     }
 
-    /// Records that a run reports again after a time in which it did not.
+    /// Records that a run reports for instances whose figures were missing for a while.
     fn on_return(&mut self, run: u64, usage: &[AccountUsage]) {
         for entry in usage {
             if let Some(account) = self.accounts_by_hash.get(&entry.account) {
@@ -418,7 +422,6 @@
                 .evidence(|run| run == DEPARTED_REPORTED || self.relay_clients.contains_key(&run))
                 .collect(),
             covered: self.coverage.own().to_vec(),
-            ..StatusDatagram::default()
         }
     }
 
@@ -445,7 +448,7 @@
         // its first datagram arrived here may be old and is not charged to the account.
         let is_long_running = datagram.sequence > RECENT_START_DATAGRAMS;
         if self.relays.is_needed {
-            if !self.coverage.has_report_of(run) {
+            if self.coverage.grows_by(&datagram.covered) {
                 self.on_return(run, &datagram.usage);
             }
             self.coverage.on_relay_report(RelayReport {
--- a/crates/apricotlug-steer/src/wire/datagram.rs
+++ b/crates/apricotlug-steer/src/wire/datagram.rs
@@ -5,9 +5,8 @@
 use super::{
     MAX_REPORT_WORDS, WireError,
     figures::{
-        AccountUsage, BackendLoad, MoveEvidence, RankDemand, read_demands, read_evidence,
-        read_loads, read_usage, write_demands, write_evidence, write_loads, write_numbers,
-        write_usage,
+        AccountUsage, BackendLoad, MoveEvidence, read_evidence, read_loads, read_usage,
+        write_evidence, write_loads, write_numbers, write_usage,
     },
     pack, reader_options,
 };
@@ -35,8 +34,6 @@
     pub evidence: Vec<MoveEvidence>,
     /// Hashes of the names of the instances whose figures these are.
     pub covered: Vec<u64>,
-    /// Requests by service and rank that arrived at the sender and the runs it reports for.
-    pub demands: Vec<RankDemand>,
 }
 
 /// Encodes a datagram.
@@ -64,10 +61,6 @@
         builder.reborrow().init_covered(source.covered.len() as u32),
         &source.covered,
     );
-    write_demands(
-        builder.init_demands(source.demands.len() as u32),
-        &source.demands,
-    );
     pack(&message)
 }
 
@@ -88,6 +81,5 @@
         loads: read_loads(reader.get_busy()?),
         evidence: read_evidence(reader.get_proofs()?),
         covered: reader.get_covered()?.iter().collect(),
-        demands: read_demands(reader.get_demands()?),
     })
 }
--- a/crates/apricotlug-steer/src/wire/figures.rs
+++ b/crates/apricotlug-steer/src/wire/figures.rs
@@ -4,7 +4,7 @@
 use apricotlug_policy::steer::WindowCounts;
 use capnp::{primitive_list, struct_list};
 
-use crate::pulse_capnp::{busy, counted, demand, proof, spent, window};
+use crate::pulse_capnp::{busy, counted, proof, spent, window};
 
 /// Requests of one client account that a run has admitted.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -54,17 +54,6 @@
     pub counts: [u64; 4],
 }
 
-/// Requests of one rank that arrived for a service.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RankDemand {
-    /// Hash of the service's name.
-    pub service: u64,
-    /// Rank; 0 is the most urgent.
-    pub rank: u32,
-    /// Requests per tick interval.
-    pub requests: f32,
-}
-
 /// Requests that began to run in one window of the wall clock.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WindowUsage {
@@ -170,27 +159,6 @@
     entries.collect()
 }
 
-pub(super) fn write_demands(
-    mut builder: struct_list::Builder<'_, demand::Owned>,
-    source: &[RankDemand],
-) {
-    for (i, entry) in source.iter().enumerate() {
-        let mut builder = builder.reborrow().get(i as u32);
-        builder.set_service(entry.service);
-        builder.set_rank(entry.rank);
-        builder.set_requests(entry.requests);
-    }
-}
-
-pub(super) fn read_demands(reader: struct_list::Reader<'_, demand::Owned>) -> Vec<RankDemand> {
-    let entries = reader.iter().map(|entry| RankDemand {
-        service: entry.get_service(),
-        rank: entry.get_rank(),
-        requests: amount(entry.get_requests()),
-    });
-    entries.collect()
-}
-
 pub(super) fn write_windows(
     mut builder: struct_list::Builder<'_, window::Owned>,
     source: &[WindowUsage],
--- a/crates/apricotlug-steer/src/wire/mod.rs
+++ b/crates/apricotlug-steer/src/wire/mod.rs
@@ -5,7 +5,7 @@
 mod relay;
 
 pub use datagram::{MAX_DATAGRAM_BYTES, StatusDatagram, decode_datagram, encode_datagram};
-pub use figures::{AccountUsage, BackendLoad, MoveEvidence, RankDemand, WindowUsage};
+pub use figures::{AccountUsage, BackendLoad, MoveEvidence, WindowUsage};
 pub use relay::{
     RelayRequest, RelayResponse, decode_relay_request, decode_relay_response, encode_relay_request,
     encode_relay_response,
--- a/crates/apricotlug-steer/src/wire/relay.rs
+++ b/crates/apricotlug-steer/src/wire/relay.rs
@@ -10,9 +10,9 @@
 use super::{
     MAX_REPORT_WORDS, WireError,
     figures::{
-        AccountUsage, BackendLoad, MoveEvidence, RankDemand, WindowUsage, read_demands,
-        read_evidence, read_loads, read_usage, read_windows, write_demands, write_evidence,
-        write_loads, write_numbers, write_usage, write_windows,
+        AccountUsage, BackendLoad, MoveEvidence, WindowUsage, read_evidence, read_loads,
+        read_usage, read_windows, write_evidence, write_loads, write_numbers, write_usage,
+        write_windows,
     },
     pack, reader_options,
 };
@@ -41,8 +41,6 @@
     pub loads: Vec<BackendLoad>,
     /// Closed windows of usage that the receiver has not confirmed yet.
     pub windows: Vec<WindowUsage>,
-    /// Requests by service and rank that arrived at the sender.
-    pub demands: Vec<RankDemand>,
 }
 
 /// Response to a relay request.
@@ -74,8 +72,6 @@
     pub covered: Vec<u64>,
     /// Numbers of the windows of usage that the responder holds now.
     pub confirmed: Vec<u64>,
-    /// Requests by service and rank that arrived at all instances except the receiver.
-    pub demands: Vec<RankDemand>,
 }
 
 /// Encodes a relay request.
@@ -103,10 +99,6 @@
         builder.reborrow().init_windows(source.windows.len() as u32),
         &source.windows,
     );
-    write_demands(
-        builder.init_demands(source.demands.len() as u32),
-        &source.demands,
-    );
     pack(&message)
 }
 
@@ -126,7 +118,6 @@
         evidence: read_evidence(reader.get_proofs()?),
         loads: read_loads(reader.get_busy()?),
         windows: read_windows(reader.get_windows()?)?,
-        demands: read_demands(reader.get_demands()?),
     })
 }
 
@@ -196,10 +187,6 @@
             .init_confirmed(source.confirmed.len() as u32),
         &source.confirmed,
     );
-    write_demands(
-        builder.init_demands(source.demands.len() as u32),
-        &source.demands,
-    );
     pack(&message)
 }
 
@@ -238,6 +225,5 @@
         loads: read_loads(reader.get_busy()?),
         covered: reader.get_covered()?.iter().collect(),
         confirmed: reader.get_confirmed()?.iter().collect(),
-        demands: read_demands(reader.get_demands()?),
     })
 }
--- a/crates/apricotlug-steer/tests/account_limits.rs
+++ b/crates/apricotlug-steer/tests/account_limits.rs
@@ -200,3 +200,20 @@
     let allowed = rate * 6.0 * 1.1 + 20.0;
     assert!(max as f64 <= allowed, "{max} of {allowed}");
 }
+
+/// Guards against usage that is charged twice after a cut: what was left to the other region, and what it
+/// then reports.
+#[test]
+fn an_account_within_its_rate_is_served_when_a_cut_has_healed() {
+    let (listed, all, rate) = (12, 64, 60.0);
+    let mut fleet = Fleet::new(listed, all, rate, 1);
+    fleet.run(0, 3_000, rate * 0.6, listed);
+    fleet.is_cut = true;
+    fleet.run(3_000, 13_000, rate * 0.9, listed);
+    fleet.is_cut = false;
+    let (requests, admitted) = (fleet.requests, fleet.admitted.len());
+    fleet.run(13_000, 19_000, rate * 0.9, listed);
+    let requests = fleet.requests - requests;
+    let refused = requests - (fleet.admitted.len() - admitted);
+    assert!(refused * 20 <= requests, "{refused} of {requests}");
+}
--- a/crates/apricotlug-steer/tests/peers.rs
+++ b/crates/apricotlug-steer/tests/peers.rs
@@ -66,14 +66,6 @@
     }]
 }
 
-fn demands() -> Vec<RankDemand> {
-    vec![RankDemand {
-        service: 4,
-        rank: 2,
-        requests: 0.5,
-    }]
-}
-
 fn windows() -> Vec<WindowUsage> {
     vec![WindowUsage {
         number: 353_445_120,
@@ -92,7 +84,6 @@
         loads: loads(),
         evidence: evidence(),
         covered: vec![u64::MAX, 1],
-        demands: demands(),
     };
     assert_eq!(
         decode_datagram(&encode_datagram(&datagram)).unwrap(),
@@ -106,7 +97,6 @@
         evidence: evidence(),
         loads: loads(),
         windows: windows(),
-        demands: demands(),
     };
     assert_eq!(
         decode_relay_request(&encode_relay_request(&request)).unwrap(),
@@ -130,7 +120,6 @@
         loads: loads(),
         covered: vec![7],
         confirmed: vec![353_445_120],
-        demands: demands(),
     };
     assert_eq!(
         decode_relay_response(&encode_relay_response(&response)).unwrap(),
