--- a/crates/apricotlug-steer/tests/peers.rs
+++ b/crates/apricotlug-steer/tests/peers.rs
@@ -6,10 +6,9 @@
 use apricotlug_config::{SiteSettings, parse_site};
 use apricotlug_model::{BootTime, MonoTime, StoreVersion};
 use apricotlug_steer::{
-    AccountUsage, BackendLoad, ListedInstances, MemberInfo, MoveEvidence, Peers, RankDemand,
-    RelayRequest, RelayResponse, Relays, StatusDatagram, WindowUsage, decode_datagram,
-    decode_relay_request, decode_relay_response, encode_datagram, encode_relay_request,
-    encode_relay_response,
+    AccountUsage, BackendLoad, ListedInstances, MemberInfo, MoveEvidence, Peers, RelayRequest,
+    RelayResponse, Relays, StatusDatagram, WindowUsage, decode_datagram, decode_relay_request,
+    decode_relay_response, encode_datagram, encode_relay_request, encode_relay_response,
 };
 
 const SETTINGS: &str = include_str!("../../../examples/steer.toml");
