Read the store less often in place of a relay that is not current

Refused instances asked for their entry's lease every 300 ms. Change: such an instance waits 0.4 s after a read, as long as a relay's client; the delay after a refused call for the own entry doubles up to 1.2 s. The model of store and readers plays the same.

--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -31,6 +31,7 @@
 mod relay;
 mod request_body;
 mod response;
+mod retry_budgets;
 mod shared;
 mod slot;
 mod steering;
--- a/crates/apricotlug-steer/src/registration.rs
+++ b/crates/apricotlug-steer/src/registration.rs
@@ -23,8 +23,10 @@
 /// The same for an instance that look-ups don't list: no caller misses it if its entry lapses.
 const UNLISTED_RENEW_INTERVAL: Duration = Duration::from_millis(2_000);
 
-/// Delay after a failed call.
-const RETRY_DELAY: Duration = Duration::from_millis(300);
+/// First and longest delay after a failed call; each delay is twice the one before. A store that turns
+/// instances away counts their calls all the same.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(300);
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_200);
 
 /// Time limit for a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -33,6 +35,7 @@
 pub async fn maintain_entry(shared: Arc<Shared>, mut store: StoreClient) {
     let mut lease = None;
     let mut granted_in = 0;
+    let mut retry_delay = MIN_RETRY_DELAY;
     while !shared.drain.is_leaving() {
         // The copy to which the store went back may have neither the lease nor the entry, or
         // another's lease by the same id.
@@ -47,6 +50,7 @@
         };
         match result {
             Ok(()) => {
+                retry_delay = MIN_RETRY_DELAY;
                 let until = shared.clock.now().after(renew_interval(&shared));
                 let is_new_era = || known_era(&shared, &store) > granted_in;
                 sleep_unless_leaving(&shared, until, is_new_era).await;
@@ -54,7 +58,8 @@
             Err(StoreError::NotFound | StoreError::OtherEra(_)) if is_renewal => lease = None,
             Err(e) => {
                 tracing::debug!(kind = "member_entry", error = %e);
-                let until = shared.clock.now().after(RETRY_DELAY);
+                let until = shared.clock.now().after(retry_delay);
+                retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
                 sleep_unless_leaving(&shared, until, || false).await;
             }
         }
--- a/crates/apricotlug-steer/src/steering.rs
+++ b/crates/apricotlug-steer/src/steering.rs
@@ -15,6 +15,7 @@
     listed::ListedInstances,
     moves::{DEPARTED_REPORTED, Moves},
     peers::{Peers, Relays},
+    retry_budgets::RetryBudgets,
     wire::{AccountUsage, BackendLoad, MoveEvidence, RelayRequest, RelayResponse, StatusDatagram},
 };
 
@@ -57,8 +58,7 @@
     pub rank_gates: HashMap<String, RankGate>,
     /// Random source for draws.
     pub rng: SmallRng,
-    retry_budgets: HashMap<String, ServiceRetryBudget>,
-    retry_bounds: (Duration, f64, f64),
+    retry_budgets: RetryBudgets,
     /// Runs that poll this instance as a relay, each with the time of its last request. This
     /// instance reports their figures to others.
     relay_clients: HashMap<u64, MonoTime>,
@@ -80,7 +80,6 @@
     pub fn new(settings: &SiteSettings) -> Self {
         let bounds = &settings.bounds;
         let window = Duration::from_millis(bounds.quota_window_ms.into());
-        let retry_window = Duration::from_millis(bounds.retry_window_ms.into());
         Self {
             fleet: Fleet::default(),
             quotas: Quotas::new(
@@ -95,8 +94,7 @@
             caller_waits: CallerWaits::default(),
             rank_gates: HashMap::default(),
             rng: SmallRng::from_rng(&mut rand::rng()),
-            retry_budgets: HashMap::default(),
-            retry_bounds: (retry_window, bounds.retry_ratio, bounds.retry_slack),
+            retry_budgets: RetryBudgets::new(bounds),
             relay_clients: HashMap::default(),
             relay: None,
             coverage: Coverage::default(),
@@ -133,10 +131,7 @@
 
     /// Returns the retry budget of a service, which is created on first use.
     pub fn retry_budget(&mut self, service: &str) -> &mut ServiceRetryBudget {
-        let (window, ratio, slack) = self.retry_bounds;
-        self.retry_budgets
-            .entry(service.to_owned())
-            .or_insert_with(|| ServiceRetryBudget::new(window, ratio, slack))
+        self.retry_budgets.of_service(service)
     }
 
     /// Takes one retry from a service's budget. Returns whether one was available.
--- a/crates/apricotlug-steer/src/store_sync.rs
+++ b/crates/apricotlug-steer/src/store_sync.rs
@@ -35,6 +35,10 @@
 /// register meanwhile, so that most of them find a relay.
 const FIRST_START_DELAY: Duration = Duration::from_millis(700);
 
+/// The same for an instance of a large installation that reads the store because its relay is not
+/// current. Many may do so at once, and callers wait no longer for a change than at a relay's client.
+const SUBSTITUTE_BATCH_DELAY: Duration = Duration::from_millis(400);
+
 /// Delay while this instance has recently started. If many instances start together, the entry of
 /// each one would otherwise wake all others.
 const STARTUP_BATCH_DELAY: Duration = Duration::from_millis(300);
@@ -72,17 +76,13 @@
                 let now = shared.clock.now();
                 let startup_ends_at = *startup_ends_at.get_or_insert(now.after(STARTUP_PERIOD));
                 let is_started = startup_ends_at.is_past(now);
-                let is_relay = {
-                    let mut steering = shared.steering();
-                    steering.limit_share.on_read(now);
-                    steering.relays().includes_self
+                shared.steering().limit_share.on_read(now);
+                let delay = if is_started {
+                    batch_delay(&shared)
+                } else {
+                    STARTUP_BATCH_DELAY
                 };
-                task::sleep(match (is_started, is_relay) {
-                    (false, _) => STARTUP_BATCH_DELAY,
-                    (true, true) => RELAY_BATCH_DELAY,
-                    (true, false) => BATCH_DELAY,
-                })
-                .await;
+                task::sleep(delay).await;
             }
             Err(e) => {
                 reader.on_store_failure(&shared, &e);
@@ -93,6 +93,18 @@
     }
 }
 
+/// Returns the delay after a read of an instance that has run for a while.
+fn batch_delay(shared: &Shared) -> Duration {
+    let origin = shared.last_read().map(|read| read.origin);
+    let steering = shared.steering();
+    let relays = steering.relays();
+    match (relays.is_needed, relays.includes_self, origin) {
+        (true, true, _) => RELAY_BATCH_DELAY,
+        (true, false, Some(ReadOrigin::Store)) => SUBSTITUTE_BATCH_DELAY,
+        _ => BATCH_DELAY,
+    }
+}
+
 impl StoreReader {
     /// Does the next read of items and applies what it brings. Where another instance fails, the store
     /// is read at once.
--- a/crates/apricotlug-steer/tests/support/world/calls.rs
+++ b/crates/apricotlug-steer/tests/support/world/calls.rs
@@ -269,6 +269,8 @@
         let delay = match (is_starting, is_relay) {
             (true, _) => 300,
             (false, true) => 180,
+            // Many may read the store at once because their relays are not current.
+            (false, false) if uses_relays && !is_poll => 400,
             (false, false) => 60,
         };
         Op::Sleep { until: now + delay }
