Report whose figures are missing, not whose are there; read the store once a second where no caller waits

Change: responses name the instances that their sums lack. Instances that look-ups don't list wait 1 s after a read of the store in place of their relay, as between two polls.

--- a/crates/apricotlug-steer/schema/pulse.capnp
+++ b/crates/apricotlug-steer/schema/pulse.capnp
@@ -85,7 +85,8 @@
   busy @7 :List(Busy);
   heldMs @8 :UInt32;
   isBehind @9 :Bool;
-  covered @10 :List(UInt64);
+  missing @10 :List(UInt64);
+  # Hashes of the names of the instances whose figures the sums lack.
   era @11 :UInt64;
   confirmed @12 :List(UInt64);
   # Numbers of the windows whose counts the sender holds now.
--- a/crates/apricotlug-steer/src/listed.rs
+++ b/crates/apricotlug-steer/src/listed.rs
@@ -44,19 +44,20 @@
         listed
     }
 
-    /// Returns the number of known instances, or of listed ones only, whose names are not among the
-    /// `covered` hashes.
+    /// Returns the number of other known instances, or of listed ones only, whose names are among the
+    /// hashes.
     #[must_use]
-    pub fn count_uncovered(
+    pub(crate) fn count_among(
         &self,
         settings: &SiteSettings,
         listed_only: bool,
-        covered: &HashSet<u64>,
+        hashes: &HashSet<u64>,
     ) -> usize {
         let sharing = self.with_listing(settings);
         let sharing = sharing.filter(|(_, _, is_listed)| *is_listed || !listed_only);
-        let uncovered = sharing.filter(|(name, ..)| !covered.contains(&name_hash(name)));
-        uncovered.count()
+        let others = sharing.filter(|(name, ..)| *name != settings.instance);
+        let found = others.filter(|(name, ..)| hashes.contains(&name_hash(name)));
+        found.count()
     }
 
     /// Returns all known instances and this one.
--- a/crates/apricotlug-steer/src/steering.rs
+++ b/crates/apricotlug-steer/src/steering.rs
@@ -11,7 +11,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
-    coverage::{Coverage, RelayReport},
+    coverage::{Coverage, PolledRelay, RelayReport},
     listed::ListedInstances,
     moves::{DEPARTED_REPORTED, Moves},
     peers::{Peers, Relays},
@@ -63,7 +63,7 @@
     /// instance reports their figures to others.
     relay_clients: HashMap<u64, MonoTime>,
     /// Last report of the relay that reports for all other instances.
-    relay: Option<RelayReport>,
+    relay: Option<PolledRelay>,
     /// Whose figures this instance has.
     coverage: Coverage,
     relays: Relays,
@@ -198,10 +198,12 @@
             let last_request = self.relay_clients.get(&member.info.run);
             last_request.is_some_and(|at| now.since(*at) < CLIENT_REPORT_TIMEOUT)
         });
-        let reporting = clients.map(|(name, _)| name).chain([&*settings.instance]);
+        let own = clients.map(|(name, _)| name).chain([&*settings.instance]);
+        let own: Vec<u64> = own.map(name_hash).collect();
         let relay = self.relay.as_ref();
         let relay = relay.filter(|report| now.since(report.at) < RELAY_TIMEOUT);
-        self.coverage.update(reporting.map(name_hash), relay, now);
+        let known = self.peers.iter().map(|(name, _)| name_hash(name));
+        self.coverage.update(own, relay, known, now);
     }
 
     fn remove_stale(&mut self, now: MonoTime) {
@@ -256,7 +258,7 @@
         } else {
             MAX_UNLISTED_REPORT_AGE
         };
-        let is_recent = |report: &RelayReport| now.since(report.at) < max_age;
+        let is_recent = |report: &PolledRelay| now.since(report.at) < max_age;
         self.polls_a_relay() && !self.relay.as_ref().is_some_and(is_recent)
     }
 
@@ -267,7 +269,7 @@
     /// Forgets the figures of the relay that reported for all others. Its datagrams and its
     /// responses are sums over different instances: the difference of two is no usage.
     fn forget_relay(&mut self) {
-        if let Some(RelayReport { run, .. }) = self.relay.take() {
+        if let Some(PolledRelay { run, .. }) = self.relay.take() {
             self.quotas.forget(run, false);
             self.moves.discard_run(run);
             self.set_reported_loads(run, Vec::new());
@@ -304,7 +306,7 @@
 
     /// Fills a response to a run with the figures of all instances except that one.
     pub fn fill_response(&self, run: u64, response: &mut RelayResponse) {
-        response.covered = self.coverage.all();
+        response.missing = self.coverage.missing();
         response.usage = account_usage(&self.quotas, |other| other != run);
         response.evidence = self.moves.evidence(|other| other != run).collect();
         response.loads = self.loads(|other| other != run);
@@ -356,7 +358,7 @@
     pub fn on_relay_response(&mut self, response: &RelayResponse, now: MonoTime) {
         let previous = self.relay.as_ref().map(|report| report.run);
         let is_first = previous != Some(response.run);
-        if self.coverage.grows_by(&response.covered) {
+        if self.coverage.is_less_missing(&response.missing) {
             self.on_return(response.run, &response.usage);
         }
         if is_first {
@@ -364,10 +366,10 @@
             // It may have sent datagrams while this instance was a relay.
             self.quotas.forget(response.run, false);
         }
-        self.relay = Some(RelayReport {
+        self.relay = Some(PolledRelay {
             run: response.run,
             at: now,
-            covered: response.covered.clone(),
+            missing: response.missing.clone(),
         });
         self.record_usage(response.run, &response.usage, is_first);
         for evidence in &response.evidence {
@@ -443,14 +445,14 @@
         // its first datagram arrived here may be old and is not charged to the account.
         let is_long_running = datagram.sequence > RECENT_START_DATAGRAMS;
         if self.relays.is_needed {
-            if self.coverage.grows_by(&datagram.covered) {
-                self.on_return(run, &datagram.usage);
-            }
-            self.coverage.on_relay_report(RelayReport {
+            let report = RelayReport {
                 run,
                 at: now,
                 covered: datagram.covered,
-            });
+            };
+            if self.coverage.on_relay_report(report) {
+                self.on_return(run, &datagram.usage);
+            }
         }
         self.record_usage(run, &datagram.usage, is_long_running || was_client);
         for MoveEvidence { order, counts } in datagram.evidence {
--- a/crates/apricotlug-steer/src/store_sync.rs
+++ b/crates/apricotlug-steer/src/store_sync.rs
@@ -36,8 +36,10 @@
 const FIRST_START_DELAY: Duration = Duration::from_millis(700);
 
 /// The same for an instance of a large installation that reads the store because its relay is not
-/// current. Many may do so at once, and callers wait no longer for a change than at a relay's client.
+/// current, and for one that look-ups don't list. Many may do so at once, and changes come as often as
+/// from a relay.
 const SUBSTITUTE_BATCH_DELAY: Duration = Duration::from_millis(400);
+const UNLISTED_SUBSTITUTE_BATCH_DELAY: Duration = Duration::from_millis(1_000);
 
 /// Delay while this instance has recently started. If many instances start together, the entry of
 /// each one would otherwise wake all others.
@@ -100,7 +102,10 @@
     let relays = steering.relays();
     match (relays.is_needed, relays.includes_self, origin) {
         (true, true, _) => RELAY_BATCH_DELAY,
-        (true, false, Some(ReadOrigin::Store)) => SUBSTITUTE_BATCH_DELAY,
+        (true, false, Some(ReadOrigin::Store)) if steering.listed_instances().includes_self => {
+            SUBSTITUTE_BATCH_DELAY
+        }
+        (true, false, Some(ReadOrigin::Store)) => UNLISTED_SUBSTITUTE_BATCH_DELAY,
         _ => BATCH_DELAY,
     }
 }
--- a/crates/apricotlug-steer/src/wire/relay.rs
+++ b/crates/apricotlug-steer/src/wire/relay.rs
@@ -68,8 +68,8 @@
     pub evidence: Vec<MoveEvidence>,
     /// Requests in flight from all instances except the receiver.
     pub loads: Vec<BackendLoad>,
-    /// Hashes of the names of the instances whose figures these are.
-    pub covered: Vec<u64>,
+    /// Hashes of the names of the known instances whose figures these sums lack.
+    pub missing: Vec<u64>,
     /// Numbers of the windows of usage that the responder holds now.
     pub confirmed: Vec<u64>,
 }
@@ -177,8 +177,8 @@
         &source.loads,
     );
     write_numbers(
-        builder.reborrow().init_covered(source.covered.len() as u32),
-        &source.covered,
+        builder.reborrow().init_missing(source.missing.len() as u32),
+        &source.missing,
     );
     builder.set_era(source.version.era);
     write_numbers(
@@ -223,7 +223,7 @@
         usage: read_usage(reader.get_spent()?),
         evidence: read_evidence(reader.get_proofs()?),
         loads: read_loads(reader.get_busy()?),
-        covered: reader.get_covered()?.iter().collect(),
+        missing: reader.get_missing()?.iter().collect(),
         confirmed: reader.get_confirmed()?.iter().collect(),
     })
 }
