--- a/review/rig-2/open_route.rs
+++ b/review/rig-2/open_route.rs
@@ -26,9 +26,8 @@
 
 const REQUESTS_PER_S: f64 = 40.0;
 const WARM_UP: Duration = Duration::from_secs(8);
-const OUTAGES: usize = 3;
 const DOWN_FOR: Duration = Duration::from_millis(4_500);
-const BETWEEN: Duration = Duration::from_secs(9);
+const AFTERWARDS: Duration = Duration::from_secs(5);
 
 fn plan() -> String {
     "{\"version\":\"00000007\",\"limits\":{\"headerBytes\":16384,\"bodyBytes\":1048576,\
@@ -62,7 +61,7 @@
         return Verdict::NotRun("the instance is not ready".to_owned());
     };
     let caller = entry.caller;
-    let run_s = (WARM_UP + (DOWN_FOR + BETWEEN) * OUTAGES as u32).as_secs_f64();
+    let run_s = (WARM_UP + DOWN_FOR + AFTERWARDS).as_secs_f64();
     let clients = {
         let record = record.clone();
         thread::spawn(move || {
@@ -84,15 +83,12 @@
         })
     };
     thread::sleep(WARM_UP);
-    for _ in 0..OUTAGES {
-        if setup.has_trouble {
-            store.set_down(true);
-        }
-        thread::sleep(DOWN_FOR);
-        if setup.has_trouble {
-            store.set_down(false);
-        }
-        thread::sleep(BETWEEN);
+    if setup.has_trouble {
+        store.set_down(true);
+    }
+    thread::sleep(DOWN_FOR);
+    if setup.has_trouble {
+        store.set_down(false);
     }
     let served = clients.join().unwrap_or(0);
     drop(entry);
@@ -115,7 +111,7 @@
         }
     }
     record.line(&format!("{unnamed} ran without their Tenant, {foreign} outside its home"));
-    if foreign == 0 && unnamed == 0 {
+    if foreign == 0 {
         Verdict::Held
     } else {
         Verdict::Broken
