--- a/review/rig-2/evacuation.rs
+++ b/review/rig-2/evacuation.rs
@@ -17,14 +17,14 @@
     store::Store,
 };
 
-const REGIONS: [(&str, &str); 2] = [("brno-a", "morava"), ("brno-b", "morava")];
+const REGIONS: [(&str, &str); 2] = [("ahd-sabarmati", "ahmedabad"), ("ahd-maninagar", "ahmedabad")];
 const BOUNDS: Bounds = Bounds {
-    apply: "3000ms",
-    drain: "3000ms",
+    apply: "4000ms",
+    drain: "4000ms",
     revoke: "5000ms",
-    retry_slack: 220,
-    memory_mb: 260,
-    descriptors: 4100,
+    retry_slack: 322,
+    memory_mb: 512,
+    descriptors: 8192,
 };
 
 /// Bound on an evacuation, in seconds, from its confirmation.
@@ -49,11 +49,11 @@
 fn plan() -> String {
     "{\"version\":\"00000007\",\"limits\":{\"headerBytes\":16384,\"bodyBytes\":1048576,\
      \"headerTimeout\":\"3000ms\",\"idleTimeout\":\"15000ms\"},\"tenants\":[],\
-     \"listeners\":[{\"host\":\"obaly.example\",\"rules\":[{\"name\":\"catalogue\",\"kind\":\"safe\",\
-     \"targetLatency\":\"2000ms\",\"priority\":2,\"allowAnonymous\":true,\"sessionAffinity\":false,\
-     \"match\":{\"pathPrefix\":\"/katalog/\"},\"action\":{\"service\":\"katalog\",\
+     \"listeners\":[{\"host\":\"records.example\",\"rules\":[{\"name\":\"history\",\"kind\":\"safe\",\
+     \"targetLatency\":\"1500ms\",\"priority\":2,\"allowAnonymous\":true,\"sessionAffinity\":false,\
+     \"match\":{\"pathPrefix\":\"/history/\"},\"action\":{\"service\":\"club-records\",\
      \"timeout\":\"12000ms\",\"attempts\":2,\"homeRegions\":[]}}]}],\
-     \"clusters\":[{\"name\":\"katalog\",\"healthCheckPath\":\"/health\",\"connectionLimit\":1800,\
+     \"clusters\":[{\"name\":\"club-records\",\"healthCheckPath\":\"/health\",\"connectionLimit\":2628,\
      \"coldStart\":\"0ms\",\"coldPerS\":0}]}"
         .to_owned()
 }
@@ -64,15 +64,15 @@
     let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
     store.put("op/config", &plan());
     let mut endpoints = Vec::new();
-    for zone in ["brno-a", "brno-b"] {
+    for zone in ["ahd-sabarmati", "ahd-maninagar"] {
         for number in 1..=SERVERS {
             let id = format!("i-{zone}-{number}");
-            let endpoint = Endpoint::start((&id, "katalog", zone), 6, WORK_MS, &arrivals, record);
+            let endpoint = Endpoint::start((&id, "club-records", zone), 6, WORK_MS, &arrivals, record);
             store.put(&format!("servers/{id}"), &endpoint.entry());
             endpoints.push(endpoint);
         }
     }
-    let started = Entry::start(setup, store.addr, ("front-brno-a-1", "brno-a"), &REGIONS, &BOUNDS);
+    let started = Entry::start(setup, store.addr, ("front-ahd-sabarmati-1", "ahd-sabarmati"), &REGIONS, &BOUNDS);
     let Some(entry) = started else {
         return Verdict::NotRun("the instance is not ready".to_owned());
     };
@@ -85,8 +85,8 @@
             let sent = (0..count).map(|number| {
                 let request = Request {
                     id: format!("{number:08x}"),
-                    host: "obaly.example".to_owned(),
-                    path: format!("/katalog/{number}"),
+                    host: "records.example".to_owned(),
+                    path: format!("/history/{number}"),
                     key: None,
                     budget_ms: BUDGET_MS,
                 };
@@ -109,11 +109,11 @@
     let mut evacuated = Vec::new();
     for _ in 0..EVACUATIONS {
         thread::sleep(BETWEEN);
-        store.put("op/evacuate/brno-b", "{}");
+        store.put("op/evacuate/ahd-maninagar", "{}");
         let confirmed_at = record.now();
         thread::sleep(EVACUATED_FOR);
         let taken_back_at = record.now();
-        store.remove("op/evacuate/brno-b");
+        store.remove("op/evacuate/ahd-maninagar");
         evacuated.push((confirmed_at, taken_back_at));
     }
     let served = clients.join().unwrap_or(0);
@@ -128,7 +128,7 @@
         let found = evacuations.find(|(confirmed_at, taken_back_at)| {
             arrival.at > confirmed_at + EVACUATION_S && arrival.at < *taken_back_at
         });
-        let (confirmed_at, _) = found.filter(|_| arrival.has_run && arrival.zone == "brno-b")?;
+        let (confirmed_at, _) = found.filter(|_| arrival.has_run && arrival.zone == "ahd-maninagar")?;
         Some((arrival, arrival.at - confirmed_at))
     });
     let late: Vec<_> = late.collect();
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -3,6 +3,7 @@
 //! One process holds the store, the servers, the clients and the operator. The entry instances are
 //! processes of their own, started as the deploy file says. Uses the standard library only.
 
+mod chunks;
 mod client;
 mod crowd;
 mod endpoint;
@@ -48,6 +49,7 @@
         has_trouble: trouble != "0",
     };
     let verdict = match scenario.as_str() {
+        "chunks" => chunks::run(&setup),
         "crowd" => crowd::run(&setup),
         "evacuation" => evacuation::run(&setup),
         "open-route" => open_route::run(&setup),
