--- a/review/rig-2/crowd.rs
+++ b/review/rig-2/crowd.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::HashSet,
+    net::SocketAddr,
     sync::{
         Arc, Barrier, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -19,11 +20,11 @@
     store::Store,
 };
 
-const REGIONS: [(&str, &str); 1] = [("ahd-sabarmati", "ahmedabad")];
+pub const REGIONS: [(&str, &str); 1] = [("ahd-sabarmati", "ahmedabad")];
 
 /// A machine of the smaller kind.
-const MEMORY_MB: u64 = 112;
-const BOUNDS: Bounds = Bounds {
+pub const MEMORY_MB: u64 = 112;
+pub const BOUNDS: Bounds = Bounds {
     apply: "4000ms",
     drain: "4000ms",
     revoke: "5000ms",
@@ -33,8 +34,8 @@
 };
 
 const SERVERS: usize = 300;
-const SLOTS: u32 = 3;
-const WORK_MS: u64 = 1_900;
+pub const SLOTS: u32 = 3;
+pub const WORK_MS: u64 = 1_900;
 const BUDGET_MS: u64 = 12_000;
 
 /// Clients, and the time between the openings of their channels.
@@ -42,13 +43,13 @@
 const BETWEEN_CHANNELS: Duration = Duration::from_millis(8);
 
 /// Length of a body with and without the trouble.
-const BODY_BYTES: usize = 64_000;
-const SMALL_BODY_BYTES: usize = 500;
+pub const BODY_BYTES: usize = 64_000;
+pub const SMALL_BODY_BYTES: usize = 500;
 
 /// Requests that may be passed on from a kept channel that then ends without an answer.
-const MAX_LOST: usize = 3;
+pub const MAX_LOST: usize = 3;
 
-fn plan() -> String {
+pub fn plan() -> String {
     "{\"version\":\"00000007\",\"limits\":{\"headerBytes\":16384,\"bodyBytes\":67108864,\
      \"headerTimeout\":\"3000ms\",\"idleTimeout\":\"15000ms\"},\"tenants\":[],\
      \"listeners\":[{\"host\":\"records.example\",\"rules\":[{\"name\":\"submit\",\"kind\":\"unsafe\",\
@@ -60,7 +61,7 @@
         .to_owned()
 }
 
-fn request(number: usize) -> Request {
+pub fn request(number: usize) -> Request {
     Request {
         id: format!("{number:08x}"),
         host: "records.example".to_owned(),
@@ -70,18 +71,22 @@
     }
 }
 
-/// Starts the clients. Each sends a short request, and once all have their answers, one with a long body
-/// on the same channel; the status of its answer is returned.
-fn start_clients(setup: &Setup, entry: &Entry, body_bytes: usize) -> Vec<JoinHandle<Option<u16>>> {
-    let caller = entry.caller;
-    let barrier = Arc::new(Barrier::new(CLIENTS));
-    let clients = (0..CLIENTS).filter_map(|number| {
+/// Starts `count` clients. Each sends a short request, and once all have their answers, one with a long
+/// body on the same channel; the status of its answer is returned.
+pub fn start_clients(
+    setup: &Setup,
+    caller: SocketAddr,
+    count: usize,
+    body_bytes: usize,
+) -> Vec<JoinHandle<Option<u16>>> {
+    let barrier = Arc::new(Barrier::new(count));
+    let clients = (0..count).filter_map(|number| {
         let (record, barrier) = (setup.record.clone(), Arc::clone(&barrier));
         let client = thread::Builder::new().stack_size(128 << 10);
         let started = client.spawn(move || {
             let mut channel = Channel::open(caller);
             let first = channel.as_mut().and_then(|channel| {
-                channel.post(&request(CLIENTS + number), SMALL_BODY_BYTES, &record)
+                channel.post(&request(count + number), SMALL_BODY_BYTES, &record)
             });
             barrier.wait();
             let mut channel = channel.filter(|_| first == Some(200))?;
@@ -110,7 +115,7 @@
     };
     thread::sleep(Duration::from_secs(2));
     let body_bytes = if setup.has_trouble { BODY_BYTES } else { SMALL_BODY_BYTES };
-    let clients = start_clients(setup, &entry, body_bytes);
+    let clients = start_clients(setup, entry.caller, CLIENTS, body_bytes);
     if clients.len() < CLIENTS {
         return Verdict::NotRun("not all clients could start".to_owned());
     }
--- a/review/rig-2/endpoint.rs
+++ b/review/rig-2/endpoint.rs
@@ -1,11 +1,11 @@
 //! Stand-in for an endpoint: runs a few requests at a time, queues a few more, rejects the rest.
 
 use std::{
-    io::BufReader,
+    io::{BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -41,6 +41,8 @@
     work_ms: Arc<AtomicU64>,
     /// Requests out of so many that it leaves unanswered, and the number of those that ran.
     mute: Arc<Mutex<(u64, u64, u64)>>,
+    /// Whether the answers that it would leave out are answers without end instead.
+    endless: Arc<AtomicBool>,
     load: Arc<(Mutex<(u32, u32)>, Condvar)>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     record: Record,
@@ -65,6 +67,7 @@
             addr: listener.local_addr().unwrap(),
             work_ms: Arc::new(AtomicU64::new(work_ms)),
             mute: Arc::new(Mutex::new((0, 1, 0))),
+            endless: Arc::default(),
             load: Arc::default(),
             arrivals: Arc::clone(arrivals),
             record: record.clone(),
@@ -95,6 +98,29 @@
         *self.mute.lock().unwrap() = (count, of, 0);
     }
 
+    /// Answers `count` of each `of` requests without end from now on.
+    pub fn set_endless(&self, count_of: (u64, u64)) {
+        self.endless.store(true, Ordering::Relaxed);
+        self.set_mute(count_of);
+    }
+
+    /// Sends a head and then chunks of one byte until the caller closes the channel.
+    fn answer_without_end(&self, request: &Message, mut stream: TcpStream) {
+        let id = request.header("Request-Identifier").unwrap_or_default();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Identifier: {id}\r\nServer-Signature: {}.{id}\r\n\
+             Transfer-Encoding: chunked\r\n\r\n",
+            self.id
+        );
+        let chunks = b"1\r\nx\r\n".repeat(10_000);
+        let _ = stream.set_write_timeout(Some(Duration::from_secs(5)));
+        let mut result = stream.write_all(head.as_bytes());
+        while result.is_ok() {
+            result = stream.write_all(&chunks);
+        }
+        self.record.line(&format!("the answer without end to request {id} ends: its channel is closed"));
+    }
+
     /// Returns whether the next request is one that it leaves unanswered.
     fn is_mute(&self) -> bool {
         let mut mute = self.mute.lock().unwrap();
@@ -110,6 +136,11 @@
         let mut reader = BufReader::new(reading);
         while let Ok(Some(request)) = Message::read(&mut reader) {
             let Some(response) = self.answer(&request) else {
+                if self.endless.load(Ordering::Relaxed) {
+                    self.answer_without_end(&request, stream);
+                    self.leave_slot();
+                    return;
+                }
                 // The request hangs until its caller closes the channel.
                 let _ = Message::read(&mut reader);
                 self.leave_slot();
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -6,6 +6,7 @@
 mod chunks;
 mod client;
 mod crowd;
+mod endless;
 mod endpoint;
 mod entry;
 mod evacuation;
@@ -13,6 +14,7 @@
 mod json;
 mod open_route;
 mod record;
+mod retained;
 mod store;
 
 use std::{env, path::PathBuf, process};
@@ -51,8 +53,10 @@
     let verdict = match scenario.as_str() {
         "chunks" => chunks::run(&setup),
         "crowd" => crowd::run(&setup),
+        "endless" => endless::run(&setup),
         "evacuation" => evacuation::run(&setup),
         "open-route" => open_route::run(&setup),
+        "retained" => retained::run(&setup),
         other => Verdict::NotRun(format!("no scenario {other}")),
     };
     let (code, text) = match verdict {
