--- a/review/rig-2/endless.rs
+++ b/review/rig-2/endless.rs
@@ -34,11 +34,12 @@
 const MIN_LATE: usize = 8;
 
 /// Servers, of which the first is in trouble, and the part of its answers that do not end.
-const SERVERS: usize = 7;
+const SERVERS: usize = 8;
 const ENDLESS: (u64, u64) = (2, 5);
 
 const WARM_UP: Duration = Duration::from_secs(5);
-const TROUBLE_FOR: Duration = Duration::from_secs(25);
+const TROUBLE_FOR: Duration = Duration::from_millis(6_500);
+const AFTERWARDS: Duration = Duration::from_secs(3);
 const REQUESTS_PER_S: u32 = 30;
 /// Time budget of a client.
 const BUDGET: Duration = Duration::from_millis(4_000);
@@ -140,15 +141,21 @@
     let caller = entry.caller;
     thread::sleep(Duration::from_secs(1));
     let trouble_from = Instant::now() + WARM_UP;
-    let until = trouble_from + TROUBLE_FOR;
+    let trouble_until = trouble_from + TROUBLE_FOR;
+    let until = trouble_until + AFTERWARDS;
     let mut clients = Vec::new();
-    let mut is_in_trouble = !setup.has_trouble;
+    let (mut has_begun, mut has_ended) = (!setup.has_trouble, !setup.has_trouble);
     while Instant::now() < until {
-        if !is_in_trouble && Instant::now() > trouble_from {
-            is_in_trouble = true;
+        if !has_begun && Instant::now() > trouble_from {
+            has_begun = true;
             record.line("i-brno-a-1 answers 2 of 5 requests without end from now on");
             servers[0].set_endless(ENDLESS);
         }
+        if !has_ended && Instant::now() > trouble_until {
+            has_ended = true;
+            record.line("i-brno-a-1 answers as it should again");
+            servers[0].set_endless((0, 1));
+        }
         let (record, number) = (record.clone(), clients.len());
         clients.push(thread::spawn(move || send(caller, number, &record)));
         thread::sleep(Duration::from_secs(1) / REQUESTS_PER_S);
