Tell in the line of a request whether its caller sent a key

The `request` lines show no account and no refusal, which a caller without a key, a key that the plan does not hold and a key that is ignored have in common. Change: field `has_key`; the metadata of a refused request are decoded once.

--- a/crates/apricotlug-steer/src/caller.rs
+++ b/crates/apricotlug-steer/src/caller.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use apricotlug_adapter::decode_request;
 use apricotlug_http::{Conn, ConnPermit, HttpError, Limits, Phase, RequestHead};
 use apricotlug_model::{CallerLimits, MonoTime};
 use async_std::{
@@ -147,7 +148,7 @@
     refusal: &Refusal,
     arrived_at: MonoTime,
 ) -> AfterResponse {
-    let id = apricotlug_adapter::decode_request(head).request_id;
+    let id = decode_request(head).request_id;
     let latency = shared.clock.now().since(arrived_at);
     shared.metrics.on_request("-", refusal.code, latency);
     tracing::info!(
@@ -188,16 +189,25 @@
     let is_closing = !head.is_keep_alive();
     let operator_state = shared.operator_state();
     let request = admit(shared, &operator_state, &head, arrived_at);
+    let decoded;
+    let metadata = match &request {
+        Ok(request) => &request.metadata,
+        Err(_) => {
+            decoded = decode_request(&head);
+            &decoded
+        }
+    };
+    let id = metadata.request_id.as_deref();
     head.headers.remove_hop_by_hop();
     head.headers.remove("expect");
-    let (dispatched, id, route, account) = match &request {
+    let (dispatched, route, account) = match &request {
         Ok(request) => {
             let outgoing = OutgoingRequest {
                 head: &head,
                 body: &body,
                 framing: buffered_framing(framing, &body),
                 account: request.account().map(|account| account.id.as_str()),
-                id: request.metadata.request_id.as_deref(),
+                id,
             };
             let Some(dispatched) =
                 dispatch_unless_disconnected(shared, conn, request, outgoing).await
@@ -206,21 +216,15 @@
                 return AfterResponse::Close;
             };
             let account = request.account().map(|account| account.id.as_str());
-            (
-                dispatched,
-                request.metadata.request_id.clone(),
-                request.route().id.as_str(),
-                account,
-            )
+            (dispatched, request.route().id.as_str(), account)
         }
         Err(refusal) => {
-            let id = apricotlug_adapter::decode_request(&head).request_id;
             let dispatched = Dispatched {
                 outcome: Outcome::Refused(refusal.clone()),
                 backend: String::new(),
                 attempts: 0,
             };
-            (dispatched, id, "-", None)
+            (dispatched, "-", None)
         }
     };
     // The answer may take long to deliver.
@@ -240,6 +244,7 @@
         kind = "request",
         request = id,
         route,
+        has_key = metadata.api_key.is_some(),
         account,
         backend = dispatched.backend,
         status,
@@ -268,7 +273,7 @@
             }
             delivered
         }
-        Outcome::Refused(refusal) => refuse(conn, &refusal, id.as_deref(), is_closing)
+        Outcome::Refused(refusal) => refuse(conn, &refusal, id, is_closing)
             .await
             .map_err(DeliveryError::Caller),
     };
