Refuse a key on an open route for now when the store data is old, in place of ignoring it

Cause: `identify` dropped the account that it had found once the last read of the store was older than nine tenths of `revoke`, if the route takes callers without a key. Home regions, rate and rank follow from the account, and went with it. Change: every route answers 503 `no_news` with Retry-After to a known key then; callers without a key are served as before. A request that names an account can't run as an anonymous one any more, whatever the age of the data.

--- a/crates/apricotlug-steer/src/admission.rs
+++ b/crates/apricotlug-steer/src/admission.rs
@@ -238,13 +238,14 @@
     let bounds = shared.settings().bounds;
     let max_age = Duration::from_millis(bounds.revoke_ms.into()).mul_f64(FRESHNESS_FRACTION);
     let is_fresh = shared.freshness.age().is_some_and(|age| age < max_age);
-    if bounds.is_revocation_strict && !is_fresh && !route.is_open {
+    // A request that names an account never runs as an anonymous one, on an open route neither: the
+    // account's home regions and rate bind it.
+    if bounds.is_revocation_strict && !is_fresh {
         return Err(
             Refusal::new(503, "Service Unavailable", "no_news").with_retry_ms(NOT_READY_RETRY_MS)
         );
     }
-    // If the store data is stale, an open route treats every caller as anonymous.
-    Ok(Some(account).filter(|_| is_fresh || !bounds.is_revocation_strict))
+    Ok(Some(account))
 }
 
 /// Returns the service for a draw from 0 to 1.
