Refuse unknown and withdrawn keys on open routes

Callers saw: requests with a withdrawn key went on getting 200 on routes that take callers without a key. Cause: `identify` took a key that the plan does not hold for none where the route is open. The key may be withdrawn, or one of a newer plan, whose account has home regions. Change: a key is looked up on every route; an unknown one gets 401, or 503 `stale_plan` while the plan held may be an old one. Tests: a_key_that_was_withdrawn_is_refused_on_open_routes_too, and open routes in an_unknown_route_or_key_is_refused_for_good_only_after_a_recent_read; both failed before (200, asked for 401). Measured: `steer` and `steer_reads`, 27 tests, hold.

--- a/crates/apricotlug-steer/src/admission.rs
+++ b/crates/apricotlug-steer/src/admission.rs
@@ -67,7 +67,7 @@
     pub evacuated: Vec<String>,
     /// Key of the route in the plan.
     pub route: RouteKey,
-    /// Client account; `None` on open routes without a valid key.
+    /// Client account; `None` for anonymous requests.
     pub account: Option<AccountKey>,
     /// Service that handles the request, drawn by the route's traffic split.
     pub service: String,
@@ -217,20 +217,23 @@
     Refusal::new(503, "Service Unavailable", "stale_plan").with_retry_ms(NOT_READY_RETRY_MS)
 }
 
+/// Returns the account of a request; `None` where the plan has no accounts, or where the route is open
+/// and the caller sent no key. A request that names an account never runs as an anonymous one: the
+/// account's home regions and rate bind it on open routes too.
 fn identify(
     shared: &Shared,
     plan: &Plan,
     route: &PlanRoute,
     metadata: &RequestMetadata,
 ) -> Result<Option<AccountKey>, Refusal> {
+    if !plan.has_accounts() || (route.is_open && metadata.api_key.is_none()) {
+        return Ok(None);
+    }
     let account = metadata
         .api_key
         .as_ref()
         .and_then(|key| plan.keys.get(key))
         .copied();
-    if !plan.has_accounts() || (route.is_open && account.is_none()) {
-        return Ok(None);
-    }
     let Some(account) = account else {
         let refusal = Refusal::new(401, "Unauthorized", "unknown_key");
         return Err(definite_refusal(shared, refusal));
@@ -238,8 +241,6 @@
     let bounds = shared.settings().bounds;
     let max_age = Duration::from_millis(bounds.revoke_ms.into()).mul_f64(FRESHNESS_FRACTION);
     let is_fresh = shared.freshness.age().is_some_and(|age| age < max_age);
-    // A request that names an account never runs as an anonymous one, on an open route neither: the
-    // account's home regions and rate bind it.
     if bounds.is_revocation_strict && !is_fresh {
         return Err(
             Refusal::new(503, "Service Unavailable", "no_news").with_retry_ms(NOT_READY_RETRY_MS)
