Measure and log how late an instance's tasks run

The logs show no refusal and no failed attempt, which slow backend servers, slots that stay taken and worker threads that are busy have in common. Change: maintenance records by how much its timer is late: histogram `apricotlug_runtime_delay_seconds`, and a warning `runtime_delay` from 250 ms on. It uses a timer that was there already.

--- a/crates/apricotlug-edge/src/metrics.rs
+++ b/crates/apricotlug-edge/src/metrics.rs
@@ -72,6 +72,7 @@
     usage_window: Gauge<u64>,
     duty_fence: Gauge<u64>,
     duty_held_ms: Gauge<u64>,
+    runtime_delay: Histogram<f64>,
     latency: Histogram<f64>,
 }
 
@@ -117,6 +118,10 @@
             usage_window: meter.u64_gauge("apricotlug_usage_window").build(),
             duty_fence: meter.u64_gauge("apricotlug_duty_fence").build(),
             duty_held_ms: meter.u64_gauge("apricotlug_duty_held_ms").build(),
+            runtime_delay: meter
+                .f64_histogram("apricotlug_runtime_delay_seconds")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
             latency: meter
                 .f64_histogram("apricotlug_latency_seconds")
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
@@ -253,6 +258,11 @@
         self.duty_held_ms.record(held_ms, &[]);
     }
 
+    /// Records how late a task ran after its time had come.
+    pub fn on_runtime_delay(&self, delay: Duration) {
+        self.runtime_delay.record(delay.as_secs_f64(), &[]);
+    }
+
     /// Renders all instruments in the text exposition format, one line per value.
     #[must_use]
     pub fn page(&self) -> String {
--- a/crates/apricotlug-steer/src/instance.rs
+++ b/crates/apricotlug-steer/src/instance.rs
@@ -29,6 +29,9 @@
 /// Interval of maintenance: due move statuses, expired entries and idle connections.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Delay of maintenance from which on it is logged: other tasks waited as long.
+const MIN_LOGGED_DELAY: Duration = Duration::from_millis(250);
+
 /// Additional wait of each next live instance before it writes a due status, so that usually only
 /// one of them writes it.
 const RANK_DELAY: Duration = Duration::from_millis(400);
@@ -173,8 +176,10 @@
     let mut backoff = MIN_BACKOFF;
     let mut backoff_until = MonoTime::default();
     loop {
+        let due_at = shared.clock.now().after(MAINTENANCE_INTERVAL);
         task::sleep(MAINTENANCE_INTERVAL).await;
         let now = shared.clock.now();
+        record_delay(&shared, now.since(due_at));
         for id in expiry_grace.take_expired(now) {
             tracing::info!(kind = "backend_lapsed", backend = id);
             shared.steering().fleet.remove(&id);
@@ -212,6 +217,14 @@
     }
 }
 
+/// Records how late a task ran: all worker threads were busy with others, or the machine stood still.
+fn record_delay(shared: &Shared, delay: Duration) {
+    shared.metrics.on_runtime_delay(delay);
+    if delay >= MIN_LOGGED_DELAY {
+        tracing::warn!(kind = "runtime_delay", ms = delay.as_millis() as u64);
+    }
+}
+
 /// Writes a status to the store. Returns whether this instance's write succeeded.
 async fn write_status(shared: &Shared, store: &mut StoreClient, due: DueStatus) -> bool {
     tracing::info!(kind = "move_decision", service = due.service, state = ?due.status.state, evidence = ?due.evidence);
