Let other tasks run where a body or a connection is always ready

Cause: the runtime takes a thread from a task, and looks at time limits, only where the task waits. A loop that reads what is always there and writes to a caller that always keeps up never waits, so each answer held one of two worker threads. Change: `Turn` counts the steps that a task makes on a connection without waiting, and lets others run after eight reads or writes or 128 buffered lines. It is taken where all loops pass (`Conn::fill`, `closed` and `write`, `BodyWriter`, `write_to`, lines of chunked bodies), before a step and outside its time limit, so that what is ready after a pause of the machine is still read.

--- a/crates/apricotlug-http/src/body.rs
+++ b/crates/apricotlug-http/src/body.rs
@@ -8,6 +8,7 @@
     conn::{Conn, write_all},
     error::{HttpError, Phase, Result},
     framing::Framing,
+    turn::Turn,
 };
 
 /// Longest chunk size line, chunk extensions included, in bytes.
@@ -135,6 +136,7 @@
 }
 
 async fn read_line(conn: &mut Conn) -> Result<Vec<u8>> {
+    conn.take_line_turn().await;
     loop {
         if let Some(end) = conn.buffered().windows(2).position(|pair| pair == b"\r\n") {
             let line = conn.buffered()[..end].to_vec();
@@ -190,6 +192,7 @@
     stream: TcpStream,
     is_chunked: bool,
     progress_timeout: Duration,
+    turn: Turn,
 }
 
 impl BodyWriter {
@@ -200,6 +203,7 @@
             stream: conn.writer(),
             is_chunked: matches!(framing, Framing::Chunked | Framing::UntilClose),
             progress_timeout: conn.limits().progress,
+            turn: Turn::default(),
         }
     }
 
@@ -212,22 +216,26 @@
             return Ok(());
         }
         if !self.is_chunked {
-            return write_all(&self.stream, piece, self.progress_timeout).await;
+            return self.write_all(piece).await;
         }
         let mut buf = format!("{:x}\r\n", piece.len()).into_bytes();
         buf.extend_from_slice(piece);
         buf.extend_from_slice(b"\r\n");
-        write_all(&self.stream, &buf, self.progress_timeout).await
+        self.write_all(&buf).await
     }
 
     /// Ends the body: writes the last, empty chunk if the body is chunked.
     ///
     /// # Errors
     /// Returns an error if the write fails or transfers no byte within the progress time limit.
-    pub async fn finish(self) -> Result<()> {
+    pub async fn finish(mut self) -> Result<()> {
         if !self.is_chunked {
             return Ok(());
         }
-        write_all(&self.stream, b"0\r\n\r\n", self.progress_timeout).await
+        self.write_all(b"0\r\n\r\n").await
+    }
+
+    async fn write_all(&mut self, bytes: &[u8]) -> Result<()> {
+        write_all(&self.stream, bytes, self.progress_timeout, &mut self.turn).await
     }
 }
--- a/crates/apricotlug-http/src/conn.rs
+++ b/crates/apricotlug-http/src/conn.rs
@@ -19,6 +19,7 @@
 use crate::{
     error::{HttpError, Phase, Result},
     head::{RequestHead, ResponseHead},
+    turn::{Step, Turn},
 };
 
 /// Largest read from the socket, in bytes.
@@ -75,6 +76,7 @@
     filled: usize,
     /// Largest next read, in bytes.
     read_bytes: usize,
+    turn: Turn,
     limits: Limits,
 }
 
@@ -90,6 +92,7 @@
             consumed: 0,
             filled: 0,
             read_bytes: READ_BYTES,
+            turn: Turn::default(),
             limits,
         }
     }
@@ -135,6 +138,7 @@
     /// completes.
     pub async fn closed(&mut self) {
         while self.buffered().len() < MAX_READ_AHEAD_BYTES {
+            self.turn.take(Step::Transfer).await;
             match self.read_more().await {
                 Ok(0) | Err(_) => return,
                 Ok(_) => {}
@@ -172,11 +176,18 @@
         }
     }
 
+    /// Counts a line of the buffer that is about to be consumed. Lets other tasks run first if the turn
+    /// is over.
+    pub(crate) async fn take_line_turn(&mut self) {
+        self.turn.take(Step::BufferedLine).await;
+    }
+
     /// Reads more bytes into the buffer. Returns their number; 0 means the end of the stream.
     ///
     /// # Errors
     /// Returns an error if no byte arrives within the time limit or the read fails.
     pub async fn fill(&mut self, time_limit: Duration, phase: Phase) -> Result<usize> {
+        self.turn.take(Step::Transfer).await;
         with_timeout(time_limit, phase, self.read_more()).await
     }
 
@@ -244,7 +255,7 @@
     /// # Errors
     /// Returns an error if the write fails or transfers no byte within the progress time limit.
     pub async fn write(&mut self, bytes: &[u8]) -> Result<()> {
-        write_all(&self.stream, bytes, self.limits.progress).await
+        write_all(&self.stream, bytes, self.limits.progress, &mut self.turn).await
     }
 
     /// Closes the write direction and discards input for up to `LINGER_TIMEOUT`. Closing a socket
@@ -292,7 +303,8 @@
     Ok(stream.into())
 }
 
-/// Writes all bytes to a stream; the time limit restarts with each write that transfers any byte.
+/// Writes all bytes to a stream; the time limit restarts with each write that transfers any byte. Each
+/// write is a step of `turn`.
 ///
 /// # Errors
 /// Returns an error if the write fails or transfers no byte within the time limit.
@@ -300,8 +312,10 @@
     mut stream: &TcpStream,
     mut bytes: &[u8],
     progress_timeout: Duration,
+    turn: &mut Turn,
 ) -> Result<()> {
     while !bytes.is_empty() {
+        turn.take(Step::Transfer).await;
         let written = with_timeout(progress_timeout, Phase::Write, stream.write(bytes)).await?;
         if written == 0 {
             return Err(HttpError::Truncated);
--- a/crates/apricotlug-http/src/lib.rs
+++ b/crates/apricotlug-http/src/lib.rs
@@ -12,6 +12,7 @@
 mod head;
 mod request;
 mod serve;
+mod turn;
 
 pub use body::{BodyReader, BodyWriter};
 pub use conn::{Conn, Limits, connect, write_all as write_to};
@@ -21,3 +22,4 @@
 pub use head::{Headers, RequestHead, ResponseHead};
 pub use request::{Reply, exchange};
 pub use serve::{AfterResponse, AppLimits, serve_app};
+pub use turn::{Step, Turn};
--- a/crates/apricotlug-steer/src/attempt.rs
+++ b/crates/apricotlug-steer/src/attempt.rs
@@ -4,7 +4,7 @@
 
 use apricotlug_adapter::{ResponseMetadata, decode_response, rewrite_request};
 use apricotlug_http::{
-    BodyReader, Conn, Framing, HttpError, Limits, RequestHead, ResponseHead, response_framing,
+    BodyReader, Conn, Framing, HttpError, Limits, RequestHead, ResponseHead, Turn, response_framing,
 };
 use apricotlug_model::MonoTime;
 use apricotlug_policy::steer::BackendKey;
@@ -268,10 +268,11 @@
     body: &RequestBody,
     write_timeout: Duration,
 ) -> Result<(), HttpError> {
-    apricotlug_http::write_to(writer, bytes, write_timeout).await?;
+    let mut turn = Turn::default();
+    apricotlug_http::write_to(writer, bytes, write_timeout, &mut turn).await?;
     if body.len() > MAX_JOINED_BYTES {
         for piece in body.pieces() {
-            apricotlug_http::write_to(writer, piece, write_timeout).await?;
+            apricotlug_http::write_to(writer, piece, write_timeout, &mut turn).await?;
         }
     }
     Ok(())
