Let other tasks run while connections wait to be accepted

Found by reading every loop over input that may always be ready; no caller has reported it. Change: a connection accepted, and a datagram received, is a step of the loop's turn: `serve_app`, callers of `steer` and `edge`, relay requests, datagrams. Test: accepting_connections_that_are_always_there_lets_other_tasks_run plays `serve_app`; before, it accepted 32 of 32 connections in one turn. The other loops were changed by reading alone.

--- a/crates/apricotlug-edge/src/caller.rs
+++ b/crates/apricotlug-edge/src/caller.rs
@@ -7,7 +7,9 @@
     time::Duration,
 };
 
-use apricotlug_http::{BodyReader, Conn, Framing, HttpError, RequestHead, request_framing};
+use apricotlug_http::{
+    BodyReader, Conn, Framing, HttpError, RequestHead, Step, Turn, request_framing,
+};
 use apricotlug_model::{Bundle, MonoTime};
 use async_std::{
     net::{TcpListener, TcpStream},
@@ -38,7 +40,9 @@
 
 /// Accepts callers' connections for as long as the task runs.
 pub async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    let mut turn = Turn::default();
     loop {
+        turn.take(Step::Transfer).await;
         match listener.accept().await {
             Ok((stream, peer)) => {
                 task::spawn(serve(stream, peer, Arc::clone(&shared)));
--- a/crates/apricotlug-http/src/serve.rs
+++ b/crates/apricotlug-http/src/serve.rs
@@ -15,6 +15,7 @@
     framing::{Framing, request_framing},
     gate::{ConnGate, ConnPermit},
     head::{RequestHead, ResponseHead},
+    turn::{Step, Turn},
 };
 
 /// Delay after `accept` failed.
@@ -56,7 +57,9 @@
 where
     S: Clone + Send + Sync + 'static,
 {
+    let mut turn = Turn::default();
     loop {
+        turn.take(Step::Transfer).await;
         let Ok((stream, peer)) = listener.accept().await else {
             task::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
--- a/crates/apricotlug-http/src/turn.rs
+++ b/crates/apricotlug-http/src/turn.rs
@@ -8,7 +8,7 @@
 /// Step of a task that may be ready at once, any number of times in a row.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
-    /// One read from a socket or one write to it.
+    /// One read from a socket, one write to it, or one connection accepted.
     Transfer,
     /// One line of a message that lies in the buffer already.
     BufferedLine,
--- a/crates/apricotlug-http/tests/turns.rs
+++ b/crates/apricotlug-http/tests/turns.rs
@@ -3,9 +3,12 @@
 use std::{
     io::{Read, Write},
     net,
+    sync::Arc,
 };
 
-use apricotlug_http::{BodyReader, BodyWriter, Conn, Framing, HttpError, Limits};
+use apricotlug_http::{
+    AppLimits, BodyReader, BodyWriter, Conn, Framing, HttpError, Limits, serve_app,
+};
 use async_std::{
     net::{TcpListener, TcpStream},
     task::block_on,
@@ -116,3 +119,23 @@
     peer.shutdown(net::Shutdown::Write).unwrap();
     assert!(block_on(poll_once(conn.linger())).is_none());
 }
+
+/// Guards against callers that connect without end and keep the thread of the listener for themselves.
+#[test]
+fn accepting_connections_that_are_always_there_lets_other_tasks_run() {
+    const CONNECTIONS: usize = 32;
+    block_on(async {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let connect = || net::TcpStream::connect(addr).unwrap();
+        let _callers: Vec<_> = (0..CONNECTIONS).map(|_| connect()).collect();
+        let limits = AppLimits::default();
+        let gate = Arc::clone(&limits.gate);
+        let mut serving = Box::pin(serve_app(listener, Arc::new(tide::new()), limits));
+        assert!(poll_once(serving.as_mut()).await.is_none());
+        assert!(gate.counts().open < CONNECTIONS, "accepted in one turn");
+        while gate.counts().open < CONNECTIONS {
+            assert!(poll_once(serving.as_mut()).await.is_none());
+        }
+    });
+}
--- a/crates/apricotlug-steer/src/caller.rs
+++ b/crates/apricotlug-steer/src/caller.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use apricotlug_adapter::decode_request;
-use apricotlug_http::{Conn, ConnPermit, HttpError, Limits, Phase, RequestHead};
+use apricotlug_http::{Conn, ConnPermit, HttpError, Limits, Phase, RequestHead, Step, Turn};
 use apricotlug_model::{CallerLimits, MonoTime};
 use async_std::{
     net::{TcpListener, TcpStream},
@@ -31,7 +31,9 @@
 
 /// Accepts connections until the instance stops accepting.
 pub async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+    let mut turn = Turn::default();
     loop {
+        turn.take(Step::Transfer).await;
         let accepted = future::or(async { Some(listener.accept().await) }, async {
             shared.accepting_stopped().await;
             None
--- a/crates/apricotlug-steer/src/datagrams.rs
+++ b/crates/apricotlug-steer/src/datagrams.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use apricotlug_http::{Step, Turn};
 use async_std::{net::UdpSocket, task};
 
 use crate::{
@@ -69,7 +70,9 @@
 /// Receives datagrams until the process ends.
 pub async fn receive(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+    let mut turn = Turn::default();
     loop {
+        turn.take(Step::Transfer).await;
         match socket.recv_from(&mut buf).await {
             Ok((len, from)) => match decode_datagram(&buf[..len]) {
                 Ok(datagram) => shared.steering().on_datagram(datagram, shared.clock.now()),
--- a/crates/apricotlug-steer/src/relay/server.rs
+++ b/crates/apricotlug-steer/src/relay/server.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use apricotlug_http::{Step, Turn};
 use apricotlug_policy::steer::WindowCounts;
 use async_std::{
     future::timeout,
@@ -30,7 +31,9 @@
 
 /// Serves relay requests until the process ends.
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    let mut turn = Turn::default();
     loop {
+        turn.take(Step::Transfer).await;
         match listener.accept().await {
             Ok((stream, _)) => {
                 let shared = Arc::clone(&shared);
