Tell a part of the changes from all of them

Cause: the store bounds its response to a watch, at about 1 MB or 500 changes, and each response counted as a read of everything as of its start. Class: freshness inferred by the reader from a call that does not prove it.

Such a part is put in force, but renews neither the age of what is known, on which final refusals and keys rest, nor what is passed on as of a time; the rest is asked for at once, without the delay between reads.

The model's store bounds its responses too. New outside names: the log line `part_read`, the value `part` of the label `result` of apricotlug_store_reads.

--- a/crates/apricotlug-policy/src/steer/read_schedule.rs
+++ b/crates/apricotlug-policy/src/steer/read_schedule.rs
@@ -56,8 +56,8 @@
     }
 }
 
-/// Wait of a watch after the store has failed, or after another instance has been read from: whether
-/// the store is within reach, and what was missed, shows at once.
+/// Wait of a watch after the store has failed, after another instance has been read from, or after a
+/// part of the changes: whether the store is within reach, and what was missed, shows at once.
 const FIRST_WATCH_WAIT: Duration = Duration::from_millis(1);
 
 /// Longest time that another instance may wait for changes before it responds. Each request also
@@ -130,6 +130,8 @@
     version: Option<StoreVersion>,
     /// Whether the store has dropped changes after that version, so that it must be listed.
     is_history_gone: bool,
+    /// Whether the store may have had more changes when it last responded to a watch.
+    may_have_more: bool,
     /// Newest era of the store that was seen in any response.
     newest_era: u64,
     /// Whether the last successful read was one of the store itself, and none has failed since.
@@ -155,6 +157,7 @@
             limits,
             version: None,
             is_history_gone: false,
+            may_have_more: false,
             newest_era: 0,
             is_first_hand: false,
             knows_members: false,
@@ -203,7 +206,7 @@
         if self.is_history_gone || after.era < self.newest_era {
             return Read::List;
         }
-        let wait = if self.is_store_lost || !self.is_first_hand {
+        let wait = if self.is_store_lost || !self.is_first_hand || self.may_have_more {
             FIRST_WATCH_WAIT
         } else {
             self.limits.watch_wait
@@ -247,10 +250,23 @@
     /// Records that the store's items are known up to a version. Returns whether the store had
     /// failed before.
     pub fn on_store_read(&mut self, version: StoreVersion) -> bool {
+        self.is_first_hand = true;
+        self.may_have_more = false;
+        self.on_known(version)
+    }
+
+    /// Records that the store's items are known up to a version, after which the store may have had
+    /// more changes already: as of when they are known does not change. Returns whether the store
+    /// had failed before.
+    pub fn on_part_read(&mut self, version: StoreVersion) -> bool {
+        self.may_have_more = true;
+        self.on_known(version)
+    }
+
+    fn on_known(&mut self, version: StoreVersion) -> bool {
         self.version = Some(version);
         self.on_era(version.era);
         self.is_history_gone = false;
-        self.is_first_hand = true;
         self.on_store_response()
     }
 
--- a/crates/apricotlug-policy/tests/steer_reads.rs
+++ b/crates/apricotlug-policy/tests/steer_reads.rs
@@ -69,6 +69,28 @@
     );
 }
 
+/// Guards against a part of the changes that waits for more as if it were all: what is missing is
+/// asked for at once.
+#[test]
+fn after_a_part_of_the_changes_the_rest_is_asked_for_at_once() {
+    let mut schedule = listed();
+    let full_wait = schedule.limits().watch_wait;
+    schedule.on_part_read(first_era(400));
+    let Read::Watch { after, wait } = schedule.next(&others(), at(10)) else {
+        panic!("the store is not watched");
+    };
+    assert_eq!(after, first_era(400));
+    assert!(wait < Duration::from_millis(10), "{wait:?}");
+    schedule.on_store_read(first_era(402));
+    assert_eq!(
+        schedule.next(&others(), at(20)),
+        Read::Watch {
+            after: first_era(402),
+            wait: full_wait
+        }
+    );
+}
+
 #[test]
 fn an_instance_without_callers_gets_all_items_from_a_relay() {
     let mut schedule = ReadSchedule::new(limits());
--- a/crates/apricotlug-steer/src/relay/change_log.rs
+++ b/crates/apricotlug-steer/src/relay/change_log.rs
@@ -73,9 +73,9 @@
 }
 
 impl Inner {
-    fn record(&mut self, changes: &[Change], revision: u64, read_at: BootTime) {
+    fn record(&mut self, changes: &[Change], revision: u64, read_at: Option<BootTime>) {
         self.version.revision = self.version.revision.max(revision);
-        self.read_at = self.read_at.max(Some(read_at));
+        self.read_at = self.read_at.max(read_at);
         if changes.is_empty() {
             return;
         }
@@ -287,7 +287,7 @@
             if inner.version.revision == 0 {
                 inner.complete_after = listing.version.revision;
             }
-            inner.record(&changes, listing.version.revision, read_at);
+            inner.record(&changes, listing.version.revision, Some(read_at));
         }
         Ok(ListedChanges {
             changes,
@@ -295,7 +295,8 @@
         })
     }
 
-    /// Records the changes up to a version, which were requested at `read_at`.
+    /// Records the changes up to a version, which were requested at `read_at`; `None` where they are
+    /// a part of those that there were.
     ///
     /// # Errors
     /// Returns an error if the version is of another era than what is known, and then changes
@@ -304,7 +305,7 @@
         &self,
         changes: &[Change],
         version: StoreVersion,
-        read_at: BootTime,
+        read_at: impl Into<Option<BootTime>>,
     ) -> Result<(), OlderRead> {
         let mut inner = self.lock();
         if version.era != inner.version.era {
@@ -313,7 +314,7 @@
                 known: inner.version,
             });
         }
-        inner.record(changes, version.revision, read_at);
+        inner.record(changes, version.revision, read_at.into());
         Ok(())
     }
 
--- a/crates/apricotlug-steer/src/store_sync.rs
+++ b/crates/apricotlug-steer/src/store_sync.rs
@@ -3,7 +3,9 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use apricotlug_adapter::{Change, Listing, StoreClient, StoreError, all_keys, member_prefix};
+use apricotlug_adapter::{
+    Change, Listing, StoreClient, StoreError, WatchResponse, all_keys, member_prefix,
+};
 use apricotlug_model::{BootTime, StoreVersion};
 use apricotlug_policy::steer::{Read, ReadSchedule};
 use async_std::{future::timeout, net::TcpStream, task};
@@ -132,7 +134,10 @@
                 Read::ListMembers => self.list_members(shared).await?,
                 Read::List => return self.list(shared, expiry_grace).await,
                 Read::Watch { after, wait } => {
-                    return self.watch(shared, expiry_grace, after, wait).await;
+                    let is_part = self.watch(shared, expiry_grace, after, wait).await?;
+                    if !is_part {
+                        return Ok(());
+                    }
                 }
                 Read::Poll {
                     instance,
@@ -231,31 +236,57 @@
         keep_newer_plan(&shared.change_log, &mut listing);
         let listed = shared.change_log.on_listing(&listing, requested_at);
         let listed = listed.map_err(|e| StoreError::Malformed(e.to_string()))?;
-        self.on_store_read(shared, expiry_grace, listing.version);
+        let was_lost = self.schedule.on_store_read(listing.version);
+        on_store_read(shared, expiry_grace, was_lost, listing.version);
         apply_listed(shared, expiry_grace, listed, listing.version);
         shared.on_items_read(requested_at);
         Ok(())
     }
 
+    /// Returns whether the store may have had more changes than it returned. Those are put in force,
+    /// but say nothing about what is in force besides.
     async fn watch(
         &mut self,
         shared: &Shared,
         expiry_grace: &ExpiryGrace,
         after: StoreVersion,
         wait: Duration,
-    ) -> Result<(), StoreError> {
+    ) -> Result<bool, StoreError> {
         let requested_at = StoreFreshness::now();
         let watching = self.store.watch(all_keys(), after, wait, WATCH_SLACK);
-        let (changes, next) = watching.await?;
-        self.before_passing_on(shared);
+        let WatchResponse {
+            changes,
+            version,
+            may_have_more,
+        } = watching.await?;
+        let read_at = (!may_have_more).then_some(requested_at);
+        if read_at.is_some() {
+            self.before_passing_on(shared);
+        } else {
+            shared.metrics.on_store_read("store", "part");
+            tracing::info!(
+                kind = "part_read",
+                after = after.revision,
+                revision = version.revision,
+                changes = changes.len(),
+                news_ms = shared.freshness.age_ms()
+            );
+        }
         let log = &shared.change_log;
         let recorded = without_older_plans(log, &changes);
-        let is_recorded = log.on_changes(&recorded, next, requested_at);
+        let is_recorded = log.on_changes(&recorded, version, read_at);
         is_recorded.map_err(|e| StoreError::Malformed(e.to_string()))?;
-        self.on_store_read(shared, expiry_grace, next);
-        apply_later_changes(shared, expiry_grace, changes, next.era);
-        shared.on_items_read(requested_at);
-        Ok(())
+        let was_lost = if may_have_more {
+            self.schedule.on_part_read(version)
+        } else {
+            self.schedule.on_store_read(version)
+        };
+        on_store_read(shared, expiry_grace, was_lost, version);
+        apply_later_changes(shared, expiry_grace, changes, version.era);
+        if let Some(read_at) = read_at {
+            shared.on_items_read(read_at);
+        }
+        Ok(may_have_more)
     }
 
     /// Lets the state be passed on until the next read starts, after the batch delay. Instances that
@@ -265,20 +296,6 @@
         shared.passes_on_until.set_after(slack);
     }
 
-    fn on_store_read(
-        &mut self,
-        shared: &Shared,
-        expiry_grace: &ExpiryGrace,
-        version: StoreVersion,
-    ) {
-        let was_lost = self.schedule.on_store_read(version);
-        on_store_response(shared, expiry_grace, was_lost);
-        shared.on_read(LastRead {
-            origin: ReadOrigin::Store,
-            version,
-        });
-    }
-
     fn on_poll_failure(&mut self, shared: &Shared, instance: SocketAddr, error: &io::Error) {
         shared.metrics.on_store_read("instance", "failed");
         let news_ms = shared.freshness.age_ms();
@@ -339,6 +356,19 @@
     })
 }
 
+fn on_store_read(
+    shared: &Shared,
+    expiry_grace: &ExpiryGrace,
+    was_lost: bool,
+    version: StoreVersion,
+) {
+    on_store_response(shared, expiry_grace, was_lost);
+    shared.on_read(LastRead {
+        origin: ReadOrigin::Store,
+        version,
+    });
+}
+
 fn on_store_response(shared: &Shared, expiry_grace: &ExpiryGrace, was_lost: bool) {
     if was_lost {
         tracing::info!(kind = "dependency_regained", dependency = "store");
--- a/crates/apricotlug-steer/tests/support/world/calls.rs
+++ b/crates/apricotlug-steer/tests/support/world/calls.rs
@@ -1,5 +1,6 @@
 //! What becomes of the reads of an instance of the model, tick by tick.
 
+use apricotlug_adapter::WatchResponse;
 use apricotlug_model::StoreVersion;
 use apricotlug_policy::steer::Read;
 use apricotlug_steer::Delta;
@@ -153,9 +154,10 @@
                 Some(Answer::OtherEra(store.era))
             }
             Read::Watch { after, wait } => {
-                let changes = store.changes_after(after.revision);
-                let is_due = !changes.is_empty() || self.now >= reached + wait.as_millis() as u64;
-                is_due.then_some(Answer::Changes(changes, store.version()))
+                let watched = store.watched(after.revision);
+                let is_due =
+                    !watched.changes.is_empty() || self.now >= reached + wait.as_millis() as u64;
+                is_due.then_some(Answer::Watched(watched))
             }
             Read::Poll { .. } => None,
         }
@@ -200,7 +202,7 @@
         let instance = &mut self.instances[i];
         let slack = instance.schedule.limits().slack.as_millis() as u64;
         let is_poll = matches!(read, Read::Poll { .. });
-        let mut is_failed = false;
+        let (mut is_failed, mut is_part) = (false, false);
         match answer {
             Answer::Failed if is_poll => instance.schedule.on_poll_failure(mono),
             Answer::Failed => {
@@ -227,14 +229,24 @@
                     instance.passes_on_until = now + slack;
                 }
             }
-            Answer::Changes(changes, version) => {
-                instance.schedule.on_store_read(version);
-                instance.passes_on_until = now + slack;
-                instance
+            Answer::Watched(WatchResponse {
+                changes,
+                version,
+                may_have_more,
+            }) => {
+                let read_at = (!may_have_more).then_some(sent);
+                if may_have_more {
+                    instance.schedule.on_part_read(version);
+                    is_part = true;
+                } else {
+                    instance.schedule.on_store_read(version);
+                    instance.passes_on_until = now + slack;
+                }
+                let is_recorded = instance
                     .log
-                    .on_changes(&changes, version, boot(sent))
-                    .unwrap();
-                instance.apply(&changes, sent, mono);
+                    .on_changes(&changes, version, read_at.map(boot));
+                is_recorded.unwrap();
+                instance.apply(&changes, read_at, mono);
             }
             Answer::Polled {
                 is_full,
@@ -264,6 +276,9 @@
             instance.backoff = (instance.backoff * 2).min(MAX_BACKOFF);
             return Op::Sleep { until };
         }
+        if is_part {
+            return Op::Sleep { until: now };
+        }
         instance.backoff = MIN_BACKOFF;
         let is_starting = now < instance.started + 3_000;
         let delay = match (is_starting, is_relay) {
--- a/crates/apricotlug-steer/tests/support/world/mod.rs
+++ b/crates/apricotlug-steer/tests/support/world/mod.rs
@@ -7,7 +7,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use apricotlug_adapter::{Change, Listing};
+use apricotlug_adapter::{Change, Listing, WatchResponse};
 use apricotlug_model::{BootTime, MonoTime, StoreVersion};
 use apricotlug_policy::steer::{Read, ReadLimits, ReadSchedule, ReadSources};
 use apricotlug_steer::{ChangeLog, EraGrace};
@@ -74,7 +74,7 @@
     OtherEra(u64),
     Members,
     Listing(Listing),
-    Changes(Vec<Change>, StoreVersion),
+    Watched(WatchResponse),
     Polled {
         is_full: bool,
         changes: Vec<Change>,
@@ -372,7 +372,7 @@
             if listed.replaced_era.is_some() {
                 self.era_grace.start(now);
             }
-            self.apply(&listed.changes, read_at, now);
+            self.apply(&listed.changes, Some(read_at), now);
         });
         is_newer
     }
@@ -392,14 +392,14 @@
         }
         let is_recorded = self.log.on_changes(&changes, version, boot(read_at));
         if is_recorded.is_ok() {
-            self.apply(&changes, read_at, now);
+            self.apply(&changes, Some(read_at), now);
         }
         is_recorded.is_ok()
     }
 
     /// Applies changes as an instance does: an older plan is never put in force, and reads are no
     /// news of plans while one may be missing.
-    fn apply(&mut self, changes: &[Change], read_at: u64, now: MonoTime) {
+    fn apply(&mut self, changes: &[Change], read_at: Option<u64>, now: MonoTime) {
         for change in changes {
             match change {
                 Change::Put(item) => {
@@ -416,7 +416,7 @@
             }
         }
         if !self.era_grace.may_lack_plan(now) {
-            self.read_at = self.read_at.max(Some(read_at));
+            self.read_at = self.read_at.max(read_at);
         }
     }
 }
--- a/crates/apricotlug-steer/tests/support/world/store.rs
+++ b/crates/apricotlug-steer/tests/support/world/store.rs
@@ -2,12 +2,15 @@
 
 use std::collections::BTreeMap;
 
-use apricotlug_adapter::{Change, Item, Listing};
+use apricotlug_adapter::{Change, Item, Listing, WatchResponse};
 use apricotlug_model::StoreVersion;
 
 /// Key of the plan.
 pub const PLAN: &str = "plan";
 
+/// Most changes in the response to a watch.
+const WATCH_CHANGES: usize = 4;
+
 /// Change of the store.
 pub struct Written {
     revision: u64,
@@ -115,17 +118,26 @@
         last.map_or(0, |(_, number)| *number)
     }
 
-    pub fn changes_after(&self, after: u64) -> Vec<Change> {
+    /// Returns the response to a watch: the first changes after a revision.
+    pub fn watched(&self, after: u64) -> WatchResponse {
         let first = self
             .changes
             .partition_point(|written| written.revision <= after);
-        let changes = self.changes[first..].iter();
-        changes
-            .map(|written| match written.number {
-                Some(number) => Change::Put(item(&written.key, written.revision, number)),
-                None => Change::Removed(written.key.clone()),
-            })
-            .collect()
+        let missed = &self.changes[first..];
+        let may_have_more = missed.len() > WATCH_CHANGES;
+        let returned = &missed[..missed.len().min(WATCH_CHANGES)];
+        let last = returned.last().filter(|_| may_have_more);
+        let changes = returned.iter().map(|written| match written.number {
+            Some(number) => Change::Put(item(&written.key, written.revision, number)),
+            None => Change::Removed(written.key.clone()),
+        });
+        WatchResponse {
+            changes: changes.collect(),
+            version: last.map_or(self.version(), |last| {
+                StoreVersion::new(self.era, last.revision)
+            }),
+            may_have_more,
+        }
     }
 
     /// Returns the revision and the number of the last write of each key.
