Decide on a plan by the age that it had when it was looked up

A refusal for good, and the acceptance of a key, took the plan at one moment and the age of the last read at a later one. Where another thread finished a read in between, an old plan passed for a new one: the test, which holds a view taken before a read, got 404 for a new route, 401 for a new key and 200 for a withdrawn one (503 each now).

Plan, evacuations and the time of their read are now taken together as one view, the time first; a read puts its content in force before it counts. The request's log line gives the age of that view.

--- a/crates/apricotlug-steer/src/admission.rs
+++ b/crates/apricotlug-steer/src/admission.rs
@@ -8,7 +8,7 @@
 use apricotlug_policy::steer::{Rank, RankedRequest, object_hash};
 use rand::RngExt;
 
-use crate::shared::{OperatorState, Shared};
+use crate::shared::{OperatorView, Shared};
 
 /// Fraction of the time limit for withdrawing a key after which an instance that cannot read the
 /// store refuses all keys. The rest covers requests in flight.
@@ -115,20 +115,22 @@
 /// Returns the refusal for the caller if the request is not admitted whatever its body is.
 pub fn check(
     shared: &Shared,
-    operator_state: &OperatorState,
+    view: &OperatorView,
     head: &RequestHead,
     arrived_at: MonoTime,
 ) -> Result<CheckedRequest, Refusal> {
     let not_ready =
         || Refusal::new(503, "Service Unavailable", "no_plan").with_retry_ms(NOT_READY_RETRY_MS);
-    let plan = operator_state.plan.clone().ok_or_else(not_ready)?;
+    let plan = view.state.plan.clone().ok_or_else(not_ready)?;
     let metadata = decode_request(head);
     let host = head.headers.text("host").unwrap_or_default();
     let route_key = plan
         .route(host, head.path())
         .or_else(|| plan.route(host.split(':').next().unwrap_or_default(), head.path()))
-        .ok_or_else(|| definite_refusal(shared, Refusal::new(404, "Not Found", "no_route")))?;
-    let account = identify(shared, &plan, &plan.routes[route_key], &metadata)?;
+        .ok_or_else(|| {
+            definite_refusal(shared, view, Refusal::new(404, "Not Found", "no_route"))
+        })?;
+    let account = identify(shared, view, &plan, &plan.routes[route_key], &metadata)?;
     let time_budget = metadata.time_budget_ms.map(Duration::from_millis);
     let caller_leaves_at = time_budget.map_or(MonoTime::MAX, |span| arrived_at.after(span));
     if let Some(leave) = shared.leave()
@@ -151,7 +153,7 @@
 /// Returns the refusal for the caller if the request is not admitted.
 pub fn admit(
     shared: &Shared,
-    operator_state: &OperatorState,
+    view: &OperatorView,
     head: &RequestHead,
     arrived_at: MonoTime,
 ) -> Result<AdmittedRequest, Refusal> {
@@ -161,7 +163,7 @@
         route: route_key,
         account,
         caller_leaves_at,
-    } = check(shared, operator_state, head, arrived_at)?;
+    } = check(shared, view, head, arrived_at)?;
     let route = &plan.routes[route_key];
     let now = shared.clock.now();
     let mut steering = shared.steering();
@@ -197,7 +199,7 @@
             is_returning: waited_ms >= MIN_RETURN_WAIT_MS,
         },
         object: object.map(|object| object_hash(&service, object)),
-        evacuated: operator_state.evacuated.clone(),
+        evacuated: view.state.evacuated.clone(),
         route: route_key,
         account,
         service,
@@ -210,8 +212,9 @@
 
 /// Returns a refusal that the caller takes for final, or a temporary one while a plan may be in force
 /// that this instance has not read: a route or key that is not known here may be in it.
-fn definite_refusal(shared: &Shared, refusal: Refusal) -> Refusal {
-    if shared.knows_plan_in_force() {
+fn definite_refusal(shared: &Shared, view: &OperatorView, refusal: Refusal) -> Refusal {
+    let apply = Duration::from_millis(shared.settings().bounds.apply_ms.into());
+    if view.has_all_before(apply) {
         return refusal;
     }
     Refusal::new(503, "Service Unavailable", "stale_plan").with_retry_ms(NOT_READY_RETRY_MS)
@@ -222,6 +225,7 @@
 /// account's home regions and rate bind it on open routes too.
 fn identify(
     shared: &Shared,
+    view: &OperatorView,
     plan: &Plan,
     route: &PlanRoute,
     metadata: &RequestMetadata,
@@ -236,12 +240,11 @@
         .copied();
     let Some(account) = account else {
         let refusal = Refusal::new(401, "Unauthorized", "unknown_key");
-        return Err(definite_refusal(shared, refusal));
+        return Err(definite_refusal(shared, view, refusal));
     };
     let bounds = shared.settings().bounds;
     let max_age = Duration::from_millis(bounds.revoke_ms.into()).mul_f64(FRESHNESS_FRACTION);
-    let is_fresh = shared.freshness.age().is_some_and(|age| age < max_age);
-    if bounds.is_revocation_strict && !is_fresh {
+    if bounds.is_revocation_strict && !view.has_all_before(max_age) {
         return Err(
             Refusal::new(503, "Service Unavailable", "no_news").with_retry_ms(NOT_READY_RETRY_MS)
         );
--- a/crates/apricotlug-steer/src/caller.rs
+++ b/crates/apricotlug-steer/src/caller.rs
@@ -189,8 +189,8 @@
         }
     };
     let is_closing = !head.is_keep_alive();
-    let operator_state = shared.operator_state();
-    let request = admit(shared, &operator_state, &head, arrived_at);
+    let view = shared.operator_view();
+    let request = admit(shared, &view, &head, arrived_at);
     let decoded;
     let metadata = match &request {
         Ok(request) => &request.metadata,
@@ -253,8 +253,8 @@
         result = code,
         attempts = dispatched.attempts,
         ms = latency.as_millis() as u64,
-        plan = operator_state.plan.as_ref().map(|plan| plan.version),
-        news_ms = shared.freshness.age_ms(),
+        plan = view.state.plan.as_ref().map(|plan| plan.version),
+        news_ms = view.age_ms(),
         revision = last_read.map(|read| read.version.revision),
         read_from = last_read.map(|read| tracing::field::display(read.origin))
     );
--- a/crates/apricotlug-steer/src/freshness.rs
+++ b/crates/apricotlug-steer/src/freshness.rs
@@ -27,7 +27,7 @@
 
     /// Records that everything written before `read_at` is in force here.
     pub fn record_read(&self, read_at: BootTime) {
-        self.0.fetch_max(read_at.0, Ordering::Relaxed);
+        self.0.fetch_max(read_at.0, Ordering::Release);
     }
 
     /// Returns the age of the last read in milliseconds; `None` if there was none yet.
@@ -40,9 +40,16 @@
     /// Returns the age of the last read; `None` if there was none yet.
     #[must_use]
     pub fn age(&self) -> Option<Duration> {
-        match self.0.load(Ordering::Relaxed) {
+        self.read_at().map(|at| Self::now().since(at))
+    }
+
+    /// Returns the time of the last read; `None` if there was none yet.
+    #[must_use]
+    pub fn read_at(&self) -> Option<BootTime> {
+        // Whoever sees the time also sees what the read put in force.
+        match self.0.load(Ordering::Acquire) {
             0 => None,
-            at => Some(Self::now().since(BootTime(at))),
+            at => Some(BootTime(at)),
         }
     }
 }
--- a/crates/apricotlug-steer/src/lib.rs
+++ b/crates/apricotlug-steer/src/lib.rs
@@ -46,6 +46,7 @@
 #[path = "generated/pulse_capnp.rs"]
 mod pulse_capnp;
 
+pub use admission::{CheckedRequest, Refusal, check};
 pub use body_buffer::{BodyBuffer, BufferedBytes};
 pub use freshness::StoreFreshness;
 pub use instance::{Instance, StartError};
@@ -53,7 +54,7 @@
 pub use moves::{DueStatus, Moves, VersionChoice};
 pub use peers::{Member, MemberInfo, Peers, Relays};
 pub use relay::{ChangeLog, Delta, ListedChanges, OlderRead, Snapshot};
-pub use shared::{LastRead, OperatorState, ReadOrigin, Shared};
+pub use shared::{LastRead, OperatorState, OperatorView, ReadOrigin, Shared};
 pub use steering::SteeringState;
 pub use store_changes::{ExpiryGrace, apply_changes, apply_later_changes, apply_listed};
 pub use store_era::{EraGrace, keep_newer_plan, without_older_plans};
--- a/crates/apricotlug-steer/src/receive.rs
+++ b/crates/apricotlug-steer/src/receive.rs
@@ -67,7 +67,7 @@
         return Err(HttpError::BodyTooLarge(limits.body_bytes).into());
     }
     if !is_buffered(framing, conn) {
-        check(shared, &shared.operator_state(), head, arrived_at).map_err(ReceiveError::Refused)?;
+        check(shared, &shared.operator_view(), head, arrived_at).map_err(ReceiveError::Refused)?;
     }
     let body = shared.bodies.start(framing, conn)?;
     let expects = head.headers.text("expect");
--- a/crates/apricotlug-steer/src/shared.rs
+++ b/crates/apricotlug-steer/src/shared.rs
@@ -34,6 +34,35 @@
     pub evacuated: Vec<String>,
 }
 
+/// Plan and evacuations as they are in force at a moment, and the time of the read up to which they
+/// are complete.
+#[derive(Clone, Debug)]
+pub struct OperatorView {
+    /// Plan and evacuations.
+    pub state: Arc<OperatorState>,
+    read_at: Option<BootTime>,
+}
+
+impl OperatorView {
+    /// Returns whether everything is contained that was confirmed longer ago than a span.
+    #[must_use]
+    pub fn has_all_before(&self, span: Duration) -> bool {
+        self.age().is_some_and(|age| age < span)
+    }
+
+    /// Returns the time since the read in milliseconds; `None` if there was none yet.
+    #[must_use]
+    pub fn age_ms(&self) -> Option<u64> {
+        let age = self.age()?;
+        Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    fn age(&self) -> Option<Duration> {
+        let now = StoreFreshness::now();
+        self.read_at.map(|read_at| now.since(read_at))
+    }
+}
+
 /// What an instance reads the store's items from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadOrigin {
@@ -197,13 +226,6 @@
         }
     }
 
-    /// Returns whether every plan is known that has to be in force by now.
-    #[must_use]
-    pub fn knows_plan_in_force(&self) -> bool {
-        let apply = Duration::from_millis(self.settings().bounds.apply_ms.into());
-        self.freshness.age().is_some_and(|age| age < apply)
-    }
-
     /// Marks the instance as leaving, and returns the times of its stop. Only the first call sets
     /// them.
     pub fn start_leaving(&self) -> Leave {
@@ -242,6 +264,18 @@
         )
     }
 
+    /// Returns the plan and evacuations with the time of the read up to which they are complete.
+    #[must_use]
+    pub fn operator_view(&self) -> OperatorView {
+        // The time first: what a read brings is in force before the read counts, so a read that ends
+        // meanwhile can only make the state newer than the time says.
+        let read_at = self.freshness.read_at();
+        OperatorView {
+            state: self.operator_state(),
+            read_at,
+        }
+    }
+
     /// Changes the plan or the evacuations.
     pub fn update_operator_state(&self, change: impl FnOnce(&mut OperatorState)) {
         let mut operator_state = self
