List the items as soon as the store answers an instance that starts

Callers of instances that restart in an outage of the store waited longer than they had to: the instance had listed the others, so the store was back, and went on to poll one of them for 400 ms that had restarted as well and knew nothing.

Cause: the fallback to other instances lasted for 3 s after the last failure, whatever the store answered since. An answer of the store ends it now. The test failed before: the next read was a poll.

--- a/crates/apricotlug-policy/src/steer/read_schedule.rs
+++ b/crates/apricotlug-policy/src/steer/read_schedule.rs
@@ -79,7 +79,8 @@
 /// would all wait for changes that none of them fetches from the store.
 const FALLBACK_THRESHOLD: u32 = 2;
 
-/// Time for which other instances are used before the store is tried again.
+/// Time for which other instances are used before the store is tried again. An answer of the store to
+/// any of the reads ends it.
 const FALLBACK_DURATION: Duration = Duration::from_secs(3);
 
 /// Instances that can be read from in place of the store.
@@ -242,9 +243,11 @@
         is_active.then(|| sources.others[self.failed_polls % count])
     }
 
-    /// Records that the instances' entries have been listed.
-    pub fn on_members_listed(&mut self) {
+    /// Records that the instances' entries have been listed. Returns whether the store had failed
+    /// before.
+    pub fn on_members_listed(&mut self) -> bool {
         self.knows_members = true;
+        self.on_store_response()
     }
 
     /// Records that the store's items are known up to a version. Returns whether the store had
@@ -270,10 +273,11 @@
         self.on_store_response()
     }
 
-    /// Records a response of the store, or of a relay that stands for it. Returns whether the store
-    /// had failed before.
+    /// Records a response of the store, or of a relay that stands for it, which ends the fallback.
+    /// Returns whether the store had failed before.
     pub fn on_store_response(&mut self) -> bool {
         self.store_failures = 0;
+        self.fallback_until = MonoTime::default();
         std::mem::take(&mut self.is_store_lost)
     }
 
--- a/crates/apricotlug-policy/tests/steer_reads.rs
+++ b/crates/apricotlug-policy/tests/steer_reads.rs
@@ -258,6 +258,26 @@
     );
 }
 
+/// Guards against an instance without a plan that goes on asking others, which may have started in the
+/// same outage and know nothing either, though the store has answered it.
+#[test]
+fn a_start_in_an_outage_lists_the_items_as_soon_as_the_store_answers() {
+    let mut schedule = ReadSchedule::new(limits());
+    for failed_at in [1_000, 2_200, 3_500] {
+        assert_eq!(schedule.next(&others(), at(failed_at)), Read::ListMembers);
+        schedule.on_store_failure(at(failed_at));
+    }
+    assert!(schedule.on_members_listed(), "the store is back");
+    assert_eq!(schedule.next(&others(), at(3_700)), Read::List);
+    schedule.on_store_failure(at(3_800));
+    schedule.on_store_failure(at(3_900));
+    assert_eq!(
+        polled(schedule.next(&others(), at(3_901))),
+        Some(addr(1)),
+        "turned away again"
+    );
+}
+
 /// Guards against waits that add up where an instance stops reading from another one: that one's last
 /// read may be a whole wait ago, and the store out of reach.
 #[test]
--- a/crates/apricotlug-steer/src/store_sync.rs
+++ b/crates/apricotlug-steer/src/store_sync.rs
@@ -131,7 +131,7 @@
             let passes_on_for = self.schedule.passes_on_for(read);
             shared.passes_on_until.set_after(passes_on_for);
             match read {
-                Read::ListMembers => self.list_members(shared).await?,
+                Read::ListMembers => self.list_members(shared, expiry_grace).await?,
                 Read::List => return self.list(shared, expiry_grace).await,
                 Read::Watch { after, wait } => {
                     let is_part = self.watch(shared, expiry_grace, after, wait).await?;
@@ -159,10 +159,15 @@
     }
 
     /// Lists the instances' entries, from which the relays follow.
-    async fn list_members(&mut self, shared: &Shared) -> Result<(), StoreError> {
+    async fn list_members(
+        &mut self,
+        shared: &Shared,
+        expiry_grace: &ExpiryGrace,
+    ) -> Result<(), StoreError> {
         let listing = self.store.list(member_prefix(), LIST_TIMEOUT).await?;
         register_members(shared, &listing.items);
-        self.schedule.on_members_listed();
+        let was_lost = self.schedule.on_members_listed();
+        on_store_response(shared, expiry_grace, was_lost);
         Ok(())
     }
 
