Bound what the port for other instances takes

Anyone may connect to that port. 600 connections left no descriptor for callers, and 12 that announced 32 MiB each and sent nearly all of it brought the process to 403 MB of 112: nothing limited either.

Connections pass a gate as those of callers do, an eighth of the sockets. A request may have 1 MiB, far beyond the figures of an installation, and takes room for its length as a body does before it is read, so that one that stops loses it to others. New outside name: the log line `peer_refused`.

--- a/crates/apricotlug-steer/src/machine.rs
+++ b/crates/apricotlug-steer/src/machine.rs
@@ -41,14 +41,16 @@
     pub lookups: Arc<ConnGate>,
     /// Readiness and metrics.
     pub ready: Arc<ConnGate>,
+    /// Other instances.
+    pub peers: Arc<ConnGate>,
     /// Most idle connections to backend servers.
     pub pooled: usize,
 }
 
 impl ConnLimits {
     /// Divides the descriptors of a machine for sockets. Three eighths are for callers, an eighth for
-    /// look-ups, a thirty-second for readiness and a quarter for idle connections to backend servers;
-    /// requests in flight and other instances have the rest.
+    /// look-ups and other instances each, a thirty-second for readiness and a quarter for idle
+    /// connections to backend servers; requests in flight have the rest.
     #[must_use]
     pub fn new(machine: SiteMachine) -> Self {
         let descriptors = machine.descriptors.map_or_else(own_limit, |n| n as usize);
@@ -59,6 +61,7 @@
             callers: Arc::new(ConnGate::new(callers)),
             lookups: Arc::new(ConnGate::new(sockets / 8)),
             ready: Arc::new(ConnGate::new(sockets / 32)),
+            peers: Arc::new(ConnGate::new(sockets / 8)),
             pooled: sockets / 4,
         }
     }
--- a/crates/apricotlug-steer/src/relay/mod.rs
+++ b/crates/apricotlug-steer/src/relay/mod.rs
@@ -29,16 +29,8 @@
 /// Reads one message, which is preceded by its length as 4 bytes in big-endian order.
 async fn read(mut stream: &TcpStream, time_limit: Duration) -> io::Result<Vec<u8>> {
     let reading = async {
-        let mut len = [0; 4];
-        stream.read_exact(&mut len).await?;
-        let len = u32::from_be_bytes(len);
-        if len > MAX_MESSAGE_BYTES {
-            return Err(io::Error::new(
-                io::ErrorKind::InvalidData,
-                "message exceeds 32 MiB",
-            ));
-        }
-        let mut bytes = vec![0; len as usize];
+        let len = read_len(stream, MAX_MESSAGE_BYTES).await?;
+        let mut bytes = vec![0; len];
         stream.read_exact(&mut bytes).await?;
         Ok(bytes)
     };
@@ -47,6 +39,18 @@
         .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
 }
 
+/// Reads the length of a message of up to `max` bytes.
+async fn read_len(mut stream: &TcpStream, max: u32) -> io::Result<usize> {
+    let mut len = [0; 4];
+    stream.read_exact(&mut len).await?;
+    let len = u32::from_be_bytes(len);
+    if len > max {
+        let text = format!("message of {len} bytes, {max} allowed");
+        return Err(io::Error::new(io::ErrorKind::InvalidData, text));
+    }
+    Ok(len as usize)
+}
+
 /// Writes one message, preceded by its length as 4 bytes in big-endian order.
 async fn write(mut stream: &TcpStream, message: &[u8], time_limit: Duration) -> io::Result<()> {
     let len = u32::try_from(message.len()).unwrap_or(u32::MAX);
--- a/crates/apricotlug-steer/src/relay/server.rs
+++ b/crates/apricotlug-steer/src/relay/server.rs
@@ -1,16 +1,17 @@
 //! Serves relay requests of other instances.
 
-use std::{sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
-use apricotlug_http::{Step, Turn};
+use apricotlug_http::{ConnPermit, Step, Turn};
 use apricotlug_policy::steer::WindowCounts;
 use async_std::{
     future::timeout,
+    io::ReadExt,
     net::{TcpListener, TcpStream},
     task,
 };
 
-use super::{change_log::Delta, read, write};
+use super::{change_log::Delta, read_len, write};
 use crate::{
     freshness::StoreFreshness,
     shared::Shared,
@@ -23,6 +24,9 @@
 /// Time limit for sending a response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Largest request, in bytes: figures of all accounts and backend servers of an installation.
+const MAX_REQUEST_BYTES: u32 = 1 << 20;
+
 /// Longest time that a request may wait for a change.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
@@ -36,8 +40,12 @@
         turn.take(Step::Transfer).await;
         match listener.accept().await {
             Ok((stream, _)) => {
+                let Some(permit) = shared.conn_limits.peers.enter(&stream) else {
+                    tracing::warn!(kind = "peer_refused");
+                    continue;
+                };
                 let shared = Arc::clone(&shared);
-                task::spawn(async move { serve_conn(&shared, stream).await });
+                task::spawn(async move { serve_conn(&shared, stream, permit).await });
             }
             Err(e) => {
                 tracing::warn!(kind = "accept_peer", error = %e);
@@ -47,15 +55,20 @@
     }
 }
 
-async fn serve_conn(shared: &Shared, stream: TcpStream) {
+async fn serve_conn(shared: &Shared, stream: TcpStream, mut permit: ConnPermit) {
     // Disables Nagle's algorithm so that small messages are sent at once; a failure only adds
     // latency.
     let _ = stream.set_nodelay(true);
-    while let Ok(bytes) = read(&stream, IDLE_TIMEOUT).await {
-        let request = match decode_relay_request(&bytes) {
+    while let Ok(request) = timeout(IDLE_TIMEOUT, read_request(shared, &stream)).await {
+        if !permit.on_request() {
+            return;
+        }
+        let request = match request {
             Ok(request) => request,
             Err(e) => {
-                tracing::warn!(kind = "bad_question", error = %e);
+                if e.kind() == io::ErrorKind::InvalidData {
+                    tracing::warn!(kind = "bad_question", error = %e);
+                }
                 return;
             }
         };
@@ -66,7 +79,31 @@
         {
             return;
         }
+        permit.on_wait();
+    }
+}
+
+/// Reads one request into room that is taken before it is read, as for callers' bodies: anyone may
+/// connect.
+async fn read_request(shared: &Shared, mut stream: &TcpStream) -> io::Result<RelayRequest> {
+    let len = read_len(stream, MAX_REQUEST_BYTES).await?;
+    let no_room = || io::Error::new(io::ErrorKind::OutOfMemory, "no room for the request");
+    let held = shared
+        .bodies
+        .hold(stream.clone(), len)
+        .ok_or_else(no_room)?;
+    let mut bytes = vec![0; len];
+    let mut turn = Turn::default();
+    let mut filled = 0;
+    while filled < len {
+        turn.take(Step::Transfer).await;
+        let read = stream.read(&mut bytes[filled..]).await?;
+        if read == 0 || !held.on_received(read) {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        filled += read;
     }
+    decode_relay_request(&bytes).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))
 }
 
 async fn build_response(shared: &Shared, request: RelayRequest) -> RelayResponse {
--- a/crates/apricotlug-steer/src/request_body.rs
+++ b/crates/apricotlug-steer/src/request_body.rs
@@ -105,23 +105,27 @@
         if body.declared == Some(0) {
             return Ok(body);
         }
+        let len = body.declared.unwrap_or(NEXT_READ_BYTES);
+        let held = self.hold(conn.writer(), len).ok_or(BodyError::NoRoom)?;
+        body.held = Some(held);
+        Ok(body)
+    }
+
+    /// Takes room for `len` bytes that are about to be read from a stream. Where another needs it and
+    /// they stop coming, the stream is shut down for reading.
+    #[must_use]
+    pub(crate) fn hold(self: &Arc<Self>, stream: TcpStream, len: usize) -> Option<HeldRoom> {
         let key = {
             let mut state = self.state();
             let key = state.room.add(self.clock.now());
-            state.streams.insert(key, conn.writer());
+            state.streams.insert(key, stream);
             key
         };
         let held = HeldRoom {
             key,
             bodies: Arc::clone(self),
         };
-        let is_granted = held.resize(body.declared.unwrap_or(NEXT_READ_BYTES));
-        body.held = Some(held);
-        if is_granted {
-            Ok(body)
-        } else {
-            Err(BodyError::NoRoom)
-        }
+        held.resize(len).then_some(held)
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -136,9 +140,9 @@
     }
 }
 
-/// Room of one body, released on drop.
+/// Room of one body or message, released on drop.
 #[derive(Debug)]
-struct HeldRoom {
+pub(crate) struct HeldRoom {
     key: BodyKey,
     bodies: Arc<RequestBodies>,
 }
@@ -168,7 +172,7 @@
 
     /// Records received bytes. Returns whether the body still has its room: bytes that were under way
     /// arrive also after another one got it.
-    fn on_received(&self, bytes: usize) -> bool {
+    pub(crate) fn on_received(&self, bytes: usize) -> bool {
         let now = self.bodies.clock.now();
         let mut state = self.bodies.state();
         state.room.on_received(self.key, bytes as u64, now);
