--- a/crates/apricotlug-http/src/conn.rs
+++ b/crates/apricotlug-http/src/conn.rs
@@ -2,7 +2,7 @@
 
 use std::{
     future::Future,
-    io,
+    io::{self, IoSlice},
     net::{self, Shutdown, SocketAddr},
     time::{Duration, Instant},
 };
@@ -31,6 +31,9 @@
 /// Most bytes that are read ahead of the current exchange, to notice that the peer has closed.
 const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 
+/// Most pieces that one write transfers.
+const MAX_PIECES_A_WRITE: usize = 32;
+
 /// Interval of probes on an idle connection, and how many of them may stay unanswered.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_PROBES: u32 = 2;
@@ -76,6 +79,8 @@
     filled: usize,
     /// Largest next read, in bytes.
     read_bytes: usize,
+    /// Whether it holds no buffer while it waits for input.
+    is_lean: bool,
     turn: Turn,
     limits: Limits,
 }
@@ -92,6 +97,7 @@
             consumed: 0,
             filled: 0,
             read_bytes: READ_BYTES,
+            is_lean: false,
             turn: Turn::default(),
             limits,
         }
@@ -124,6 +130,12 @@
         self.read_bytes = bytes.unwrap_or(READ_BYTES);
     }
 
+    /// Sets whether the connection holds no buffer while it waits for input, at the price of one more
+    /// call of the operating system for each read that has waited.
+    pub fn set_lean(&mut self, is_lean: bool) {
+        self.is_lean = is_lean;
+    }
+
     /// Frees the buffer if nothing is left in it.
     pub fn release_buffer(&mut self) {
         if self.buffered().is_empty() {
@@ -193,6 +205,12 @@
 
     /// Reads more bytes into the buffer. A read that is cancelled leaves the buffer as it was.
     async fn read_more(&mut self) -> io::Result<usize> {
+        if self.is_lean && self.buffered().is_empty() {
+            self.release_buffer();
+            if self.stream.peek(&mut [0]).await? == 0 {
+                return Ok(0);
+            }
+        }
         self.buf.copy_within(self.consumed..self.filled, 0);
         self.filled -= self.consumed;
         self.consumed = 0;
@@ -258,6 +276,15 @@
         write_all(&self.stream, bytes, self.limits.progress, &mut self.turn).await
     }
 
+    /// Writes pieces one behind the other without copying them; the time limit restarts with each write
+    /// that transfers any byte.
+    ///
+    /// # Errors
+    /// Returns an error if the write fails or transfers no byte within the progress time limit.
+    pub async fn write_pieces(&mut self, pieces: &[&[u8]]) -> Result<()> {
+        write_pieces(&self.stream, pieces, self.limits.progress, &mut self.turn).await
+    }
+
     /// Closes the write direction and discards input for up to `LINGER_TIMEOUT`. Closing a socket
     /// with unread input resets the connection, and the peer could lose the last response.
     pub async fn linger(&mut self) {
@@ -325,6 +352,34 @@
     Ok(())
 }
 
+/// Writes pieces one behind the other, several with each write, and copies none of them. The time
+/// limit restarts with each write that transfers any byte; each write is a step of `turn`.
+///
+/// # Errors
+/// Returns an error if the write fails or transfers no byte within the time limit.
+pub async fn write_pieces(
+    mut stream: &TcpStream,
+    pieces: &[&[u8]],
+    progress_timeout: Duration,
+    turn: &mut Turn,
+) -> Result<()> {
+    for pieces in pieces.chunks(MAX_PIECES_A_WRITE) {
+        let mut slices: Vec<_> = pieces.iter().map(|piece| IoSlice::new(piece)).collect();
+        let mut left = slices.as_mut_slice();
+        IoSlice::advance_slices(&mut left, 0);
+        while !left.is_empty() {
+            turn.take(Step::Transfer).await;
+            let writing = stream.write_vectored(left);
+            let written = with_timeout(progress_timeout, Phase::Write, writing).await?;
+            if written == 0 {
+                return Err(HttpError::Truncated);
+            }
+            IoSlice::advance_slices(&mut left, written);
+        }
+    }
+    Ok(())
+}
+
 async fn with_timeout<T>(
     time_limit: Duration,
     phase: Phase,
--- a/crates/apricotlug-http/src/lib.rs
+++ b/crates/apricotlug-http/src/lib.rs
@@ -15,7 +15,7 @@
 mod turn;
 
 pub use body::{BodyReader, BodyWriter};
-pub use conn::{Conn, Limits, connect, write_all as write_to};
+pub use conn::{Conn, Limits, connect, write_pieces};
 pub use error::{HttpError, Phase};
 pub use framing::{Framing, request_framing, response_framing};
 pub use gate::{ConnGate, ConnPermit, GateCounts};
--- a/crates/apricotlug-steer/src/attempt.rs
+++ b/crates/apricotlug-steer/src/attempt.rs
@@ -1,10 +1,11 @@
 //! One attempt to run a request on one backend server.
 
-use std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+use std::{iter, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use apricotlug_adapter::{ResponseMetadata, decode_response, rewrite_request};
 use apricotlug_http::{
-    BodyReader, Conn, Framing, HttpError, Limits, RequestHead, ResponseHead, Turn, response_framing,
+    BodyReader, Conn, Framing, HttpError, Limits, RequestHead, ResponseHead, Turn,
+    response_framing, write_pieces,
 };
 use apricotlug_model::MonoTime;
 use apricotlug_policy::steer::BackendKey;
@@ -29,9 +30,6 @@
 /// Largest unexpected response that is skipped, in bytes.
 const MAX_SKIPPED_BYTES: u64 = 64 * 1024;
 
-/// Longest request body that is copied behind its head, in bytes.
-const MAX_JOINED_BYTES: usize = 64 * 1024;
-
 /// Longest wait for the body of a refusal, after which its connection is closed.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -196,6 +194,7 @@
         return Err(AttemptError::Unreachable);
     }
     let bytes = encode(request, &target.id, left_ms);
+    conn.set_lean(shared.conn_limits.is_crowded());
     let (head, metadata, is_sent) = send(&mut conn, &bytes, request, target, conn_use).await?;
     record_announcements(shared, target, head.status, &metadata);
     if metadata.is_not_executed {
@@ -242,7 +241,7 @@
     }
 }
 
-/// Encodes the head, with a short body behind it so that one write sends both.
+/// Encodes the head.
 fn encode(request: OutgoingRequest<'_>, backend: &str, left_ms: u64) -> Vec<u8> {
     let mut head = request.head.clone();
     rewrite_request(&mut head, request.account, backend, left_ms);
@@ -251,31 +250,18 @@
         _ => Framing::Length(request.body.len() as u64),
     };
     framing.announce(&mut head.headers);
-    let mut bytes = head.encode();
-    if request.body.len() <= MAX_JOINED_BYTES {
-        request
-            .body
-            .pieces()
-            .for_each(|piece| bytes.extend_from_slice(piece));
-    }
-    bytes
+    head.encode()
 }
 
-/// Writes the encoded head, and a long body piece by piece where it lies.
+/// Writes the encoded head and the body from where it lies.
 async fn write_request(
     writer: &TcpStream,
     bytes: &[u8],
     body: &RequestBody,
     write_timeout: Duration,
 ) -> Result<(), HttpError> {
-    let mut turn = Turn::default();
-    apricotlug_http::write_to(writer, bytes, write_timeout, &mut turn).await?;
-    if body.len() > MAX_JOINED_BYTES {
-        for piece in body.pieces() {
-            apricotlug_http::write_to(writer, piece, write_timeout, &mut turn).await?;
-        }
-    }
-    Ok(())
+    let pieces: Vec<_> = iter::once(bytes).chain(body.pieces()).collect();
+    write_pieces(writer, &pieces, write_timeout, &mut Turn::default()).await
 }
 
 /// How far a request has been written.
--- a/crates/apricotlug-steer/src/caller.rs
+++ b/crates/apricotlug-steer/src/caller.rs
@@ -71,9 +71,7 @@
         permit.on_wait();
         let read_bytes = shared.conn_limits.waiting_read_bytes();
         conn.set_read_bytes(read_bytes);
-        if read_bytes.is_some() {
-            conn.release_buffer();
-        }
+        conn.set_lean(read_bytes.is_some());
         if !await_request(shared, &mut conn).await {
             return;
         }
--- a/crates/apricotlug-steer/src/machine.rs
+++ b/crates/apricotlug-steer/src/machine.rs
@@ -66,10 +66,17 @@
         }
     }
 
+    /// Returns whether so many callers are connected that connections hold no buffers while they
+    /// wait.
+    #[must_use]
+    pub fn is_crowded(&self) -> bool {
+        self.callers.counts().open > CROWD
+    }
+
     /// Returns the largest read for a caller that waits for a request; `None` for the usual one.
     #[must_use]
     pub fn waiting_read_bytes(&self) -> Option<usize> {
-        (self.callers.counts().open > CROWD).then_some(CROWDED_READ_BYTES)
+        self.is_crowded().then_some(CROWDED_READ_BYTES)
     }
 }
 
--- a/crates/apricotlug-steer/src/receive.rs
+++ b/crates/apricotlug-steer/src/receive.rs
@@ -77,6 +77,9 @@
     conn.set_read_bytes(None);
     let reader = BodyReader::new(framing, limits.body_bytes);
     let body = body.read(conn, permit, reader).await?;
+    if shared.conn_limits.is_crowded() {
+        conn.release_buffer();
+    }
     // Until here the connection could be closed for another one.
     if permit.on_request() {
         Ok((framing, body))
--- a/crates/apricotlug-steer/src/response.rs
+++ b/crates/apricotlug-steer/src/response.rs
@@ -18,9 +18,6 @@
 /// while the buffers of all requests together are full.
 const MAX_UNFRAMED_BYTES: usize = 16 << 20;
 
-/// Longest body that is copied behind its head, in bytes.
-const MAX_JOINED_BYTES: usize = 64 * 1024;
-
 /// Longest silence of a backend server within a body, once the time of its route is over.
 const MAX_LATE_SILENCE: Duration = Duration::from_millis(200);
 
@@ -125,14 +122,7 @@
     if !is_bodiless {
         Framing::Length(body.len() as u64).announce(&mut head.headers);
     }
-    let mut bytes = head.encode();
-    if body.len() <= MAX_JOINED_BYTES {
-        bytes.extend_from_slice(body);
-    }
-    conn.write(&bytes).await?;
-    if body.len() > MAX_JOINED_BYTES {
-        conn.write(body).await?;
-    }
+    conn.write_pieces(&[&head.encode(), body]).await?;
     Ok(if is_closing {
         AfterResponse::Close
     } else {
