Tell the end of a stream from that of a connection that failed

Callers got a part of an answer, or an empty one, as a whole 200: a backend server answered a long upload at once without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: the operating system reports a reset once, to whichever call comes next. The write of the upload took the report; to the reader of the body, which lasts until the close, the stream then seemed to end.

Ruled out: a reader that loses its own error. Answers whose reader heard of the reset were never delivered.

Change: all handles of a connection share one `Stream`, which keeps the first failure that any of them is told of. A read of 0 bytes on a connection that failed is that failure, for every reader on both stacks. EPIPE is not kept: it says that the peer had ended its stream before the reset, so the answer's end is known.

--- a/crates/apricotlug-http/src/body.rs
+++ b/crates/apricotlug-http/src/body.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
-use async_std::net::TcpStream;
-
 use crate::{
-    conn::{Conn, write_all},
+    conn::Conn,
     error::{HttpError, Phase, Result},
     framing::Framing,
+    stream::Stream,
     turn::Turn,
 };
 
@@ -189,7 +188,7 @@
 /// a complete one.
 #[derive(Debug)]
 pub struct BodyWriter {
-    stream: TcpStream,
+    stream: Stream,
     is_chunked: bool,
     progress_timeout: Duration,
     turn: Turn,
@@ -236,6 +235,8 @@
     }
 
     async fn write_all(&mut self, bytes: &[u8]) -> Result<()> {
-        write_all(&self.stream, bytes, self.progress_timeout, &mut self.turn).await
+        self.stream
+            .write_all(bytes, self.progress_timeout, &mut self.turn)
+            .await
     }
 }
--- a/crates/apricotlug-http/src/conn.rs
+++ b/crates/apricotlug-http/src/conn.rs
@@ -1,24 +1,20 @@
 //! Buffered connection with a time limit on each read and write.
 
 use std::{
-    future::Future,
-    io::{self, IoSlice},
+    io,
     net::{self, Shutdown, SocketAddr},
     time::{Duration, Instant},
 };
 
 use async_io::Async;
-use async_std::{
-    future::timeout,
-    io::{ReadExt, WriteExt},
-    net::TcpStream,
-};
+use async_std::net::TcpStream;
 use futures_lite::future::{self, poll_once};
 use rustix::net::sockopt;
 
 use crate::{
     error::{HttpError, Phase, Result},
     head::{RequestHead, ResponseHead},
+    stream::{Stream, with_timeout},
     turn::{Step, Turn},
 };
 
@@ -31,9 +27,6 @@
 /// Most bytes that are read ahead of the current exchange, to notice that the peer has closed.
 const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 
-/// Most pieces that one write transfers.
-const MAX_PIECES_A_WRITE: usize = 32;
-
 /// Interval of probes on an idle connection, and how many of them may stay unanswered.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_PROBES: u32 = 2;
@@ -71,7 +64,7 @@
 /// Connection and the bytes that were read from it but not yet consumed.
 #[derive(Debug)]
 pub struct Conn {
-    stream: TcpStream,
+    stream: Stream,
     buf: Vec<u8>,
     consumed: usize,
     /// End of the bytes that were read. Behind it lies space for a read, which may have been
@@ -92,7 +85,7 @@
         // Sends small messages without delay; a failure only adds latency.
         let _ = stream.set_nodelay(true);
         Self {
-            stream,
+            stream: Stream::new(stream),
             buf: Vec::new(),
             consumed: 0,
             filled: 0,
@@ -164,15 +157,21 @@
     /// # Errors
     /// Returns the error of the operating system, for example if the socket is not connected.
     pub fn peer_addr(&self) -> io::Result<SocketAddr> {
-        self.stream.peer_addr()
+        self.stream.tcp().peer_addr()
     }
 
     /// Returns a second handle to the stream, for writing while this connection reads.
     #[must_use]
-    pub fn writer(&self) -> TcpStream {
+    pub fn writer(&self) -> Stream {
         self.stream.clone()
     }
 
+    /// Returns a handle to the socket, for shutting it down.
+    #[must_use]
+    pub fn socket(&self) -> TcpStream {
+        self.stream.tcp().clone()
+    }
+
     /// Returns the bytes that were read but not yet consumed.
     #[must_use]
     pub fn buffered(&self) -> &[u8] {
@@ -194,10 +193,12 @@
         self.turn.take(Step::BufferedLine).await;
     }
 
-    /// Reads more bytes into the buffer. Returns their number; 0 means the end of the stream.
+    /// Reads more bytes into the buffer. Returns their number; 0 means that the peer has ended its
+    /// stream.
     ///
     /// # Errors
-    /// Returns an error if no byte arrives within the time limit or the read fails.
+    /// Returns an error if no byte arrives within the time limit, the read fails, or the connection
+    /// failed before the end of the stream, also where a write has reported it.
     pub async fn fill(&mut self, time_limit: Duration, phase: Phase) -> Result<usize> {
         self.turn.take(Step::Transfer).await;
         with_timeout(time_limit, phase, self.read_more()).await
@@ -273,7 +274,10 @@
     /// # Errors
     /// Returns an error if the write fails or transfers no byte within the progress time limit.
     pub async fn write(&mut self, bytes: &[u8]) -> Result<()> {
-        write_all(&self.stream, bytes, self.limits.progress, &mut self.turn).await
+        let time_limit = self.limits.progress;
+        self.stream
+            .write_all(bytes, time_limit, &mut self.turn)
+            .await
     }
 
     /// Writes pieces one behind the other without copying them; the time limit restarts with each write
@@ -282,7 +286,10 @@
     /// # Errors
     /// Returns an error if the write fails or transfers no byte within the progress time limit.
     pub async fn write_pieces(&mut self, pieces: &[&[u8]]) -> Result<()> {
-        write_pieces(&self.stream, pieces, self.limits.progress, &mut self.turn).await
+        let time_limit = self.limits.progress;
+        self.stream
+            .write_pieces(pieces, time_limit, &mut self.turn)
+            .await
     }
 
     /// Closes the write direction and discards input for up to `LINGER_TIMEOUT`. Closing a socket
@@ -329,64 +336,3 @@
     sockopt::set_tcp_user_timeout(&stream, timeout_ms)?;
     Ok(stream.into())
 }
-
-/// Writes all bytes to a stream; the time limit restarts with each write that transfers any byte. Each
-/// write is a step of `turn`.
-///
-/// # Errors
-/// Returns an error if the write fails or transfers no byte within the time limit.
-pub async fn write_all(
-    mut stream: &TcpStream,
-    mut bytes: &[u8],
-    progress_timeout: Duration,
-    turn: &mut Turn,
-) -> Result<()> {
-    while !bytes.is_empty() {
-        turn.take(Step::Transfer).await;
-        let written = with_timeout(progress_timeout, Phase::Write, stream.write(bytes)).await?;
-        if written == 0 {
-            return Err(HttpError::Truncated);
-        }
-        bytes = &bytes[written..];
-    }
-    Ok(())
-}
-
-/// Writes pieces one behind the other, several with each write, and copies none of them. The time
-/// limit restarts with each write that transfers any byte; each write is a step of `turn`.
-///
-/// # Errors
-/// Returns an error if the write fails or transfers no byte within the time limit.
-pub async fn write_pieces(
-    mut stream: &TcpStream,
-    pieces: &[&[u8]],
-    progress_timeout: Duration,
-    turn: &mut Turn,
-) -> Result<()> {
-    for pieces in pieces.chunks(MAX_PIECES_A_WRITE) {
-        let mut slices: Vec<_> = pieces.iter().map(|piece| IoSlice::new(piece)).collect();
-        let mut left = slices.as_mut_slice();
-        IoSlice::advance_slices(&mut left, 0);
-        while !left.is_empty() {
-            turn.take(Step::Transfer).await;
-            let writing = stream.write_vectored(left);
-            let written = with_timeout(progress_timeout, Phase::Write, writing).await?;
-            if written == 0 {
-                return Err(HttpError::Truncated);
-            }
-            IoSlice::advance_slices(&mut left, written);
-        }
-    }
-    Ok(())
-}
-
-async fn with_timeout<T>(
-    time_limit: Duration,
-    phase: Phase,
-    operation: impl Future<Output = io::Result<T>>,
-) -> Result<T> {
-    match timeout(time_limit, operation).await {
-        Ok(result) => Ok(result?),
-        Err(_) => Err(HttpError::TimedOut(phase)),
-    }
-}
--- a/crates/apricotlug-http/src/lib.rs
+++ b/crates/apricotlug-http/src/lib.rs
@@ -12,14 +12,16 @@
 mod head;
 mod request;
 mod serve;
+mod stream;
 mod turn;
 
 pub use body::{BodyReader, BodyWriter};
-pub use conn::{Conn, Limits, connect, write_pieces};
+pub use conn::{Conn, Limits, connect};
 pub use error::{HttpError, Phase};
 pub use framing::{Framing, request_framing, response_framing};
 pub use gate::{ConnGate, ConnPermit, GateCounts};
 pub use head::{Headers, RequestHead, ResponseHead};
 pub use request::{Reply, exchange};
 pub use serve::{AfterResponse, AppLimits, serve_app};
+pub use stream::Stream;
 pub use turn::{Step, Turn};
--- a/crates/apricotlug-standins/src/backend/fault.rs
+++ b/crates/apricotlug-standins/src/backend/fault.rs
@@ -27,6 +27,12 @@
     UntilClose,
     /// Sends `content-length` together with `transfer-encoding`.
     AmbiguousFraming,
+    /// Runs the request, sends this text in place of a response and closes the connection. `{id}` in it
+    /// stands for the request's identifier.
+    Text(&'static str),
+    /// Sends the text as `Text` does, as soon as the head of the request has arrived, and closes the
+    /// connection while a part of the body is unread, which resets it. For long bodies only.
+    ResetUpload(&'static str),
 }
 
 /// Rule that injects a fault into the requests whose path starts with a prefix.
--- a/crates/apricotlug-standins/src/backend/server.rs
+++ b/crates/apricotlug-standins/src/backend/server.rs
@@ -178,6 +178,12 @@
     if fault == Some(Fault::CloseUnanswered) {
         return Ok(false);
     }
+    if let Some(Fault::ResetUpload(text)) = fault {
+        run(state, &head, fault).await;
+        // A close resets the connection only where something is unread.
+        conn.socket().peek(&mut [0]).await?;
+        return send_text(conn, &head, text).await;
+    }
     let mut reader = BodyReader::new(request_framing(&head)?, u64::MAX);
     let mut received_bytes = 0;
     while let Some(piece) = reader.next(conn).await? {
@@ -191,6 +197,7 @@
     let response = Response::completed(&state.cfg, &head, received_bytes, fault);
     match fault {
         Some(Fault::Silent) => std::future::pending().await,
+        Some(Fault::Text(text)) => send_text(conn, &head, text).await,
         Some(Fault::CutAnswer) => response.send(conn, Form::Truncated).await,
         Some(Fault::StrayBytes) => response.send(conn, Form::ExtraResponse).await,
         Some(Fault::InterimHeads) => response.send(conn, Form::Interim).await,
@@ -200,6 +207,13 @@
     }
 }
 
+/// Sends the text of a fault, after which the connection is closed.
+async fn send_text(conn: &mut Conn, head: &RequestHead, text: &str) -> Result<bool, HttpError> {
+    let id = head.headers.text("apricotlug-request-id").unwrap_or("");
+    conn.write(text.replace("{id}", id).as_bytes()).await?;
+    Ok(false)
+}
+
 /// Guard that counts a request as in flight until it is dropped. `load` is the number of requests
 /// in flight when this one arrived, itself included.
 struct InFlight<'a> {
--- a/crates/apricotlug-steer/src/attempt.rs
+++ b/crates/apricotlug-steer/src/attempt.rs
@@ -4,12 +4,12 @@
 
 use apricotlug_adapter::{ResponseMetadata, decode_response, rewrite_request};
 use apricotlug_http::{
-    BodyReader, Conn, Framing, HttpError, Limits, RequestHead, ResponseHead, Turn,
-    response_framing, write_pieces,
+    BodyReader, Conn, Framing, HttpError, Limits, RequestHead, ResponseHead, Stream, Turn,
+    response_framing,
 };
 use apricotlug_model::MonoTime;
 use apricotlug_policy::steer::BackendKey;
-use async_std::{future::timeout, net::TcpStream};
+use async_std::future::timeout;
 use futures_lite::future;
 
 use crate::{body_buffer::BodyBuffer, request_body::RequestBody, shared::Shared};
@@ -255,13 +255,15 @@
 
 /// Writes the encoded head and the body from where it lies.
 async fn write_request(
-    writer: &TcpStream,
+    writer: &Stream,
     bytes: &[u8],
     body: &RequestBody,
     write_timeout: Duration,
 ) -> Result<(), HttpError> {
     let pieces: Vec<_> = iter::once(bytes).chain(body.pieces()).collect();
-    write_pieces(writer, &pieces, write_timeout, &mut Turn::default()).await
+    writer
+        .write_pieces(&pieces, write_timeout, &mut Turn::default())
+        .await
 }
 
 /// How far a request has been written.
--- a/crates/apricotlug-steer/src/request_body.rs
+++ b/crates/apricotlug-steer/src/request_body.rs
@@ -98,7 +98,7 @@
             return Ok(body);
         }
         let len = body.declared.unwrap_or(NEXT_READ_BYTES);
-        let held = self.hold(conn.writer(), len).ok_or(BodyError::NoRoom)?;
+        let held = self.hold(conn.socket(), len).ok_or(BodyError::NoRoom)?;
         body.held = Some(held);
         Ok(body)
     }
