Show that a head without a status or a field name is no answer

Answers with the status 000, and with a line whose field name holds a blank or a control byte or is missing, were seen to reach callers of other systems.

The second stack: status 000 and 600, and lines without a name, 504 with an unknown outcome.

--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -90,3 +90,25 @@
         }
     }
 }
+
+#[test]
+fn a_head_without_a_status_or_with_a_line_that_has_no_field_name_is_no_answer() {
+    let (world, entry) = single();
+    let texts = [
+        "HTTP/1.1 000 OK\r\napricotlug-request-id: {id}\r\ncontent-length: 4\r\n\r\nbody",
+        "HTTP/1.1 600 OK\r\napricotlug-request-id: {id}\r\ncontent-length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\napricotlug-request-id: {id}\r\nx odd: 2\r\ncontent-length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\napricotlug-request-id: {id}\r\ncontent-length : 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\napricotlug-request-id: {id}\r\n content-length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\napricotlug-request-id: {id}\r\nx\u{1}odd: 2\r\ncontent-length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\n x-odd: 2\r\napricotlug-request-id: {id}\r\ncontent-length: 4\r\n\r\nbody",
+        "HTTP/1.1 503 Full\r\napricotlug-outcome: not-run\r\nx odd: 2\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 103 Early\r\nx odd: 2\r\n\r\n\
+         HTTP/1.1 200 OK\r\napricotlug-request-id: {id}\r\ncontent-length: 4\r\n\r\nbody",
+    ];
+    for text in texts {
+        let (reply, runs) = ask_at_fault(&world, &entry, Fault::Text(text), "/bookings/x", b"body");
+        let seen = (reply.status, reply.outcome(), runs);
+        assert_eq!(seen, (504, "unknown", 1), "{text:?}: {reply:?}");
+    }
+}
