Reset the connection of an HTTP/1.0 caller whose answer broke off

Cause: such a caller knows the end of a body of unknown length by the close alone, and the close by which other callers see that an answer is cut was that end.

Change: the connection is reset, and a head that has not been sent is left out.

Ruled out: reading the whole answer first, since long documents would no longer pass.

--- a/crates/apricotlug-edge/src/deliver.rs
+++ b/crates/apricotlug-edge/src/deliver.rs
@@ -49,8 +49,9 @@
 /// Streams the response to the caller.
 ///
 /// Where the backend server's response is truncated, the end of the body is not written and
-/// `may_keep_alive` is false, so that the caller sees a truncated response too. At most
-/// `max_kept_bytes` of body are kept for repeats.
+/// `may_keep_alive` is false, so that the caller sees a truncated response too; to an HTTP/1.0 caller,
+/// for which a close would be the end, the connection is reset. At most `max_kept_bytes` of body are
+/// kept for repeats.
 ///
 /// # Errors
 /// Returns an error where writing to the caller fails.
@@ -63,8 +64,9 @@
 ) -> Result<Delivered, HttpError> {
     let is_http_1_0 = exchange.head.minor == 0;
     let has_unknown_length = matches!(answer.framing, Framing::Chunked | Framing::UntilClose);
-    let is_closing = is_closing || (is_http_1_0 && has_unknown_length);
-    let framing = if is_http_1_0 && has_unknown_length {
+    let ends_with_close = is_http_1_0 && has_unknown_length;
+    let is_closing = is_closing || ends_with_close;
+    let framing = if ends_with_close {
         Framing::Empty
     } else {
         answer.framing
@@ -79,7 +81,11 @@
             Ok(Some(piece)) => piece,
             Ok(None) => break,
             Err(_) => {
-                caller.write(&unsent).await?;
+                if ends_with_close {
+                    caller.reset_on_close()?;
+                } else {
+                    caller.write(&unsent).await?;
+                }
                 return Ok(Delivered {
                     is_complete: false,
                     may_keep_alive: false,
--- a/crates/apricotlug-http/src/conn.rs
+++ b/crates/apricotlug-http/src/conn.rs
@@ -292,6 +292,16 @@
             .await
     }
 
+    /// Makes the close of the connection reset it, so that the peer does not take it for the end of a
+    /// message.
+    ///
+    /// # Errors
+    /// Returns the error of the operating system if the option cannot be set.
+    pub fn reset_on_close(&self) -> io::Result<()> {
+        sockopt::set_socket_linger(self.stream.tcp(), Some(Duration::ZERO))?;
+        Ok(())
+    }
+
     /// Closes the write direction and discards input for up to `LINGER_TIMEOUT`. Closing a socket
     /// with unread input resets the connection, and the peer could lose the last response.
     pub async fn linger(&mut self) {
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -2,6 +2,11 @@
 
 mod support;
 
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+};
+
 use apricotlug_standins::backend::{Fault, FaultRule};
 use support::{CALLER, Entry, Reply, World, ask};
 
@@ -112,3 +117,28 @@
         assert_eq!(seen, (504, "unknown", 1), "{text:?}: {reply:?}");
     }
 }
+
+/// Guards against an answer that breaks off and seems whole, since a body without a length ends for a
+/// caller of HTTP/1.0 where its connection does.
+#[test]
+fn a_caller_of_http_1_0_does_not_see_the_end_of_an_answer_that_broke_off() {
+    let (world, entry) = single();
+    let chunks = "HTTP/1.1 200 OK\r\napricotlug-request-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n";
+    let nothing =
+        "HTTP/1.1 200 OK\r\napricotlug-request-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n";
+    for text in [chunks, nothing] {
+        for backend in &world.backends {
+            backend.set_faults(vec![FaultRule::always(Fault::Text(text))]);
+        }
+        let mut stream = TcpStream::connect(entry.caller).unwrap();
+        write!(
+            stream,
+            "POST /bookings/x HTTP/1.0\r\nhost: a\r\nauthorization: Bearer {CALLER}\r\ncontent-length: 0\r\n\r\n"
+        )
+        .unwrap();
+        let mut received = Vec::new();
+        let ended = stream.read_to_end(&mut received);
+        let received = String::from_utf8_lossy(&received);
+        assert!(ended.is_err(), "{text:?}: {received:?}");
+    }
+}
