Show what other readers make of broken answers

The reset that a write hears of can reach every reader of a body that lasts until the close; status 000 and names with a blank or a control byte can reach every reader of heads. Tests alone, no change of the product.

Client of the store, single exchanges (usage reports, operators' commands) and the platform's client of the second stack: an answer that is cut, by a length, in chunks or by a reset, one with status 000, and one with a line without a field name are errors; a write is then not taken for confirmed. A whole answer with the same lines in order is taken.

By reading: relays and peers send messages behind their length, and a message that is cut is an error.

--- a/crates/apricotlug-http/tests/endings.rs
+++ b/crates/apricotlug-http/tests/endings.rs
@@ -3,9 +3,13 @@
 use std::{
     io::{Read, Write},
     net::{self, Shutdown},
+    thread,
+    time::Duration,
 };
 
-use apricotlug_http::{BodyReader, BodyWriter, Conn, Framing, HttpError, Limits};
+use apricotlug_http::{
+    BodyReader, BodyWriter, Conn, Framing, Headers, HttpError, Limits, RequestHead, exchange,
+};
 use async_std::{net::TcpListener, task::block_on};
 
 const REQUEST: &[u8] = b"request";
@@ -14,6 +18,9 @@
 /// Bytes that the buffers of a socket cannot hold.
 const UPLOAD_BYTES: usize = 16 << 20;
 
+/// Time limit of an exchange.
+const TIME_LIMIT: Duration = Duration::from_secs(30);
+
 /// How the peer ends a connection on which it has sent its answer.
 #[derive(Clone, Copy, Debug)]
 enum Ending {
@@ -133,3 +140,54 @@
         }
     });
 }
+
+/// An answer to a single request, whose client reads it once the request is written.
+#[test]
+fn a_single_exchange_takes_no_part_of_an_answer_for_the_whole() {
+    let request = RequestHead {
+        method: "POST".to_owned(),
+        target: "/x".to_owned(),
+        minor: 1,
+        headers: Headers::default(),
+    };
+    let answers = [
+        (
+            true,
+            "HTTP/1.1 200 OK\r\nx-odd: 2\r\ncontent-length: 4\r\n\r\nbody",
+        ),
+        (false, "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nbody"),
+        (
+            false,
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n",
+        ),
+        (false, "HTTP/1.1 200 OK\r\n\r\nbody"),
+        (false, "HTTP/1.1 200 OK\r\n\r\n"),
+        (false, "HTTP/1.1 000 OK\r\ncontent-length: 4\r\n\r\nbody"),
+        (
+            false,
+            "HTTP/1.1 200 OK\r\nx odd: 2\r\ncontent-length: 4\r\n\r\nbody",
+        ),
+        (
+            false,
+            "HTTP/1.1 200 OK\r\nx-odd : 2\r\ncontent-length: 4\r\n\r\nbody",
+        ),
+    ];
+    for (is_whole, answer) in answers {
+        let listener = net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
+        let addr = listener.local_addr().unwrap();
+        thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            // The request stays unread, so that the close resets the connection.
+            stream.peek(&mut [0]).unwrap();
+            stream.write_all(answer.as_bytes()).unwrap();
+        });
+        let reply = block_on(exchange(
+            addr,
+            request.clone(),
+            b"body",
+            1 << 20,
+            TIME_LIMIT,
+        ));
+        assert_eq!(reply.is_ok(), is_whole, "{answer:?}: {reply:?}");
+    }
+}
