--- a/crates/apricotlug-http/src/conn.rs
+++ b/crates/apricotlug-http/src/conn.rs
@@ -166,7 +166,8 @@
         self.stream.clone()
     }
 
-    /// Returns a handle to the socket, for shutting it down.
+    /// Returns a handle to the socket, for shutting it down. Failures that it reports are not known to
+    /// this connection.
     #[must_use]
     pub fn socket(&self) -> TcpStream {
         self.stream.tcp().clone()
--- a/crates/apricotlug-http/src/stream.rs
+++ b/crates/apricotlug-http/src/stream.rs
@@ -112,8 +112,8 @@
         Ok(())
     }
 
-    /// Keeps the first failure of the connection. A broken pipe is none of what the peer sends: it had
-    /// ended its stream before the connection failed.
+    /// Keeps the first failure of the connection. A broken pipe is left out: a write reports it where the
+    /// peer had ended its stream before the connection failed.
     fn record<T>(&self, result: io::Result<T>) -> io::Result<T> {
         if let Err(e) = &result
             && e.kind() != ErrorKind::BrokenPipe
